--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+SHELL := /usr/bin/env bash
+.SHELLFLAGS := -eu -o pipefail -c
+GO ?= go
+TOOL := $(GO) tool -modfile=tools/go.mod
+BIN := build/bin
+
+.PHONY: test build format lint vet unit demo measure clean
+
+test: format vet lint unit
+
+format:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [[ -n "$$out" ]]; then echo "not formatted: $$out; run gofmt -w on them"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(TOOL) staticcheck ./...
+
+# -count=1 makes every run execute the tests instead of reporting cached results.
+unit:
+	$(GO) test -race -count=1 ./...
+
+build:
+	mkdir -p $(BIN)
+	CGO_ENABLED=1 $(GO) build -o $(BIN)/ ./cmd/...
+
+clean:
+	rm -rf build
