Add the shared types, the configuration state machine and the codec

Cause: every part of the system needs one set of identifiers, refusals and messages before it can be built beside the others. Change: core/domain holds identifiers, money and refusals; core/config applies changes with operation ids, base versions and fenced shard assignments; adapter/codec encodes typed structs as CBOR with tags derived from names. Programs without a suffix are homed over a list that is fixed once, because a list that follows the VMs would move programs under way.

--- /dev/null
+++ b/adapter/codec/codec_test.go
@@ -0,0 +1,48 @@
+package codec
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+type innerRecord struct {
+	Amount domain.Micros
+	At     time.Time
+	Hash   [4]byte
+}
+
+func (*innerRecord) RecordName() string { return "test.inner" }
+
+type outerMessage struct {
+	Body    domain.Record
+	Bodies  []domain.Record
+	Program domain.ProgramID
+	ByShard map[domain.ShardID]int
+	Bytes   []byte
+}
+
+func (*outerMessage) MessageName() string { return "test.outer" }
+
+// Guards against typed values that lose their type, or fields that lose their
+// value, when a record is nested in a message.
+func TestRoundTrip(t *testing.T) {
+	c, err := New([]domain.Message{&outerMessage{}}, []domain.Record{&innerRecord{}})
+	must.NoError(t, err)
+	inner := &innerRecord{Amount: -3, At: time.Unix(5, 7).UTC(), Hash: [4]byte{1, 2, 3, 4}}
+	want := &outerMessage{
+		Body:    inner,
+		Bodies:  []domain.Record{inner, inner},
+		Program: domain.ProgramID{Account: "a", Name: "p"},
+		ByShard: map[domain.ShardID]int{{DataCentre: "x", Number: 2}: 3},
+		Bytes:   []byte{9},
+	}
+	data, err := c.EncodeMessage(want)
+	must.NoError(t, err)
+	got, err := c.DecodeMessage(data)
+	must.NoError(t, err)
+	must.Eq(t, domain.Message(want), got)
+}
--- /dev/null
+++ b/core/config/state.go
@@ -0,0 +1,176 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// maxOperations bounds the remembered outcomes of operations. At 16,000 changes
+// a day an operator's client may resend for about a day.
+const maxOperations = 16_384
+
+// Rejection classifies a change that was not applied.
+type Rejection string
+
+// The kinds of rejection.
+const (
+	Applied  Rejection = ""
+	Conflict Rejection = "conflict"
+	Invalid  Rejection = "invalid"
+)
+
+// Result is the outcome of a change. The same operation always has the same
+// result.
+type Result struct {
+	// Version is the configuration version after the change.
+	Version   uint64
+	Rejection Rejection
+	// Message names the remedy of a rejected change.
+	Message string
+}
+
+// Err returns the rejection as a typed refusal, or nil.
+func (r Result) Err() error {
+	switch r.Rejection {
+	case Applied:
+		return nil
+	case Conflict:
+		return domain.NotRun(domain.ReasonConflict, "%s", r.Message)
+	default:
+		return domain.NotRun(domain.ReasonBadRequest, "%s", r.Message)
+	}
+}
+
+// Snapshot is the whole configuration state. It is a record, so that a voter
+// can store it and send it to followers.
+type Snapshot struct {
+	Version        uint64
+	AppliedIndex   uint64
+	Accounts       map[domain.Account]AccountSpec
+	Keys           map[KeyID]KeySpec
+	Presets        map[PresetName]PresetSpec
+	PresetInForce  PresetName
+	Models         map[domain.ModelName]ModelSpec
+	Routes         map[string]RouteSpec
+	Targets        map[domain.Target]TargetSpec
+	VMs            map[domain.VM]VMSpec
+	Homes          []domain.DataCentre
+	Assignments    map[domain.ShardID]Assignment
+	ObjectVersions map[string]uint64
+	Operations     map[domain.OperationID]Result
+	// OperationOrder lists the remembered operations, oldest first.
+	OperationOrder []domain.OperationID
+}
+
+// RecordName implements domain.Record.
+func (*Snapshot) RecordName() string { return "config.Snapshot" }
+
+// State is the configuration state machine. The same changes in the same order
+// give the same state on every VM.
+type State struct {
+	data Snapshot
+	view *View
+}
+
+// NewState returns the configuration of a new system with the default presets.
+func NewState() *State {
+	presets := map[PresetName]PresetSpec{}
+	for _, p := range defaultPresets() {
+		presets[p.Name] = p
+	}
+	return Restore(&Snapshot{Presets: presets, PresetInForce: PresetOrdinary})
+}
+
+// Restore returns the state of a snapshot. The snapshot is copied.
+func Restore(s *Snapshot) *State { return &State{data: *cloneSnapshot(s)} }
+
+// Snapshot returns a copy of the whole state.
+func (s *State) Snapshot() *Snapshot { return cloneSnapshot(&s.data) }
+
+// Version returns the version, which grows by one with each applied change.
+func (s *State) Version() uint64 { return s.data.Version }
+
+// AppliedIndex returns the log index of the last entry seen.
+func (s *State) AppliedIndex() uint64 { return s.data.AppliedIndex }
+
+// Apply executes the change of a committed log entry. Entries at or below the
+// applied index are ignored, so that a replay never reverts a later change.
+func (s *State) Apply(index uint64, c *Change) Result {
+	if index <= s.data.AppliedIndex {
+		return Result{Version: s.data.Version, Rejection: Invalid, Message: "the log entry was applied before"}
+	}
+	s.data.AppliedIndex = index
+	if known, ok := s.data.Operations[c.Operation]; ok && c.Operation != "" {
+		return known
+	}
+	result := s.execute(c)
+	s.remember(c.Operation, result)
+	return result
+}
+
+func (s *State) execute(c *Change) Result {
+	object := c.Command.Object()
+	if last := s.data.ObjectVersions[object]; c.Base != 0 && last > c.Base {
+		return s.rejected(Conflict, fmt.Sprintf(
+			"%s was changed in version %d after version %d, which this change is based on; read it again and repeat the change", object, last, c.Base))
+	}
+	if err := s.data.apply(c.Command); err != nil {
+		return s.rejected(Invalid, err.Error())
+	}
+	s.data.Version++
+	s.data.ObjectVersions[object] = s.data.Version
+	s.view = nil
+	return Result{Version: s.data.Version}
+}
+
+func (s *State) rejected(kind Rejection, message string) Result {
+	return Result{Version: s.data.Version, Rejection: kind, Message: message}
+}
+
+func (s *State) remember(operation domain.OperationID, r Result) {
+	if operation == "" {
+		return
+	}
+	s.data.Operations[operation] = r
+	s.data.OperationOrder = append(s.data.OperationOrder, operation)
+	if len(s.data.OperationOrder) > maxOperations {
+		delete(s.data.Operations, s.data.OperationOrder[0])
+		s.data.OperationOrder = slices.Clone(s.data.OperationOrder[1:])
+	}
+}
+
+// View returns the immutable view of the current state.
+func (s *State) View() *View {
+	if s.view == nil {
+		s.view = newView(&s.data)
+	}
+	return s.view
+}
+
+func cloneSnapshot(s *Snapshot) *Snapshot {
+	c := *s
+	c.Accounts = cloneMap(s.Accounts)
+	c.Keys = cloneMap(s.Keys)
+	c.Presets = cloneMap(s.Presets)
+	c.Models = cloneMap(s.Models)
+	c.Routes = cloneMap(s.Routes)
+	c.Targets = cloneMap(s.Targets)
+	c.VMs = cloneMap(s.VMs)
+	c.Assignments = cloneMap(s.Assignments)
+	c.ObjectVersions = cloneMap(s.ObjectVersions)
+	c.Operations = cloneMap(s.Operations)
+	c.Homes = slices.Clone(s.Homes)
+	c.OperationOrder = slices.Clone(s.OperationOrder)
+	return &c
+}
+
+// cloneMap copies a map and turns nil into an empty map.
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return map[K]V{}
+	}
+	return maps.Clone(m)
+}
--- /dev/null
+++ b/core/config/view.go
@@ -0,0 +1,165 @@
+package config
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// ShardsPerDataCentre is the fixed number of shards of each data centre. It is
+// part of the placement of programs and cannot change without moving them.
+const ShardsPerDataCentre uint32 = 16
+
+// View is an immutable copy of the configuration for lookups. Callers must not
+// change what it returns.
+type View struct {
+	version      uint64
+	appliedIndex uint64
+	accounts     map[domain.Account]*AccountSpec
+	keysByHash   map[KeyHash]*KeySpec
+	keys         []KeySpec
+	presets      map[PresetName]PresetSpec
+	preset       PresetSpec
+	models       map[domain.ModelName]*ModelSpec
+	routes       map[string]*RouteSpec
+	targets      map[domain.Target]*TargetSpec
+	vms          map[domain.VM]*VMSpec
+	assignments  map[domain.ShardID]Assignment
+	homes        []domain.DataCentre
+	dataCentres  []domain.DataCentre
+}
+
+func newView(s *Snapshot) *View {
+	v := &View{
+		version:      s.Version,
+		appliedIndex: s.AppliedIndex,
+		accounts:     pointers(s.Accounts),
+		keysByHash:   make(map[KeyHash]*KeySpec, len(s.Keys)),
+		presets:      maps.Clone(s.Presets),
+		preset:       s.Presets[s.PresetInForce],
+		models:       pointers(s.Models),
+		routes:       pointers(s.Routes),
+		targets:      pointers(s.Targets),
+		vms:          pointers(s.VMs),
+		assignments:  maps.Clone(s.Assignments),
+		homes:        slices.Clone(s.Homes),
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Keys)) {
+		key := s.Keys[id]
+		v.keysByHash[key.Hash] = &key
+		v.keys = append(v.keys, key)
+	}
+	v.dataCentres = dataCentresOf(s)
+	return v
+}
+
+func pointers[K comparable, V any](m map[K]V) map[K]*V {
+	out := make(map[K]*V, len(m))
+	for k, value := range m {
+		out[k] = &value
+	}
+	return out
+}
+
+func dataCentresOf(s *Snapshot) []domain.DataCentre {
+	seen := map[domain.DataCentre]bool{}
+	for _, dc := range s.Homes {
+		seen[dc] = true
+	}
+	for _, vm := range s.VMs {
+		seen[vm.DataCentre] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// Version returns the configuration version of the view.
+func (v *View) Version() uint64 { return v.version }
+
+// AppliedIndex returns the log index that the view includes.
+func (v *View) AppliedIndex() uint64 { return v.appliedIndex }
+
+// Account returns a client account, or nil.
+func (v *View) Account(name domain.Account) *AccountSpec { return v.accounts[name] }
+
+// Accounts returns all client accounts in the order of their names.
+func (v *View) Accounts() []*AccountSpec { return sortedValues(v.accounts) }
+
+// KeyByHash returns the key with the hash, or nil.
+func (v *View) KeyByHash(hash KeyHash) *KeySpec { return v.keysByHash[hash] }
+
+// Keys returns all keys in the order of their ids.
+func (v *View) Keys() []KeySpec { return v.keys }
+
+// Preset returns the preset in force.
+func (v *View) Preset() *PresetSpec { return &v.preset }
+
+// PresetNamed returns a preset by name.
+func (v *View) PresetNamed(name PresetName) (PresetSpec, bool) {
+	p, ok := v.presets[name]
+	return p, ok
+}
+
+// Model returns a model, or nil.
+func (v *View) Model(name domain.ModelName) *ModelSpec { return v.models[name] }
+
+// Models returns all models in the order of their names.
+func (v *View) Models() []*ModelSpec { return sortedValues(v.models) }
+
+// Route returns a plain service, or nil.
+func (v *View) Route(name string) *RouteSpec { return v.routes[name] }
+
+// Routes returns all plain services in the order of their names.
+func (v *View) Routes() []*RouteSpec { return sortedValues(v.routes) }
+
+// Target returns a target, or nil.
+func (v *View) Target(name domain.Target) *TargetSpec { return v.targets[name] }
+
+// Targets returns all targets in the order of their names.
+func (v *View) Targets() []*TargetSpec { return sortedValues(v.targets) }
+
+// VM returns a VM of the system, or nil.
+func (v *View) VM(name domain.VM) *VMSpec { return v.vms[name] }
+
+// VMs returns all VMs of the system in the order of their names.
+func (v *View) VMs() []*VMSpec { return sortedValues(v.vms) }
+
+// Assignment returns the holders of a shard; its epoch is 0 before the first
+// assignment.
+func (v *View) Assignment(id domain.ShardID) Assignment { return v.assignments[id] }
+
+// Assignments returns all assignments in the order of their shards.
+func (v *View) Assignments() []Assignment {
+	out := slices.Collect(maps.Values(v.assignments))
+	slices.SortFunc(out, func(a, b Assignment) int {
+		if a.Shard.Less(b.Shard) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Homes returns the data centres that home programs without a suffix, sorted.
+// It is empty until the first leader has fixed the list.
+func (v *View) Homes() []domain.DataCentre { return v.homes }
+
+// DataCentres returns the homes and the data centres of all VMs, sorted.
+func (v *View) DataCentres() []domain.DataCentre { return v.dataCentres }
+
+// ShardOfProgram returns the shard that holds a program.
+func (v *View) ShardOfProgram(id domain.ProgramID) (domain.ShardID, error) {
+	dc, err := domain.HomeDataCentre(id, v.homes, v.dataCentres)
+	if err != nil {
+		return domain.ShardID{}, err
+	}
+	return domain.ShardOf(id, dc, ShardsPerDataCentre), nil
+}
+
+func sortedValues[K ~string, V any](m map[K]*V) []*V {
+	out := make([]*V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[k])
+	}
+	return out
+}
