--- /dev/null
+++ b/adapter/certs/certs.go
@@ -0,0 +1,141 @@
+// Package certs gives TLS configurations whose certificates are read from
+// files and reloaded without a restart.
+package certs
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// Files names the PEM files of one VM.
+type Files struct {
+	Certificate string
+	Key         string
+	// Authority signs the certificates of all VMs and operators' clients.
+	Authority string
+}
+
+// reloadInterval bounds how often the files' times are compared.
+const reloadInterval = time.Second
+
+// Loader holds the current certificate and authority.
+type Loader struct {
+	files Files
+	now   func() time.Time
+
+	mu      sync.Mutex
+	checked time.Time
+	changed time.Time
+	pair    *tls.Certificate
+	pool    *x509.CertPool
+}
+
+// NewLoader reads the files once, so that a wrong setting fails at start.
+func NewLoader(files Files, now func() time.Time) (*Loader, error) {
+	l := &Loader{files: files, now: now}
+	if err := l.load(); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Loader) load() error {
+	pair, err := tls.LoadX509KeyPair(l.files.Certificate, l.files.Key)
+	if err != nil {
+		return fmt.Errorf("certs: load %s and %s (check that they are a matching PEM pair): %w", l.files.Certificate, l.files.Key, err)
+	}
+	pem, err := os.ReadFile(l.files.Authority)
+	if err != nil {
+		return fmt.Errorf("certs: load authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("certs: %s holds no PEM certificate; set it to the authority's certificate", l.files.Authority)
+	}
+	l.pair, l.pool = &pair, pool
+	l.changed = l.modified()
+	return nil
+}
+
+// modified returns the latest modification time of the files.
+func (l *Loader) modified() time.Time {
+	var latest time.Time
+	for _, name := range []string{l.files.Certificate, l.files.Key, l.files.Authority} {
+		if info, err := os.Stat(name); err == nil && info.ModTime().After(latest) {
+			latest = info.ModTime()
+		}
+	}
+	return latest
+}
+
+// current returns the newest usable certificate and authority. Files that were
+// replaced by unusable ones keep the earlier certificate in use.
+func (l *Loader) current() (*tls.Certificate, *x509.CertPool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	if now.Sub(l.checked) >= reloadInterval {
+		l.checked = now
+		if l.modified().After(l.changed) {
+			// An error leaves pair and pool as they were; the next check tries again.
+			_ = l.load()
+		}
+	}
+	return l.pair, l.pool
+}
+
+// Server returns a configuration that requires a client certificate of the
+// authority.
+func (l *Loader) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			pair, pool := l.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{*pair},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    pool,
+				NextProtos:   []string{"h2", "http/1.1"},
+			}, nil
+		},
+	}
+}
+
+// Client returns a configuration that presents the VM's certificate and
+// accepts servers whose certificate the authority signed. Peers are addressed
+// by IP numbers that change when VMs are replaced, so the chain is verified
+// without a host name.
+func (l *Loader) Client() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			pair, _ := l.current()
+			return pair, nil
+		},
+		InsecureSkipVerify: true, // replaced by VerifyConnection below
+		VerifyConnection:   l.verify,
+		NextProtos:         []string{"h2"},
+	}
+}
+
+func (l *Loader) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("certs: the server sent no certificate; set its certificate files")
+	}
+	_, pool := l.current()
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	options := x509.VerifyOptions{Roots: pool, Intermediates: intermediates}
+	if _, err := state.PeerCertificates[0].Verify(options); err != nil {
+		return fmt.Errorf("certs: the server's certificate is not signed by the authority (check --tls-ca on both VMs): %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/adapter/metrics/metrics.go
@@ -0,0 +1,116 @@
+// Package metrics implements port.Metrics with the Prometheus client.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// maxAccountLabels bounds the accounts that get a label of their own. The
+// target size is 1,800 client accounts; later ones share the label "other".
+const maxAccountLabels = 2_000
+
+const otherAccounts = "other"
+
+// Metrics holds the collectors of one process.
+type Metrics struct {
+	registry    *prometheus.Registry
+	accounts    *accountLabels
+	refused     *prometheus.CounterVec
+	retried     *prometheus.CounterVec
+	dropped     *prometheus.CounterVec
+	firstToken  *prometheus.HistogramVec
+	callLatency *prometheus.HistogramVec
+	programs    *prometheus.HistogramVec
+	tokens      *prometheus.CounterVec
+	charged     *prometheus.CounterVec
+	step        prometheus.Histogram
+}
+
+var _ port.Metrics = (*Metrics)(nil)
+
+// latencyBuckets are in seconds and hold the stated 0.69 s to the first token
+// as a bound of its own.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.69, 1, 2.5, 5, 10, 30, 60, 300, 1800, 7200}
+
+// New returns metrics on a registry of their own.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		accounts: newAccountLabels(maxAccountLabels),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangoknot_refused_total", Help: "Requests refused, by client account, reason and outcome.",
+		}, []string{"account", "reason", "outcome"}),
+		retried: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangoknot_retried_total", Help: "Calls and control messages sent again, by reason.",
+		}, []string{"reason"}),
+		dropped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangoknot_control_messages_dropped_total", Help: "Control messages dropped because a queue was full, by peer VM.",
+		}, []string{"vm"}),
+		firstToken:  histogram("mangoknot_first_token_seconds", "Time from the request to the first byte of the answer."),
+		callLatency: histogram("mangoknot_call_seconds", "Time from the request to the end of the answer."),
+		programs:    histogram("mangoknot_program_seconds", "Time from the first call of a program to its end."),
+		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangoknot_tokens_total", Help: "Tokens served, by client account and kind.",
+		}, []string{"account", "kind"}),
+		charged: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangoknot_charged_micros_total", Help: "Money charged in 1/1,000,000 of the currency unit, by client account.",
+		}, []string{"account"}),
+		step: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "mangoknot_control_step_seconds", Help: "Time of one step of the control goroutine.",
+			Buckets: []float64{1e-6, 1e-5, 1e-4, 1e-3, 1e-2, 1e-1},
+		}),
+	}
+	m.registry.MustRegister(m.refused, m.retried, m.dropped, m.firstToken, m.callLatency, m.programs, m.tokens, m.charged, m.step,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func histogram(name, help string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, []string{"account"})
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Registry returns the registry, for embedders and tests.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+// Refused implements port.Metrics.
+func (m *Metrics) Refused(account domain.Account, reason domain.Reason, outcome domain.Outcome) {
+	m.refused.WithLabelValues(m.accounts.label(account), string(reason), outcome.String()).Inc()
+}
+
+// Retried implements port.Metrics.
+func (m *Metrics) Retried(reason string) { m.retried.WithLabelValues(reason).Inc() }
+
+// CallDone implements port.Metrics.
+func (m *Metrics) CallDone(account domain.Account, firstToken, total time.Duration, usage domain.Usage, cost domain.Micros) {
+	label := m.accounts.label(account)
+	m.firstToken.WithLabelValues(label).Observe(firstToken.Seconds())
+	m.callLatency.WithLabelValues(label).Observe(total.Seconds())
+	m.tokens.WithLabelValues(label, "prompt").Add(float64(usage.Prompt - usage.Cached))
+	m.tokens.WithLabelValues(label, "cached").Add(float64(usage.Cached))
+	m.tokens.WithLabelValues(label, "generated").Add(float64(usage.Generated))
+	m.charged.WithLabelValues(label).Add(float64(cost))
+}
+
+// ProgramEnded implements port.Metrics.
+func (m *Metrics) ProgramEnded(account domain.Account, latency time.Duration) {
+	m.programs.WithLabelValues(m.accounts.label(account)).Observe(latency.Seconds())
+}
+
+// MessageDropped implements port.Metrics.
+func (m *Metrics) MessageDropped(to domain.VM) { m.dropped.WithLabelValues(string(to)).Inc() }
+
+// ControlStep implements port.Metrics.
+func (m *Metrics) ControlStep(d time.Duration) { m.step.Observe(d.Seconds()) }
--- /dev/null
+++ b/adapter/peer/client.go
@@ -0,0 +1,395 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"github.com/mangoknot/mangoknot/adapter/codec"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	// queueLength bounds the control messages that wait for one peer.
+	queueLength = 4096
+	// maxBatch bounds the messages of one frame.
+	maxBatch = 128
+	// dialTimeout bounds one attempt to connect.
+	dialTimeout = time.Second
+	// firstRetryDelay and lastRetryDelay bound the delay before the next attempt.
+	firstRetryDelay = 50 * time.Millisecond
+	lastRetryDelay  = time.Second
+	// idleTimeout closes a connection that carries nothing.
+	idleTimeout = 30 * time.Second
+)
+
+// errReplaced ends a connection that membership found silent.
+var errReplaced = errors.New("the connection was replaced")
+
+// Client sends control messages and moves history bytes. It implements
+// port.Peers and port.HistoryTransfer.
+type Client struct {
+	self        domain.VM
+	codec       *codec.Codec
+	credentials credentials.TransportCredentials
+	log         logr.Logger
+	dropped     func(domain.VM)
+
+	mu    sync.Mutex
+	links map[domain.VM]*link
+	// closed refuses links after Close.
+	closed bool
+}
+
+var (
+	_ port.Peers           = (*Client)(nil)
+	_ port.HistoryTransfer = (*Client)(nil)
+)
+
+// NewClient returns a client without addresses. The function dropped is called
+// for each message that was not queued.
+func NewClient(self domain.VM, c *codec.Codec, creds credentials.TransportCredentials, log logr.Logger, dropped func(domain.VM)) *Client {
+	return &Client{self: self, codec: c, credentials: creds, log: log, dropped: dropped, links: map[domain.VM]*link{}}
+}
+
+// Send implements port.Peers.
+func (c *Client) Send(s domain.Send) bool {
+	c.mu.Lock()
+	l := c.links[s.To]
+	c.mu.Unlock()
+	if l != nil {
+		select {
+		case l.queue <- s.Body:
+			return true
+		default:
+		}
+	}
+	c.dropped(s.To)
+	return false
+}
+
+// Replace implements port.Peers. Queued messages are kept.
+func (c *Client) Replace(vm domain.VM) {
+	c.mu.Lock()
+	l := c.links[vm]
+	c.mu.Unlock()
+	if l == nil {
+		return
+	}
+	select {
+	case l.replace <- struct{}{}:
+		c.log.Info("replacing a silent connection", "peer", vm)
+	default:
+	}
+	l.resetHistory()
+}
+
+// SetAddresses implements port.Peers. Links to VMs that are not listed or have
+// moved are closed.
+func (c *Client) SetAddresses(addresses map[domain.VM]string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	for vm, l := range c.links {
+		if addresses[vm] != l.address {
+			l.close()
+			delete(c.links, vm)
+		}
+	}
+	for vm, address := range addresses {
+		if vm != c.self && c.links[vm] == nil {
+			c.links[vm] = c.open(vm, address)
+		}
+	}
+}
+
+// Close ends all links.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for vm, l := range c.links {
+		l.close()
+		delete(c.links, vm)
+	}
+}
+
+func (c *Client) open(vm domain.VM, address string) *link {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link{
+		client:  c,
+		vm:      vm,
+		address: address,
+		queue:   make(chan domain.Message, queueLength),
+		replace: make(chan struct{}, 1),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+	go l.run()
+	return l
+}
+
+func (c *Client) dial(address string, maxBytes int) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(c.credentials),
+		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(bytesCodec{}), grpc.MaxCallRecvMsgSize(maxBytes), grpc.MaxCallSendMsgSize(maxBytes)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: firstRetryDelay, Multiplier: 2, Jitter: 0.2, MaxDelay: lastRetryDelay},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithNoProxy(),
+	)
+}
+
+// link is the connection to one peer. Its goroutine sends queued messages and
+// waits on channels only.
+type link struct {
+	client  *Client
+	vm      domain.VM
+	address string
+	queue   chan domain.Message
+	replace chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
+	history *grpc.ClientConn
+}
+
+func (l *link) close() {
+	l.cancel()
+	l.resetHistory()
+}
+
+// run connects when a message waits and disconnects after idleTimeout, so that
+// a fleet of hundreds of VMs does not keep a connection for each pair.
+func (l *link) run() {
+	delay := firstRetryDelay
+	for {
+		var first domain.Message
+		select {
+		case <-l.ctx.Done():
+			return
+		case first = <-l.queue:
+		}
+		err := l.connectAndSend(first)
+		if err == nil {
+			delay = firstRetryDelay
+			continue
+		}
+		if l.ctx.Err() == nil {
+			l.client.log.V(1).Info("connection ended; reconnecting", "peer", l.vm, "error", err.Error())
+		}
+		l.pause(delay)
+		delay = min(2*delay, lastRetryDelay)
+	}
+}
+
+func (l *link) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-l.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// connectAndSend opens one connection and sends until it is idle, fails, is
+// replaced or the link closes. It returns nil when the connection was idle or
+// replaced.
+func (l *link) connectAndSend(first domain.Message) error {
+	conn, err := l.client.dial(l.address, maxControlFrameBytes)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancelCause(metadata.AppendToOutgoingContext(l.ctx, senderHeader, string(l.client.self)))
+	defer cancel(nil)
+	// A send blocks in flow control when the connection is silent, so the
+	// request to replace it must cancel the stream from outside.
+	go func() {
+		select {
+		case <-l.replace:
+			cancel(errReplaced)
+		case <-ctx.Done():
+		}
+	}()
+	stream, err := conn.NewStream(ctx, &messageStream, messageMethod, grpc.WaitForReady(true))
+	if err == nil {
+		err = l.sendQueued(ctx, stream, first)
+	}
+	if errors.Is(context.Cause(ctx), errReplaced) {
+		return nil
+	}
+	return err
+}
+
+func (l *link) sendQueued(ctx context.Context, stream grpc.ClientStream, first domain.Message) error {
+	ended := make(chan error, 1)
+	go func() {
+		var reply []byte
+		ended <- stream.RecvMsg(&reply)
+	}()
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
+	for {
+		if err := l.sendBatch(stream, l.collect(first)); err != nil {
+			return err
+		}
+		idle.Reset(idleTimeout)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-ended:
+			return fmt.Errorf("peer closed the stream: %w", err)
+		case <-idle.C:
+			return stream.CloseSend()
+		case first = <-l.queue:
+		}
+	}
+}
+
+func (l *link) sendBatch(stream grpc.ClientStream, batch []domain.Message) error {
+	frame, err := l.client.frame(batch)
+	if err != nil {
+		l.client.log.Error(err, "dropped messages that could not be encoded", "peer", l.vm)
+		return nil
+	}
+	return stream.SendMsg(&frame)
+}
+
+// collect adds the messages that are queued already to the batch.
+func (l *link) collect(first domain.Message) []domain.Message {
+	batch := []domain.Message{first}
+	for len(batch) < maxBatch {
+		select {
+		case m := <-l.queue:
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (c *Client) frame(batch []domain.Message) ([]byte, error) {
+	encoded := make([][]byte, 0, len(batch))
+	for _, m := range batch {
+		data, err := c.codec.EncodeMessage(m)
+		if err != nil {
+			return nil, fmt.Errorf("peer: encode %s: %w", m.MessageName(), err)
+		}
+		encoded = append(encoded, data)
+	}
+	return cbor.Marshal(encoded)
+}
+
+func splitFrame(frame []byte) ([][]byte, error) {
+	var batch [][]byte
+	if err := decodePlain(frame, &batch); err != nil {
+		return nil, err
+	}
+	return batch, nil
+}
+
+// historyRequest is the body of the history calls.
+type historyRequest struct {
+	Ref  port.HistoryRef
+	Data []byte
+}
+
+func decodePlain(data []byte, into any) error {
+	if err := cbor.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("peer: malformed frame: %w", err)
+	}
+	return nil
+}
+
+// resetHistory drops the connection for history bytes; the next call dials.
+func (l *link) resetHistory() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.history != nil {
+		l.history.Close()
+		l.history = nil
+	}
+}
+
+func (l *link) historyConn() (*grpc.ClientConn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.history == nil {
+		conn, err := l.client.dial(l.address, maxHistoryBytes)
+		if err != nil {
+			return nil, err
+		}
+		l.history = conn
+	}
+	return l.history, nil
+}
+
+func (c *Client) invoke(ctx context.Context, vm domain.VM, method string, request historyRequest) ([]byte, error) {
+	c.mu.Lock()
+	l := c.links[vm]
+	c.mu.Unlock()
+	if l == nil {
+		return nil, fmt.Errorf("peer: no address is known for VM %q; check that it is registered", vm)
+	}
+	conn, err := l.historyConn()
+	if err != nil {
+		return nil, err
+	}
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return nil, fmt.Errorf("peer: encode history: %w", err)
+	}
+	var reply []byte
+	if err := conn.Invoke(ctx, method, &body, &reply); err != nil {
+		return nil, fmt.Errorf("peer: VM %s: %w", vm, historyError(request.Ref, err))
+	}
+	return reply, nil
+}
+
+// historyError turns wire statuses back into the port's error kinds.
+func historyError(ref port.HistoryRef, err error) error {
+	switch status.Code(err) {
+	case codes.NotFound:
+		return port.ErrHistoryMissing
+	case codes.DataLoss:
+		return &port.CorruptHistoryError{Ref: ref, Detail: status.Convert(err).Message()}
+	default:
+		return err
+	}
+}
+
+// Put implements port.HistoryTransfer.
+func (c *Client) Put(ctx context.Context, vm domain.VM, ref port.HistoryRef, data []byte) error {
+	_, err := c.invoke(ctx, vm, putMethod, historyRequest{Ref: ref, Data: data})
+	return err
+}
+
+// Get implements port.HistoryTransfer.
+func (c *Client) Get(ctx context.Context, vm domain.VM, ref port.HistoryRef) ([]byte, error) {
+	return c.invoke(ctx, vm, getMethod, historyRequest{Ref: ref})
+}
+
+// Delete implements port.HistoryTransfer.
+func (c *Client) Delete(ctx context.Context, vm domain.VM, program domain.ProgramID) error {
+	_, err := c.invoke(ctx, vm, deleteMethod, historyRequest{Ref: port.HistoryRef{Program: program}})
+	return err
+}
--- /dev/null
+++ b/adapter/peer/peer_test.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/mangoknot/mangoknot/adapter/codec"
+	"github.com/mangoknot/mangoknot/adapter/history"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+type note struct{ Number int }
+
+func (*note) MessageName() string { return "test.note" }
+
+type inbox chan *note
+
+func (i inbox) Receive(_ domain.VM, m domain.Message) bool {
+	i <- m.(*note)
+	return true
+}
+
+// waitLimit bounds a wait that a working peer ends much earlier.
+const waitLimit = 20 * time.Second
+
+func startPair(t *testing.T) (*Client, inbox, *history.Memory) {
+	t.Helper()
+	c, err := codec.New([]domain.Message{&note{}}, nil)
+	must.NoError(t, err)
+	received := make(inbox, queueLength)
+	store := history.NewMemory()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := NewServer(c, received, store, logr.Discard()).GRPC()
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	client := NewClient("a", c, insecure.NewCredentials(), logr.Discard(), func(domain.VM) {})
+	t.Cleanup(client.Close)
+	client.SetAddresses(map[domain.VM]string{"b": listener.Addr().String()})
+	return client, received, store
+}
+
+func (i inbox) next(t *testing.T) int {
+	t.Helper()
+	select {
+	case n := <-i:
+		return n.Number
+	case <-time.After(waitLimit):
+		t.Fatal("no message arrived")
+		return 0
+	}
+}
+
+// Guards against messages that are lost or reordered on one connection, and
+// against a replaced connection that stays down.
+func TestMessagesSurviveReplacement(t *testing.T) {
+	client, received, _ := startPair(t)
+	for n := range 300 {
+		must.True(t, client.Send(domain.Send{To: "b", Body: &note{n}}))
+	}
+	for n := range 300 {
+		must.Eq(t, n, received.next(t))
+	}
+	client.Replace("b")
+	must.True(t, client.Send(domain.Send{To: "b", Body: &note{1000}}))
+	for received.next(t) != 1000 {
+	}
+	must.False(t, client.Send(domain.Send{To: "unknown", Body: &note{}}))
+}
+
+// Guards against history errors that lose their kind between VMs.
+func TestHistoryTransfer(t *testing.T) {
+	client, _, _ := startPair(t)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	data := []byte("turn")
+	ref := port.HistoryRef{Program: domain.ProgramID{Account: "a", Name: "p"}, Call: "c", Length: 4, SHA256: sha256.Sum256(data)}
+	_, err := client.Get(ctx, "b", ref)
+	must.ErrorIs(t, err, port.ErrHistoryMissing)
+	must.NoError(t, client.Put(ctx, "b", ref, data))
+	got, err := client.Get(ctx, "b", ref)
+	must.NoError(t, err)
+	must.Eq(t, data, got)
+	must.Error(t, client.Put(ctx, "b", ref, []byte("torn")))
+	must.NoError(t, client.Delete(ctx, "b", ref.Program))
+	_, err = client.Get(ctx, "b", ref)
+	must.ErrorIs(t, err, port.ErrHistoryMissing)
+}
--- /dev/null
+++ b/adapter/peer/server.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"github.com/mangoknot/mangoknot/adapter/codec"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Handler receives what other VMs send.
+type Handler interface {
+	// Receive takes one control message and returns false when it was dropped.
+	Receive(from domain.VM, m domain.Message) bool
+}
+
+// Server answers the streams and calls of other VMs.
+type Server struct {
+	codec   *codec.Codec
+	handler Handler
+	history port.HistoryStore
+	log     logr.Logger
+}
+
+// NewServer returns a server that passes messages to the handler and keeps
+// history bytes in the store.
+func NewServer(c *codec.Codec, handler Handler, history port.HistoryStore, log logr.Logger) *Server {
+	return &Server{codec: c, handler: handler, history: history, log: log}
+}
+
+// GRPC returns a grpc server with the service registered. The options carry
+// the transport credentials.
+func (s *Server) GRPC(options ...grpc.ServerOption) *grpc.Server {
+	options = append(options,
+		grpc.ForceServerCodecV2(bytesCodec{}),
+		grpc.MaxRecvMsgSize(maxControlFrameBytes),
+	)
+	server := grpc.NewServer(options...)
+	server.RegisterService(s.description(), s)
+	return server
+}
+
+func (s *Server) description() *grpc.ServiceDesc {
+	return &grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*any)(nil),
+		Streams: []grpc.StreamDesc{
+			{StreamName: "Messages", Handler: s.serveMessages, ClientStreams: true},
+		},
+		Methods: []grpc.MethodDesc{
+			{MethodName: "PutHistory", Handler: unary(s.putHistory)},
+			{MethodName: "GetHistory", Handler: unary(s.getHistory)},
+			{MethodName: "DeleteHistory", Handler: unary(s.deleteHistory)},
+		},
+	}
+}
+
+func (s *Server) serveMessages(_ any, stream grpc.ServerStream) error {
+	from, err := senderOf(stream.Context())
+	if err != nil {
+		return err
+	}
+	for {
+		var frame []byte
+		if err := stream.RecvMsg(&frame); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		if err := s.deliver(from, frame); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Server) deliver(from domain.VM, frame []byte) error {
+	batch, err := splitFrame(frame)
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	for _, encoded := range batch {
+		m, err := s.codec.DecodeMessage(encoded)
+		if err != nil {
+			// A newer version may send message types that this one does not know.
+			s.log.Info("skipped a message that could not be decoded", "from", from, "error", err.Error())
+			continue
+		}
+		s.handler.Receive(from, m)
+	}
+	return nil
+}
+
+func senderOf(ctx context.Context) (domain.VM, error) {
+	md, _ := metadata.FromIncomingContext(ctx)
+	values := md.Get(senderHeader)
+	if len(values) != 1 || values[0] == "" {
+		return "", status.Error(codes.InvalidArgument, "peer: the stream names no sending VM")
+	}
+	return domain.VM(values[0]), nil
+}
+
+type unaryMethod func(ctx context.Context, request []byte) ([]byte, error)
+
+// unary adapts a method on bytes to grpc's handler shape.
+func unary(method unaryMethod) func(any, context.Context, func(any) error, grpc.UnaryServerInterceptor) (any, error) {
+	return func(_ any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		var request []byte
+		if err := decode(&request); err != nil {
+			return nil, err
+		}
+		reply, err := method(ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		return &reply, nil
+	}
+}
+
+func (s *Server) putHistory(ctx context.Context, request []byte) ([]byte, error) {
+	var put historyRequest
+	if err := decodePlain(request, &put); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return nil, historyStatus(s.history.Put(ctx, put.Ref, put.Data))
+}
+
+func (s *Server) getHistory(ctx context.Context, request []byte) ([]byte, error) {
+	var get historyRequest
+	if err := decodePlain(request, &get); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	data, err := s.history.Get(ctx, get.Ref)
+	return data, historyStatus(err)
+}
+
+func (s *Server) deleteHistory(ctx context.Context, request []byte) ([]byte, error) {
+	var del historyRequest
+	if err := decodePlain(request, &del); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return nil, historyStatus(s.history.Delete(ctx, del.Ref.Program))
+}
+
+// historyStatus keeps the error kinds apart on the wire.
+func historyStatus(err error) error {
+	var corrupt *port.CorruptHistoryError
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, port.ErrHistoryMissing):
+		return status.Error(codes.NotFound, err.Error())
+	case errors.As(err, &corrupt):
+		return status.Error(codes.DataLoss, corrupt.Detail)
+	default:
+		return status.Error(codes.Internal, err.Error())
+	}
+}
--- /dev/null
+++ b/adapter/systemclock/clock.go
@@ -0,0 +1,26 @@
+// Package systemclock implements port.Clock with the machine's clock.
+package systemclock
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Clock is the machine's clock. Its times carry the monotonic reading, so
+// steps of the wall clock do not change measured durations.
+type Clock struct{}
+
+// Now returns the current time.
+func (Clock) Now() time.Time { return time.Now() }
+
+// NewTimer returns a timer that fires after d.
+func (Clock) NewTimer(d time.Duration) port.Timer { return timer{time.NewTimer(d)} }
+
+type timer struct{ *time.Timer }
+
+func (t timer) C() <-chan time.Time { return t.Timer.C }
+
+func (t timer) Stop() { t.Timer.Stop() }
+
+func (t timer) Reset(d time.Duration) { t.Timer.Reset(d) }
--- /dev/null
+++ b/port/history.go
@@ -0,0 +1,45 @@
+package port
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// HistoryRef names the bytes of one stored turn.
+type HistoryRef struct {
+	Program domain.ProgramID
+	Call    domain.CallID
+	// Length is the number of bytes.
+	Length int64
+	// SHA256 is the checksum of the bytes.
+	SHA256 [32]byte
+}
+
+// ErrHistoryMissing says that the store does not hold the turn.
+var ErrHistoryMissing = errors.New("the turn is not stored on this VM; read it from the other holder of the shard")
+
+// CorruptHistoryError says that stored bytes fail their checksum or belong to
+// another program. Such bytes are never served.
+type CorruptHistoryError struct {
+	Ref    HistoryRef
+	Detail string
+}
+
+// Error names the turn and the remedy.
+func (e *CorruptHistoryError) Error() string {
+	return fmt.Sprintf("history of %s, call %s is corrupt (%s); read it from the other holder of the shard and check the disk", e.Ref.Program, e.Ref.Call, e.Detail)
+}
+
+// HistoryStore keeps the bytes of turns on one VM, outside of control memory.
+type HistoryStore interface {
+	// Put returns after the bytes are durable. Repeating it is harmless.
+	Put(ctx context.Context, ref HistoryRef, data []byte) error
+	// Get returns bytes that match the reference's checksum, or
+	// ErrHistoryMissing or a *CorruptHistoryError.
+	Get(ctx context.Context, ref HistoryRef) ([]byte, error)
+	// Delete removes all turns of a program.
+	Delete(ctx context.Context, program domain.ProgramID) error
+}
