Add the callers' front end

Cause: callers use the OpenAI chat protocol and plain services. Change: adapter/httpapi decodes requests, holds back what completes a stream until the node commits the turn, stores a turn as the messages it adds, and writes typed refusals with outcome and remedy. Conclusion: a stream never looks complete before its turn is stored.

--- /dev/null
+++ b/adapter/httpapi/exchange.go
@@ -0,0 +1,279 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// chatExchange encodes one model call in the OpenAI protocol. Engines are
+// always asked to stream, so that every answer can be resumed; an answer that
+// the caller wants whole is collected here.
+type chatExchange struct {
+	w           http.ResponseWriter
+	request     *chatRequest
+	newMessages bool
+	// started says that part of the answer was written to the caller.
+	started bool
+	message answerMessage
+	finish  string
+	usage   json.RawMessage
+	id      string
+	created int64
+	// held are the events that complete the stream. They wait for Commit.
+	held [][]byte
+}
+
+var _ port.ChatExchange = (*chatExchange)(nil)
+
+func newChatExchange(w http.ResponseWriter, request *chatRequest, newMessages bool) *chatExchange {
+	return &chatExchange{w: w, request: request, newMessages: newMessages}
+}
+
+// Accepted implements port.ChatExchange.
+func (e *chatExchange) Accepted(program domain.ProgramID, call domain.CallID) {
+	e.w.Header().Set(programHeader, string(program.Name))
+	e.w.Header().Set(callHeader, string(call))
+}
+
+// Body implements port.ChatExchange.
+func (e *chatExchange) Body(turns [][]byte, limit domain.Tokens) ([]byte, error) {
+	messages := e.request.messages
+	if e.newMessages {
+		stored, err := conversation(turns)
+		if err != nil {
+			return nil, err
+		}
+		messages = append(stored, messages...)
+	}
+	fields := make(map[string]json.RawMessage, len(e.request.raw)+4)
+	for name, value := range e.request.raw {
+		fields[name] = value
+	}
+	delete(fields, "max_completion_tokens")
+	set := func(name string, value any) error {
+		data, err := json.Marshal(value)
+		fields[name] = data
+		return err
+	}
+	err := errors.Join(
+		set("messages", messages),
+		set("stream", true),
+		set("stream_options", streamOptions{IncludeUsage: true}),
+		set("max_tokens", limit),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("httpapi: encode the engine's request: %w", err)
+	}
+	return json.Marshal(fields)
+}
+
+// Event implements port.ChatExchange.
+func (e *chatExchange) Event(payload []byte) error {
+	var c chunk
+	if err := json.Unmarshal(payload, &c); err != nil {
+		return fmt.Errorf("httpapi: the engine sent an event that is not JSON: %w", err)
+	}
+	if c.ID != "" {
+		e.id, e.created = c.ID, c.Created
+	}
+	if len(c.Usage) > 0 && string(c.Usage) != "null" {
+		e.usage = c.Usage
+	}
+	for _, choice := range c.Choices {
+		if err := e.message.add(choice); err != nil {
+			return err
+		}
+		if choice.FinishReason != nil {
+			e.finish = *choice.FinishReason
+		}
+	}
+	if !e.request.stream {
+		return nil
+	}
+	if e.finish != "" {
+		if len(c.Choices) > 0 || e.request.includeUsage {
+			e.held = append(e.held, append([]byte(nil), payload...))
+		}
+		return nil
+	}
+	return e.write(payload)
+}
+
+func (e *chatExchange) begin(contentType string) {
+	if e.started {
+		return
+	}
+	e.started = true
+	e.w.Header().Set("Content-Type", contentType)
+	e.w.Header().Set("Cache-Control", "no-store")
+	e.w.WriteHeader(http.StatusOK)
+}
+
+func (e *chatExchange) write(payload []byte) error {
+	e.begin("text/event-stream")
+	if _, err := e.w.Write(sseFrame(payload)); err != nil {
+		return domain.Unknown(domain.ReasonCallerGone, "the caller's connection ended")
+	}
+	return http.NewResponseController(e.w).Flush()
+}
+
+// Turn implements port.ChatExchange. A whole conversation that goes on from the
+// stored one is stored as the messages it adds, because storing it whole at
+// every turn would grow with the square of the turns.
+func (e *chatExchange) Turn(earlier port.Conversation) ([]byte, port.Conversation, error) {
+	if e.finish == "" {
+		return nil, port.Conversation{}, errors.New("httpapi: the engine's answer has no finish reason; it is not whole")
+	}
+	answer, err := e.message.encode()
+	if err != nil {
+		return nil, port.Conversation{}, err
+	}
+	added, whole := e.request.messages, false
+	after := earlier
+	if !e.newMessages {
+		added, after, whole = addedMessages(e.request.messages, earlier)
+	}
+	for _, message := range added {
+		after = appendMessage(after, message)
+	}
+	after = appendMessage(after, answer)
+	data, err := json.Marshal(turn{
+		Whole:    whole,
+		Messages: added,
+		Answer:   answer,
+		Finish:   e.finish,
+		Usage:    e.usage,
+		Model:    string(e.request.model),
+		ID:       e.id,
+	})
+	return data, after, err
+}
+
+// Commit implements port.ChatExchange.
+func (e *chatExchange) Commit() error {
+	if !e.request.stream {
+		return e.writeWhole()
+	}
+	for _, payload := range e.held {
+		if err := e.write(payload); err != nil {
+			return err
+		}
+	}
+	return e.write([]byte("[DONE]"))
+}
+
+type chatCompletion struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []chatChoice    `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+type chatChoice struct {
+	Index        int             `json:"index"`
+	Message      json.RawMessage `json:"message"`
+	FinishReason string          `json:"finish_reason"`
+}
+
+func (e *chatExchange) writeWhole() error {
+	answer, err := e.message.encode()
+	if err != nil {
+		return err
+	}
+	e.started = true
+	writeJSON(e.w, http.StatusOK, chatCompletion{
+		ID: e.id, Object: "chat.completion", Created: e.created, Model: string(e.request.model),
+		Choices: []chatChoice{{Message: answer, FinishReason: e.finish}},
+		Usage:   e.usage,
+	})
+	return nil
+}
+
+// replayHeader marks an answer that was stored by an earlier request with the
+// same idempotency key.
+const replayHeader = "Mangoknot-Replayed"
+
+// Replay implements port.ChatExchange. A stream is replayed as one delta.
+func (e *chatExchange) Replay(data []byte) error {
+	var t turn
+	if err := json.Unmarshal(data, &t); err != nil {
+		return fmt.Errorf("httpapi: the stored answer is not readable: %w", err)
+	}
+	e.w.Header().Set(replayHeader, "true")
+	e.id, e.created, e.usage, e.finish = t.ID, time.Now().Unix(), t.Usage, t.Finish
+	var message struct {
+		Content   *string          `json:"content"`
+		Refusal   string           `json:"refusal"`
+		ToolCalls []storedToolCall `json:"tool_calls"`
+	}
+	if err := json.Unmarshal(t.Answer, &message); err != nil {
+		return fmt.Errorf("httpapi: the stored answer is not readable: %w", err)
+	}
+	if message.Content != nil {
+		e.message.content.WriteString(*message.Content)
+	}
+	e.message.refusal.WriteString(message.Refusal)
+	for i, call := range message.ToolCalls {
+		e.message.toolCalls = append(e.message.toolCalls, toolCall{Index: i, ID: call.ID, Type: call.Type, Function: call.Function})
+	}
+	if !e.request.stream {
+		return e.writeWhole()
+	}
+	return e.replayStream()
+}
+
+type replayDelta struct {
+	Role      string     `json:"role,omitempty"`
+	Content   string     `json:"content,omitempty"`
+	Refusal   string     `json:"refusal,omitempty"`
+	ToolCalls []toolCall `json:"tool_calls,omitempty"`
+}
+
+type replayChoice struct {
+	Index        int         `json:"index"`
+	Delta        replayDelta `json:"delta"`
+	FinishReason *string     `json:"finish_reason"`
+}
+
+type replayChunk struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []replayChoice  `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+func (e *chatExchange) replayStream() error {
+	base := replayChunk{ID: e.id, Object: "chat.completion.chunk", Created: e.created, Model: string(e.request.model)}
+	delta := base
+	delta.Choices = []replayChoice{{Delta: replayDelta{
+		Role: "assistant", Content: e.message.content.String(), Refusal: e.message.refusal.String(), ToolCalls: e.message.toolCalls,
+	}}}
+	end := base
+	end.Choices = []replayChoice{{FinishReason: &e.finish}}
+	chunks := []replayChunk{delta, end}
+	if e.request.includeUsage {
+		usage := base
+		usage.Choices, usage.Usage = []replayChoice{}, e.usage
+		chunks = append(chunks, usage)
+	}
+	for _, c := range chunks {
+		payload, err := json.Marshal(c)
+		if err != nil {
+			return err
+		}
+		if err := e.write(payload); err != nil {
+			return err
+		}
+	}
+	return e.write([]byte("[DONE]"))
+}
--- /dev/null
+++ b/adapter/httpapi/exchange_test.go
@@ -0,0 +1,89 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const helloChunk = `{"id":"c1","created":1,"choices":[{"delta":{"role":"assistant","content":"hello"},"finish_reason":null}]}`
+const stopChunk = `{"id":"c1","created":1,"choices":[{"delta":{},"finish_reason":"stop"}]}`
+
+func exchangeFor(t *testing.T, body string, newMessages bool) (*chatExchange, *httptest.ResponseRecorder) {
+	t.Helper()
+	request, err := parseChat([]byte(body))
+	must.NoError(t, err)
+	recorder := httptest.NewRecorder()
+	return newChatExchange(recorder, request, newMessages), recorder
+}
+
+// Guards against a stream that looks complete before its turn is stored and
+// charged.
+func TestStreamCompletesOnlyAtCommit(t *testing.T) {
+	exchange, recorder := exchangeFor(t, `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`, false)
+	must.NoError(t, exchange.Event([]byte(helloChunk)))
+	must.NoError(t, exchange.Event([]byte(stopChunk)))
+	must.StrContains(t, recorder.Body.String(), "hello")
+	must.StrNotContains(t, recorder.Body.String(), "stop")
+	must.NoError(t, exchange.Commit())
+	must.StrContains(t, recorder.Body.String(), "stop")
+	must.True(t, strings.HasSuffix(recorder.Body.String(), "data: [DONE]\n\n"))
+}
+
+// Guards against history that grows with the square of the turns, and against
+// a changed conversation that is taken for a continued one.
+func TestTurnStoresWhatItAdds(t *testing.T) {
+	finish := func(body string, newMessages bool, earlier port.Conversation) (turn, port.Conversation) {
+		exchange, _ := exchangeFor(t, body, newMessages)
+		must.NoError(t, exchange.Event([]byte(helloChunk)))
+		must.NoError(t, exchange.Event([]byte(stopChunk)))
+		data, after, err := exchange.Turn(earlier)
+		must.NoError(t, err)
+		var stored turn
+		must.NoError(t, json.Unmarshal(data, &stored))
+		return stored, after
+	}
+	first, after := finish(`{"model":"m","messages":[{"role":"user","content":"hi"}]}`, false, port.Conversation{})
+	must.False(t, first.Whole)
+	must.Eq(t, 2, after.Messages)
+	// A client library sends the answer back with fields of its own.
+	second, _ := finish(`{"model":"m","messages":[{"role":"user","content":"hi"},{"role":"assistant","content":"hello","refusal":null},{"role":"user","content":"more"}]}`, false, after)
+	must.False(t, second.Whole)
+	must.SliceLen(t, 1, second.Messages)
+	changed, _ := finish(`{"model":"m","messages":[{"role":"user","content":"other"},{"role":"assistant","content":"hello"},{"role":"user","content":"more"}]}`, false, after)
+	must.True(t, changed.Whole)
+	must.SliceLen(t, 3, changed.Messages)
+	added, afterNew := finish(`{"model":"m","messages":[{"role":"user","content":"more"}]}`, true, after)
+	must.False(t, added.Whole)
+	must.Eq(t, 4, afterNew.Messages)
+}
+
+// Guards against malformed bodies that reach a decision or reveal content.
+func TestMalformedBodies(t *testing.T) {
+	for name, body := range map[string]string{
+		"not JSON":          `{"model":`,
+		"not an object":     `[1]`,
+		"null":              `null`,
+		"no model":          `{"messages":[{"role":"user"}]}`,
+		"no messages":       `{"model":"m","messages":[]}`,
+		"wrong type":        `{"model":7,"messages":[{}]}`,
+		"several answers":   `{"model":"m","messages":[{}],"n":2}`,
+		"negative limit":    `{"model":"m","messages":[{}],"max_tokens":-1}`,
+		"messages a string": `{"model":"m","messages":"secret"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := parseChat([]byte(body))
+			refusal, ok := domain.AsRefusal(err)
+			must.True(t, ok)
+			must.Eq(t, domain.ReasonBadRequest, refusal.Reason)
+			must.Eq(t, domain.OutcomeNotRun, refusal.Outcome)
+			must.StrNotContains(t, refusal.Remedy, "secret")
+		})
+	}
+}
--- /dev/null
+++ b/adapter/httpapi/programs.go
@@ -0,0 +1,99 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// programBody is the JSON form of a program's status.
+type programBody struct {
+	Name   string `json:"name"`
+	State  string `json:"state"`
+	Reason string `json:"reason,omitempty"`
+	Turns  int    `json:"turns"`
+	Spent  int64  `json:"spent_micros"`
+	Budget int64  `json:"budget_micros"`
+}
+
+func programBodyOf(s port.ProgramStatus) programBody {
+	state := "open"
+	if s.Ended {
+		state = "ended"
+	}
+	return programBody{
+		Name: string(s.Name), State: state, Reason: string(s.Reason), Turns: s.Turns,
+		Spent: int64(s.Spent), Budget: int64(s.Budget),
+	}
+}
+
+func pathProgram(r *http.Request) (domain.ProgramName, error) {
+	name, err := programNameOf("path", r.PathValue("name"))
+	if err != nil {
+		return "", err
+	}
+	if name == "" {
+		return "", badRequest("the path names no program")
+	}
+	return name, nil
+}
+
+func (a *API) getProgram(w http.ResponseWriter, r *http.Request) {
+	identity := identityOf(r.Context())
+	name, err := pathProgram(r)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	status, err := a.node.GetProgram(r.Context(), identity, name)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, programBodyOf(status))
+}
+
+func (a *API) endProgram(w http.ResponseWriter, r *http.Request) {
+	identity := identityOf(r.Context())
+	name, err := pathProgram(r)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	status, err := a.node.EndProgram(r.Context(), identity, name)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, programBodyOf(status))
+}
+
+type historyBody struct {
+	Name     string            `json:"name"`
+	Messages []json.RawMessage `json:"messages"`
+}
+
+func (a *API) history(w http.ResponseWriter, r *http.Request) {
+	identity := identityOf(r.Context())
+	name, err := pathProgram(r)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	turns, err := a.node.History(r.Context(), identity, name)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	messages, err := conversation(turns)
+	if err != nil {
+		a.refuse(w, identity, domain.NotRun(domain.ReasonHistoryCorrupt, "a stored turn is not readable; ask the operator to check the shard's other copy"))
+		return
+	}
+	if messages == nil {
+		messages = []json.RawMessage{}
+	}
+	writeJSON(w, http.StatusOK, historyBody{Name: string(name), Messages: messages})
+}
--- /dev/null
+++ b/adapter/httpapi/services.go
@@ -0,0 +1,126 @@
+package httpapi
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// forwardedHeaders lists the request headers that a plain service receives.
+// Everything else, above all keys and cookies, stays here.
+var forwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "If-Match", "If-None-Match", "Range"}
+
+// returnedHeaders lists the answer headers that a caller receives.
+var returnedHeaders = []string{"Content-Type", "Content-Language", "Content-Disposition", "Etag", "Last-Modified", "Location", "Cache-Control", "Content-Range"}
+
+func pick(from http.Header, names []string) http.Header {
+	out := http.Header{}
+	for _, name := range names {
+		if values := from.Values(name); len(values) > 0 {
+			out[textproto.CanonicalMIMEHeaderKey(name)] = slices.Clone(values)
+		}
+	}
+	return out
+}
+
+// service runs a call of a plain service. Routes that are open to all ignore a
+// key; every other route needs one.
+func (a *API) service(w http.ResponseWriter, r *http.Request) {
+	route := a.node.View().Route(r.PathValue("route"))
+	if route != nil && route.Open {
+		a.openService(w, r, route.Name)
+		return
+	}
+	a.keyed(a.keyedService)(w, r)
+}
+
+func (a *API) plainRequest(w http.ResponseWriter, r *http.Request) (port.PlainRequest, error) {
+	body, err := a.readBody(w, r)
+	if err != nil {
+		return port.PlainRequest{}, err
+	}
+	path := r.PathValue("path")
+	if slices.Contains(strings.Split(path, "/"), "..") {
+		return port.PlainRequest{}, badRequest("the path holds a .. segment; leave it out")
+	}
+	return port.PlainRequest{
+		Method: r.Method,
+		Path:   path,
+		Query:  r.URL.RawQuery,
+		Header: pick(r.Header, forwardedHeaders),
+		Body:   body,
+	}, nil
+}
+
+func (a *API) openService(w http.ResponseWriter, r *http.Request, route string) {
+	request, err := a.plainRequest(w, r)
+	if err != nil {
+		a.refuse(w, port.Identity{}, err)
+		return
+	}
+	answer, err := a.node.Open(r.Context(), route, request)
+	if err != nil {
+		a.refuse(w, port.Identity{}, err)
+		return
+	}
+	writePlain(w, answer)
+}
+
+func (a *API) keyedService(w http.ResponseWriter, r *http.Request) {
+	identity := identityOf(r.Context())
+	headers, err := readCallHeaders(r.Header)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	request, err := a.plainRequest(w, r)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	spec := port.CallSpec{
+		Identity:       identity,
+		Program:        headers.program,
+		Parent:         headers.parent,
+		Route:          r.PathValue("route"),
+		IdempotencyKey: headers.idempotency,
+		Fingerprint:    plainFingerprint(r.PathValue("route"), request),
+	}
+	answer, program, err := a.node.Plain(r.Context(), spec, request)
+	if err != nil {
+		a.refuse(w, identity, err)
+		return
+	}
+	w.Header().Set(programHeader, string(program.Name))
+	writePlain(w, answer)
+}
+
+func plainFingerprint(route string, r port.PlainRequest) [32]byte {
+	h := sha256.New()
+	for _, part := range []string{route, r.Method, r.Path, r.Query, r.Header.Get("Content-Type")} {
+		fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	h.Write(r.Body)
+	var sum [32]byte
+	h.Sum(sum[:0])
+	return sum
+}
+
+func writePlain(w http.ResponseWriter, answer *port.PlainAnswer) {
+	if answer.Status < 100 || answer.Status > 999 {
+		writeRefusal(w, domain.Unknown(domain.ReasonTargetFailed, "the service answered with the invalid status %d", answer.Status))
+		return
+	}
+	header := w.Header()
+	for name, values := range pick(answer.Header, returnedHeaders) {
+		header[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
