Add the operators' front end and its client

Cause: operators create accounts, keys and budgets and switch presets while traffic runs. Change: adapter/operatorapi serves typed commands with operation id and base version, authenticates operators by token hashes apart from callers' keys, and provides the client for the command line. Conclusion: a resent change and a racing change each get their own answer.

--- /dev/null
+++ b/adapter/operatorapi/client.go
@@ -0,0 +1,185 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	// clientTimeout bounds one request of the command line.
+	clientTimeout = 15 * time.Second
+	// maxAnswerBytes bounds an answer: the state at the target size is a few
+	// megabytes.
+	maxAnswerBytes = 64 << 20
+)
+
+// Client calls the operators' interface. When several addresses are given, the
+// next one is tried after a connection failure.
+type Client struct {
+	addresses []string
+	scheme    string
+	token     string
+	http      *http.Client
+}
+
+// NewClient returns a client for VMs at the addresses. TLS is off when the
+// configuration is nil.
+func NewClient(addresses []string, token string, tlsConfig *tls.Config) *Client {
+	transport := &http.Transport{TLSClientConfig: tlsConfig}
+	scheme := "http"
+	if tlsConfig != nil {
+		scheme = "https"
+	}
+	return &Client{
+		addresses: addresses,
+		scheme:    scheme,
+		token:     token,
+		http:      &http.Client{Transport: transport, Timeout: clientTimeout},
+	}
+}
+
+// AnswerError is a refused operator request.
+type AnswerError struct {
+	Status int
+	Answer ErrorAnswer
+}
+
+// Error returns the code and the remedy.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Answer.Code, e.Answer.Outcome, e.Answer.Message)
+}
+
+// NewOperation returns a random operation id.
+func NewOperation() domain.OperationID {
+	var id [16]byte
+	// The standard library ends the process when the system's random source
+	// fails, so the error is always nil.
+	_, _ = rand.Read(id[:])
+	return domain.OperationID(hex.EncodeToString(id[:]))
+}
+
+// State returns the configuration that the VM serves from.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var out State
+	return out, c.call(ctx, http.MethodGet, "/v1/state", nil, &out)
+}
+
+// Status returns the VM's view of the system.
+func (c *Client) Status(ctx context.Context) (port.Status, error) {
+	var out port.Status
+	return out, c.call(ctx, http.MethodGet, "/v1/status", nil, &out)
+}
+
+// Spend returns the spend of all accounts.
+func (c *Client) Spend(ctx context.Context) (port.SpendReport, error) {
+	var out port.SpendReport
+	return out, c.call(ctx, http.MethodGet, "/v1/spend", nil, &out)
+}
+
+// Forecast returns next month's bill; an empty preset means the one in force.
+func (c *Client) Forecast(ctx context.Context, preset config.PresetName) ([]port.AccountForecast, error) {
+	var out []port.AccountForecast
+	return out, c.call(ctx, http.MethodGet, "/v1/forecast?preset="+url.QueryEscape(string(preset)), nil, &out)
+}
+
+// Programs lists programs; an empty account lists all.
+func (c *Client) Programs(ctx context.Context, account domain.Account) (port.ProgramReport, error) {
+	var out port.ProgramReport
+	return out, c.call(ctx, http.MethodGet, "/v1/programs?account="+url.QueryEscape(string(account)), nil, &out)
+}
+
+// InForce says where a version is in force.
+func (c *Client) InForce(ctx context.Context, version uint64) (ChangeAnswer, error) {
+	var out ChangeAnswer
+	return out, c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/in-force?version=%d", version), nil, &out)
+}
+
+// Change sends a command. The same operation id may be sent again after a lost
+// answer.
+func (c *Client) Change(ctx context.Context, operation domain.OperationID, base uint64, command config.Command) (ChangeAnswer, error) {
+	var out ChangeAnswer
+	kind, err := kindOf(command)
+	if err != nil {
+		return out, err
+	}
+	body, err := json.Marshal(command)
+	if err != nil {
+		return out, fmt.Errorf("operatorapi: encode the change: %w", err)
+	}
+	request := ChangeRequest{Operation: operation, Base: base, Kind: kind, Command: body}
+	return out, c.call(ctx, http.MethodPost, "/v1/changes", request, &out)
+}
+
+// WithdrawKey withdraws a key on all VMs that can be reached.
+func (c *Client) WithdrawKey(ctx context.Context, operation domain.OperationID, key config.KeyID) (ChangeAnswer, error) {
+	var out ChangeAnswer
+	return out, c.call(ctx, http.MethodPost, "/v1/keys/"+url.PathEscape(string(key))+"/withdraw", WithdrawRequest{Operation: operation}, &out)
+}
+
+// Drain starts a planned stop of the VM at the first address.
+func (c *Client) Drain(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, "/v1/drain", nil, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
+	var encoded []byte
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return fmt.Errorf("operatorapi: encode the request: %w", err)
+		}
+		encoded = data
+	}
+	var last error
+	for _, address := range c.addresses {
+		request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(encoded))
+		if err != nil {
+			return fmt.Errorf("operatorapi: address %q: %w", address, err)
+		}
+		request.Header.Set("Authorization", "Bearer "+c.token)
+		request.Header.Set("Content-Type", "application/json")
+		response, err := c.http.Do(request)
+		if err != nil {
+			last = err
+			continue
+		}
+		return readAnswer(response, into)
+	}
+	return fmt.Errorf("operatorapi: no VM answered at %s: %w", strings.Join(c.addresses, ", "), last)
+}
+
+func readAnswer(response *http.Response, into any) error {
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("operatorapi: read the answer: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		refused := &AnswerError{Status: response.StatusCode}
+		if err := json.Unmarshal(data, &refused.Answer); err != nil {
+			return fmt.Errorf("operatorapi: the VM answered with status %d and a body that is not JSON", response.StatusCode)
+		}
+		return refused
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("operatorapi: decode the answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/adapter/operatorapi/server.go
@@ -0,0 +1,285 @@
+package operatorapi
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Limits of one operator request.
+const (
+	maxBodyBytes   = 1 << 20
+	maxHeaderBytes = 16 << 10
+	readTimeout    = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+)
+
+// Operators holds the token hashes of the operators by name.
+type Operators map[string][sha256.Size]byte
+
+// ParseOperators reads lines of the form name:sha256-of-the-token-in-hex.
+// Empty lines and lines that begin with # are skipped.
+func ParseOperators(r io.Reader) (Operators, error) {
+	out := Operators{}
+	scanner := bufio.NewScanner(r)
+	for line := 1; scanner.Scan(); line++ {
+		text := strings.TrimSpace(scanner.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		name, digest, ok := strings.Cut(text, ":")
+		sum, err := hex.DecodeString(digest)
+		if !ok || name == "" || err != nil || len(sum) != sha256.Size {
+			return nil, fmt.Errorf("operatorapi: line %d of the operators file: write name:sha256 with 64 hex digits, as mangoknot operator hash prints it", line)
+		}
+		out[name] = [sha256.Size]byte(sum)
+	}
+	return out, scanner.Err()
+}
+
+// HashToken returns the hash of an operator's token.
+func HashToken(token string) [sha256.Size]byte { return sha256.Sum256([]byte(token)) }
+
+// find returns the operator with the token. Every entry is compared in
+// constant time, so the answer's time tells nothing about the hashes.
+func (o Operators) find(token string) (string, bool) {
+	sum := HashToken(token)
+	found := ""
+	for name, want := range o {
+		if subtle.ConstantTimeCompare(sum[:], want[:]) == 1 {
+			found = name
+		}
+	}
+	return found, found != ""
+}
+
+// API is the operators' front end of a node.
+type API struct {
+	node      port.Operations
+	operators Operators
+	log       logr.Logger
+}
+
+// New returns the front end.
+func New(node port.Operations, operators Operators, log logr.Logger) *API {
+	return &API{node: node, operators: operators, log: log}
+}
+
+// Server returns an HTTP server with the limits set.
+func (a *API) Server() *http.Server {
+	return &http.Server{
+		Handler:           a.Handler(),
+		ReadHeaderTimeout: readTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Handler serves the operators' interface.
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/state", a.state)
+	mux.HandleFunc("GET /v1/status", a.status)
+	mux.HandleFunc("GET /v1/spend", a.spend)
+	mux.HandleFunc("GET /v1/forecast", a.forecast)
+	mux.HandleFunc("GET /v1/programs", a.programs)
+	mux.HandleFunc("GET /v1/in-force", a.inForce)
+	mux.HandleFunc("POST /v1/changes", a.change)
+	mux.HandleFunc("POST /v1/keys/{id}/withdraw", a.withdraw)
+	mux.HandleFunc("POST /v1/drain", a.drain)
+	return a.authenticated(mux)
+}
+
+func (a *API) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		operator, known := a.operators.find(token)
+		if !ok || !known {
+			writeError(w, domain.NotRun(domain.ReasonOperatorUnauthorized,
+				"send the token of an operator that is listed in the operators file; callers' keys do not work here"))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		a.log.V(1).Info("operator request", "operator", operator, "method", r.Method, "path", r.URL.Path)
+		r.Header.Set(operatorHeader, operator)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// operatorHeader carries the authenticated name to the handlers. It is always
+// overwritten, so a client cannot choose it.
+const operatorHeader = "Mangoknot-Operator"
+
+func (a *API) state(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, stateOf(a.node.View()))
+}
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
+	status, err := a.node.Status(r.Context())
+	answer(w, status, err)
+}
+
+func (a *API) spend(w http.ResponseWriter, r *http.Request) {
+	report, err := a.node.Spend(r.Context())
+	answer(w, report, err)
+}
+
+func (a *API) forecast(w http.ResponseWriter, r *http.Request) {
+	preset := config.PresetName(r.URL.Query().Get("preset"))
+	if preset == "" {
+		preset = a.node.View().Preset().Name
+	}
+	forecast, err := a.node.Forecast(r.Context(), preset)
+	answer(w, forecast, err)
+}
+
+func (a *API) programs(w http.ResponseWriter, r *http.Request) {
+	report, err := a.node.Programs(r.Context(), domain.Account(r.URL.Query().Get("account")))
+	answer(w, report, err)
+}
+
+func (a *API) inForce(w http.ResponseWriter, r *http.Request) {
+	var version uint64
+	if _, err := fmt.Sscan(r.URL.Query().Get("version"), &version); err != nil {
+		writeError(w, badRequest("the query parameter version must be a number"))
+		return
+	}
+	in, err := a.node.InForce(r.Context(), version)
+	answer(w, changeAnswerOf(in), err)
+}
+
+func (a *API) change(w http.ResponseWriter, r *http.Request) {
+	var request ChangeRequest
+	if err := decode(r.Body, &request); err != nil {
+		writeError(w, err)
+		return
+	}
+	command, err := commandOf(request)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	in, err := a.node.Change(r.Context(), config.Change{
+		Operation: request.Operation,
+		Base:      request.Base,
+		Operator:  r.Header.Get(operatorHeader),
+		Command:   command,
+	})
+	answer(w, changeAnswerOf(in), err)
+}
+
+func commandOf(request ChangeRequest) (config.Command, error) {
+	if request.Operation == "" {
+		return nil, badRequest("the field operation is missing; send a new random id, and the same id when you resend")
+	}
+	newCommand, ok := operatorCommands[request.Kind]
+	if !ok {
+		return nil, badRequest("the kind %q is not known", request.Kind)
+	}
+	command := newCommand()
+	if err := decode(bytes.NewReader(request.Command), command); err != nil {
+		return nil, err
+	}
+	if put, ok := command.(*config.PutTarget); ok {
+		if _, err := netip.ParseAddrPort(put.Target.Address); err != nil {
+			return nil, badRequest("target %q: address %q: use an IP number and a port, not a host name", put.Target.Name, put.Target.Address)
+		}
+	}
+	return command, nil
+}
+
+func (a *API) withdraw(w http.ResponseWriter, r *http.Request) {
+	var request WithdrawRequest
+	if err := decode(r.Body, &request); err != nil {
+		writeError(w, err)
+		return
+	}
+	if request.Operation == "" {
+		writeError(w, badRequest("the field operation is missing"))
+		return
+	}
+	in, err := a.node.WithdrawKey(r.Context(), request.Operation, config.KeyID(r.PathValue("id")))
+	answer(w, changeAnswerOf(in), err)
+}
+
+func (a *API) drain(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, a.node.Drain(r.Context()))
+}
+
+func badRequest(format string, args ...any) *domain.Refusal {
+	return domain.NotRun(domain.ReasonBadRequest, format, args...)
+}
+
+// decode reads one JSON value and refuses fields that no version knows, since
+// a mistyped field name would otherwise change a limit silently.
+func decode(r io.Reader, into any) error {
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return badRequest("the body is not valid: %v", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return badRequest("the body holds more than one JSON value")
+	}
+	return nil
+}
+
+// ErrorAnswer is the body of a refused operator request.
+type ErrorAnswer struct {
+	Code    domain.Reason `json:"code"`
+	Message string        `json:"message"`
+	Outcome string        `json:"outcome"`
+}
+
+func answer(w http.ResponseWriter, body any, err error) {
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	refusal, ok := domain.AsRefusal(err)
+	if !ok {
+		refusal = domain.Unknown(domain.ReasonOverloaded, "%v; resend the change with the same operation id", err)
+	}
+	status := http.StatusServiceUnavailable
+	switch refusal.Reason {
+	case domain.ReasonOperatorUnauthorized:
+		status = http.StatusUnauthorized
+	case domain.ReasonBadRequest:
+		status = http.StatusBadRequest
+	case domain.ReasonConflict:
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, ErrorAnswer{Code: refusal.Reason, Message: refusal.Remedy, Outcome: refusal.Outcome.String()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, "encode answer", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/adapter/operatorapi/types.go
@@ -0,0 +1,111 @@
+package operatorapi
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// ChangeRequest is the body of POST /v1/changes.
+type ChangeRequest struct {
+	Operation domain.OperationID `json:"operation"`
+	// Base is the version that the operator saw, from GET /v1/state.
+	Base uint64 `json:"base"`
+	// Kind names the command, for example PutAccount.
+	Kind string `json:"kind"`
+	// Command holds the command's fields.
+	Command json.RawMessage `json:"command"`
+}
+
+// ChangeAnswer is the answer to an accepted change.
+type ChangeAnswer struct {
+	Version uint64      `json:"version"`
+	InForce []domain.VM `json:"in_force"`
+	NotYet  []domain.VM `json:"not_yet_in_force"`
+}
+
+func changeAnswerOf(in port.InForce) ChangeAnswer {
+	return ChangeAnswer{Version: in.Version, InForce: in.Everywhere, NotYet: in.NotYet}
+}
+
+// WithdrawRequest is the body of POST /v1/keys/{id}/withdraw.
+type WithdrawRequest struct {
+	Operation domain.OperationID `json:"operation"`
+}
+
+// KeyState describes a key without its hash.
+type KeyState struct {
+	ID        config.KeyID   `json:"id"`
+	Account   domain.Account `json:"account"`
+	Withdrawn bool           `json:"withdrawn"`
+}
+
+// State is the answer of GET /v1/state.
+type State struct {
+	Version     uint64                `json:"version"`
+	Preset      config.PresetName     `json:"preset"`
+	Presets     []config.PresetSpec   `json:"presets"`
+	Accounts    []*config.AccountSpec `json:"accounts"`
+	Keys        []KeyState            `json:"keys"`
+	Models      []*config.ModelSpec   `json:"models"`
+	Routes      []*config.RouteSpec   `json:"routes"`
+	Targets     []*config.TargetSpec  `json:"targets"`
+	VMs         []*config.VMSpec      `json:"vms"`
+	Homes       []domain.DataCentre   `json:"homes"`
+	Assignments []config.Assignment   `json:"assignments"`
+}
+
+// stateOf copies what operators may read from a view.
+func stateOf(v *config.View) State {
+	s := State{
+		Version:     v.Version(),
+		Preset:      v.Preset().Name,
+		Accounts:    v.Accounts(),
+		Models:      v.Models(),
+		Routes:      v.Routes(),
+		Targets:     v.Targets(),
+		VMs:         v.VMs(),
+		Homes:       v.Homes(),
+		Assignments: v.Assignments(),
+		Keys:        []KeyState{},
+	}
+	for _, name := range []config.PresetName{config.PresetOrdinary, config.PresetPeak, config.PresetMaintenance} {
+		if preset, ok := v.PresetNamed(name); ok {
+			s.Presets = append(s.Presets, preset)
+		}
+	}
+	for _, key := range v.Keys() {
+		s.Keys = append(s.Keys, KeyState{ID: key.ID, Account: key.Account, Withdrawn: key.Withdrawn})
+	}
+	return s
+}
+
+// operatorCommands lists the commands that operators may send. Withdrawals
+// have a path of their own, because they work without a majority; shard
+// assignments are the system's.
+var operatorCommands = map[string]func() config.Command{
+	"PutAccount":       func() config.Command { return &config.PutAccount{} },
+	"PutKey":           func() config.Command { return &config.PutKey{} },
+	"SetPreset":        func() config.Command { return &config.SetPreset{} },
+	"PutPreset":        func() config.Command { return &config.PutPreset{} },
+	"PutModel":         func() config.Command { return &config.PutModel{} },
+	"PutRoute":         func() config.Command { return &config.PutRoute{} },
+	"RemoveRoute":      func() config.Command { return &config.RemoveRoute{} },
+	"PutTarget":        func() config.Command { return &config.PutTarget{} },
+	"RemoveTarget":     func() config.Command { return &config.RemoveTarget{} },
+	"SetTargetLeaving": func() config.Command { return &config.SetTargetLeaving{} },
+	"RemoveVM":         func() config.Command { return &config.RemoveVM{} },
+}
+
+// kindOf returns the name under which a command is sent.
+func kindOf(c config.Command) (string, error) {
+	for name, make := range operatorCommands {
+		if make().RecordName() == c.RecordName() {
+			return name, nil
+		}
+	}
+	return "", fmt.Errorf("operatorapi: operators cannot send %s", c.RecordName())
+}
