Add the operators' command line

Cause: operators need one tool for accounts, keys, budgets, presets and state. Conclusion: wrong options end with code 2 and name the remedy.

--- a/adapter/operatorapi/client.go
+++ b/adapter/operatorapi/client.go
@@ -75,37 +75,43 @@
 // State returns the configuration that the VM serves from.
 func (c *Client) State(ctx context.Context) (State, error) {
 	var out State
-	return out, c.call(ctx, http.MethodGet, "/v1/state", nil, &out)
+	err := c.call(ctx, http.MethodGet, "/v1/state", nil, &out)
+	return out, err
 }
 
 // Status returns the VM's view of the system.
 func (c *Client) Status(ctx context.Context) (port.Status, error) {
 	var out port.Status
-	return out, c.call(ctx, http.MethodGet, "/v1/status", nil, &out)
+	err := c.call(ctx, http.MethodGet, "/v1/status", nil, &out)
+	return out, err
 }
 
 // Spend returns the spend of all accounts.
 func (c *Client) Spend(ctx context.Context) (port.SpendReport, error) {
 	var out port.SpendReport
-	return out, c.call(ctx, http.MethodGet, "/v1/spend", nil, &out)
+	err := c.call(ctx, http.MethodGet, "/v1/spend", nil, &out)
+	return out, err
 }
 
 // Forecast returns next month's bill; an empty preset means the one in force.
 func (c *Client) Forecast(ctx context.Context, preset config.PresetName) ([]port.AccountForecast, error) {
 	var out []port.AccountForecast
-	return out, c.call(ctx, http.MethodGet, "/v1/forecast?preset="+url.QueryEscape(string(preset)), nil, &out)
+	err := c.call(ctx, http.MethodGet, "/v1/forecast?preset="+url.QueryEscape(string(preset)), nil, &out)
+	return out, err
 }
 
 // Programs lists programs; an empty account lists all.
 func (c *Client) Programs(ctx context.Context, account domain.Account) (port.ProgramReport, error) {
 	var out port.ProgramReport
-	return out, c.call(ctx, http.MethodGet, "/v1/programs?account="+url.QueryEscape(string(account)), nil, &out)
+	err := c.call(ctx, http.MethodGet, "/v1/programs?account="+url.QueryEscape(string(account)), nil, &out)
+	return out, err
 }
 
 // InForce says where a version is in force.
 func (c *Client) InForce(ctx context.Context, version uint64) (ChangeAnswer, error) {
 	var out ChangeAnswer
-	return out, c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/in-force?version=%d", version), nil, &out)
+	err := c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/in-force?version=%d", version), nil, &out)
+	return out, err
 }
 
 // Change sends a command. The same operation id may be sent again after a lost
@@ -121,13 +127,15 @@
 		return out, fmt.Errorf("operatorapi: encode the change: %w", err)
 	}
 	request := ChangeRequest{Operation: operation, Base: base, Kind: kind, Command: body}
-	return out, c.call(ctx, http.MethodPost, "/v1/changes", request, &out)
+	err = c.call(ctx, http.MethodPost, "/v1/changes", request, &out)
+	return out, err
 }
 
 // WithdrawKey withdraws a key on all VMs that can be reached.
 func (c *Client) WithdrawKey(ctx context.Context, operation domain.OperationID, key config.KeyID) (ChangeAnswer, error) {
 	var out ChangeAnswer
-	return out, c.call(ctx, http.MethodPost, "/v1/keys/"+url.PathEscape(string(key))+"/withdraw", WithdrawRequest{Operation: operation}, &out)
+	err := c.call(ctx, http.MethodPost, "/v1/keys/"+url.PathEscape(string(key))+"/withdraw", WithdrawRequest{Operation: operation}, &out)
+	return out, err
 }
 
 // Drain starts a planned stop of the VM at the first address.
--- /dev/null
+++ b/internal/cli/change.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/mangoknot/mangoknot/adapter/operatorapi"
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// progressInterval is the time between two looks at where a change is in
+// force.
+const progressInterval = 200 * time.Millisecond
+
+// change sends a command that is based on the state's version and reports
+// where it is in force.
+func (s *session) change(ctx context.Context, base uint64, c config.Command) error {
+	operation := operatorapi.NewOperation()
+	answer, err := s.client.Change(ctx, operation, base, c)
+	if err != nil {
+		return err
+	}
+	return s.reportChange(ctx, answer)
+}
+
+// reportChange waits as long as --wait says and prints where the change is in
+// force.
+func (s *session) reportChange(ctx context.Context, answer operatorapi.ChangeAnswer) error {
+	answer, err := s.awaitInForce(ctx, answer)
+	if err != nil {
+		return err
+	}
+	notYet := "none"
+	if len(answer.NotYet) > 0 {
+		notYet = joinVMs(answer.NotYet)
+	}
+	return s.print(answer, []string{"VERSION", "IN FORCE", "NOT YET"},
+		[][]string{{fmt.Sprint(answer.Version), joinVMs(answer.InForce), notYet}})
+}
+
+func (s *session) awaitInForce(ctx context.Context, answer operatorapi.ChangeAnswer) (operatorapi.ChangeAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.args.Wait)
+	defer cancel()
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	version := answer.Version
+	for len(answer.NotYet) > 0 && s.args.Wait > 0 {
+		fmt.Fprintf(s.stderr, "waiting for %s\n", joinVMs(answer.NotYet))
+		select {
+		case <-ctx.Done():
+			return answer, nil
+		case <-ticker.C:
+		}
+		next, err := s.client.InForce(ctx, version)
+		if ctx.Err() != nil {
+			return answer, nil
+		}
+		if err != nil {
+			return answer, err
+		}
+		answer = next
+	}
+	return answer, nil
+}
+
+func joinVMs(vms []domain.VM) string {
+	names := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		names = append(names, string(vm))
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,223 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/mangoknot/mangoknot/adapter/certs"
+	"github.com/mangoknot/mangoknot/adapter/operatorapi"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// The exit codes of the command line.
+const (
+	ExitDone     = 0
+	ExitRefused  = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+	ExitUnknown  = 4
+)
+
+// defaultAddress is the operators' address of a VM started with --dev.
+const defaultAddress = "127.0.0.1:7301"
+
+// Arguments are the options and commands of the command line.
+type Arguments struct {
+	Addresses []string      `arg:"--address,env:MANGOKNOT_OPERATOR_ADDRESS" help:"operator addresses of VMs as IP number and port; the next is tried after a connection failure (default 127.0.0.1:7301)"`
+	Token     string        `arg:"--token,env:MANGOKNOT_OPERATOR_TOKEN" help:"the operator's token"`
+	Output    string        `arg:"--output" help:"table or json" default:"table"`
+	Wait      time.Duration `arg:"--wait" help:"how long a change waits to be in force everywhere, 0 to return at once" default:"0s"`
+	TLSCert   string        `arg:"--tls-cert,env:MANGOKNOT_TLS_CERT" help:"PEM file of the operator's certificate"`
+	TLSKey    string        `arg:"--tls-key,env:MANGOKNOT_TLS_KEY" help:"PEM file of the certificate's key"`
+	TLSCA     string        `arg:"--tls-ca,env:MANGOKNOT_TLS_CA" help:"PEM file of the authority; empty uses HTTP without TLS"`
+
+	Account  *accountCommand  `arg:"subcommand:account" help:"client accounts, rates and budgets"`
+	Key      *keyCommand      `arg:"subcommand:key" help:"callers' keys"`
+	Preset   *presetCommand   `arg:"subcommand:preset" help:"presets and the one in force"`
+	Model    *modelCommand    `arg:"subcommand:model" help:"models and prices"`
+	Route    *routeCommand    `arg:"subcommand:route" help:"plain services"`
+	Target   *targetCommand   `arg:"subcommand:target" help:"model engines and application workers"`
+	VM       *vmCommand       `arg:"subcommand:vm" help:"VMs of the system"`
+	Program  *programCommand  `arg:"subcommand:program" help:"agent programs"`
+	Spend    *spendCommand    `arg:"subcommand:spend" help:"spend and forecast"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"what the VM knows of the system"`
+	Drain    *drainCommand    `arg:"subcommand:drain" help:"planned stop of the VM at the first address"`
+	Operator *operatorCommand `arg:"subcommand:operator" help:"operators' tokens"`
+}
+
+// Description is printed above the help text.
+func (Arguments) Description() string {
+	return "mangoknot operates the mangoknot scheduler.\nExit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 conflict with another change, 4 outcome unknown."
+}
+
+// Run executes one command line and returns the exit code.
+func Run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	var args Arguments
+	parser, err := arg.NewParser(arg.Config{Program: "mangoknot", Out: stderr}, &args)
+	if err != nil {
+		fmt.Fprintln(stderr, "mangoknot:", err)
+		return ExitUsage
+	}
+	err = parser.Parse(arguments)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return ExitDone
+	case err != nil:
+		fmt.Fprintln(stderr, "mangoknot:", err)
+		return ExitUsage
+	}
+	if len(args.Addresses) == 0 {
+		args.Addresses = []string{defaultAddress}
+	}
+	command := args.chosen()
+	if command == nil {
+		_ = parser.WriteHelpForSubcommand(stderr, parser.SubcommandNames()...)
+		return ExitUsage
+	}
+	client, err := args.client()
+	if err == nil {
+		err = command.run(ctx, &session{client: client, args: &args, stdout: stdout, stderr: stderr})
+	}
+	return report(err, stderr)
+}
+
+// usageError is a wrong combination of options.
+type usageError struct{ text string }
+
+func (e usageError) Error() string { return e.text }
+
+func report(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintln(stderr, "mangoknot:", err)
+	var usage usageError
+	var refused *operatorapi.AnswerError
+	switch {
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &refused) && refused.Answer.Code == domain.ReasonConflict:
+		return ExitConflict
+	case errors.As(err, &refused) && refused.Answer.Outcome == domain.OutcomeUnknown.String():
+		return ExitUnknown
+	default:
+		return ExitRefused
+	}
+}
+
+// command is one leaf of the command tree.
+type command interface {
+	run(ctx context.Context, s *session) error
+}
+
+// chosen returns the leaf command, or nil when the command line names none.
+func (a *Arguments) chosen() command {
+	groups := []interface{ leaf() command }{}
+	if a.Account != nil {
+		groups = append(groups, a.Account)
+	}
+	if a.Key != nil {
+		groups = append(groups, a.Key)
+	}
+	if a.Preset != nil {
+		groups = append(groups, a.Preset)
+	}
+	if a.Model != nil {
+		groups = append(groups, a.Model)
+	}
+	if a.Route != nil {
+		groups = append(groups, a.Route)
+	}
+	if a.Target != nil {
+		groups = append(groups, a.Target)
+	}
+	if a.VM != nil {
+		groups = append(groups, a.VM)
+	}
+	if a.Program != nil {
+		groups = append(groups, a.Program)
+	}
+	if a.Spend != nil {
+		groups = append(groups, a.Spend)
+	}
+	if a.Operator != nil {
+		groups = append(groups, a.Operator)
+	}
+	switch {
+	case a.Status != nil:
+		return a.Status
+	case a.Drain != nil:
+		return a.Drain
+	case len(groups) == 1:
+		return groups[0].leaf()
+	default:
+		return nil
+	}
+}
+
+func (a *Arguments) client() (*operatorapi.Client, error) {
+	if a.Output != "table" && a.Output != "json" {
+		return nil, usageError{fmt.Sprintf("--output %q: use table or json", a.Output)}
+	}
+	if a.TLSCA == "" {
+		return operatorapi.NewClient(a.Addresses, a.Token, nil), nil
+	}
+	tlsConfig, err := a.tls()
+	if err != nil {
+		return nil, err
+	}
+	return operatorapi.NewClient(a.Addresses, a.Token, tlsConfig), nil
+}
+
+func (a *Arguments) tls() (*tls.Config, error) {
+	loader, err := certs.NewLoader(certs.Files{Certificate: a.TLSCert, Key: a.TLSKey, Authority: a.TLSCA}, time.Now)
+	if err != nil {
+		return nil, err
+	}
+	return loader.Client(), nil
+}
+
+// session is what a command runs with.
+type session struct {
+	client *operatorapi.Client
+	args   *Arguments
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// print writes a value as JSON, or the rows as a table under the header.
+func (s *session) print(value any, header []string, rows [][]string) error {
+	if s.args.Output == "json" {
+		encoder := json.NewEncoder(s.stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	table := tabwriter.NewWriter(s.stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(table, strings.Join(row, "\t"))
+	}
+	return table.Flush()
+}
+
+// token reads the operator's token from the environment for commands that
+// must not take it from the process list.
+func (s *session) readLine(prompt string) (string, error) {
+	fmt.Fprint(s.stderr, prompt)
+	var line string
+	if _, err := fmt.Fscanln(os.Stdin, &line); err != nil {
+		return "", fmt.Errorf("read a line from standard input: %w", err)
+	}
+	return line, nil
+}
