Add a stand-in model engine

Cause: the target adapter and the end-to-end tests need an engine whose batch, prefix cache and faults they control. Change: emulator/engine serves the OpenAI protocol and a control interface for load, cache events, resume, cancel, orders and faults. One control goroutine owns the state; handlers reach it through a bounded mailbox. Conclusion: answers follow from the request alone, so that tests can compare whole answers; the package tests pass under the race detector.

--- /dev/null
+++ b/emulator/engine/batch.go
@@ -0,0 +1,177 @@
+package engine
+
+import (
+	"slices"
+	"time"
+)
+
+// prefillChunk bounds the prompt tokens of one step, so that a long prompt does
+// not stop the decoding of other calls.
+const prefillChunk = 512
+
+// call is one request inside the engine.
+type call struct {
+	id, program string
+	answer      *Answer
+	cached      int
+	prefillLeft int
+	emitted     int
+	events      [][]byte
+	finished    time.Time // zero while it waits or runs
+	cancelled   bool
+	changed     chan struct{} // closed and replaced when an event is added
+}
+
+// share is what one call gets in a step.
+type share struct {
+	call    *call
+	prefill int
+}
+
+// CallStatus tells how far a call is.
+type CallStatus struct {
+	Events    int  `json:"events"`
+	Done      bool `json:"done"`
+	Cancelled bool `json:"cancelled"`
+}
+
+func (c *call) status() CallStatus {
+	return CallStatus{len(c.events), !c.finished.IsZero(), c.cancelled}
+}
+
+func (c *call) add(events ...[]byte) {
+	c.events = append(c.events, events...)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// begin queues a call. It reports false when the id is in use.
+func (s *state) begin(now time.Time, id, program string, a *Answer) bool {
+	s.forget(now)
+	if s.calls[id] != nil {
+		return false
+	}
+	c := &call{id: id, program: program, answer: a, changed: make(chan struct{})}
+	s.calls[id] = c
+	s.waiting = append(s.waiting, c)
+	if s.plan == nil {
+		s.nextStep(now)
+	}
+	s.sampleLoad(now)
+	return true
+}
+
+// forget drops finished answers that are past their time.
+func (s *state) forget(now time.Time) {
+	for id, c := range s.calls {
+		if !c.finished.IsZero() && now.Sub(c.finished) > s.settings.KeepAnswers {
+			delete(s.calls, id)
+		}
+	}
+}
+
+func (s *state) admit() {
+	for len(s.waiting) > 0 && len(s.running) < s.settings.MaxBatch {
+		c := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		c.cached = s.cache.match(chainOf(c.answer.model, c.answer.prompt))
+		c.prefillLeft = max(1, c.answer.PromptTokens-c.cached)
+		s.running = append(s.running, c)
+	}
+}
+
+// nextStep plans a step and sets the timer to its end. An idle or hung engine
+// plans none.
+func (s *state) nextStep(now time.Time) {
+	s.plan = nil
+	if s.faults.hang {
+		return
+	}
+	s.admit()
+	budget, decoding := prefillChunk, 0
+	for _, c := range s.running {
+		prefill := min(budget, c.prefillLeft)
+		budget -= prefill
+		if c.prefillLeft == 0 {
+			decoding++
+		}
+		s.plan = append(s.plan, share{c, prefill})
+	}
+	if len(s.plan) == 0 {
+		return
+	}
+	s.timer.Reset(s.stepTime(prefillChunk-budget, decoding))
+}
+
+// stepTime is the duration of a step that prefills some tokens and decodes one
+// token for each of some calls.
+func (s *state) stepTime(prefill, decoding int) time.Duration {
+	seconds := float64(prefill) / s.settings.PrefillPerSecond
+	if decoding > 0 {
+		seconds += (1 + s.settings.Slowdown*float64(decoding-1)) / s.settings.DecodePerSecond
+	}
+	return time.Duration(seconds * max(1, s.faults.slow) / s.settings.TimeScale * float64(time.Second))
+}
+
+// stepDone applies the planned step.
+func (s *state) stepDone(now time.Time) {
+	if s.faults.hang {
+		s.plan = nil
+		return
+	}
+	for _, part := range s.plan {
+		c := part.call
+		switch {
+		case !c.finished.IsZero(): // cancelled during the step
+		case c.prefillLeft > 0:
+			c.prefillLeft -= part.prefill
+		default:
+			s.decode(now, c)
+		}
+	}
+	s.nextStep(now)
+}
+
+// decode generates a token, or the whole tool call, of a call.
+func (s *state) decode(now time.Time, c *call) {
+	a := c.answer
+	if a.stream {
+		delta := object{}
+		if c.emitted == 0 {
+			delta["role"] = "assistant"
+		}
+		if a.Tool != "" {
+			delta["tool_calls"] = a.toolCalls()
+		} else {
+			delta["content"] = a.Tokens[c.emitted]
+		}
+		c.add(a.chunk(delta, nil))
+	}
+	c.emitted++
+	if a.Tool != "" || c.emitted == len(a.Tokens) {
+		c.add(a.last(c.cached)...)
+		s.cache.store(c.program, chainOf(a.model, a.prompt+"assistant\n"+a.Text()+"\n"))
+		s.end(now, c)
+	}
+}
+
+func (s *state) end(now time.Time, c *call) {
+	c.finished = now
+	is := func(other *call) bool { return other == c }
+	s.running = slices.DeleteFunc(s.running, is)
+	s.waiting = slices.DeleteFunc(s.waiting, is)
+	c.add()
+	s.sampleLoad(now)
+}
+
+func (s *state) cancel(now time.Time, id string) bool {
+	c := s.calls[id]
+	if c == nil {
+		return false
+	}
+	if c.finished.IsZero() {
+		c.cancelled = true
+		s.end(now, c)
+	}
+	return true
+}
--- /dev/null
+++ b/emulator/engine/http.go
@@ -0,0 +1,265 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// The request headers that name the program and the call.
+const (
+	HeaderProgram = "X-Engine-Program"
+	HeaderCall    = "X-Engine-Call"
+)
+
+// maxBody bounds a request's body.
+const maxBody = 64 << 20
+
+type handler func(p *session, w http.ResponseWriter, r *http.Request, body []byte)
+
+func (e *Engine) routes() {
+	for pattern, h := range map[string]handler{
+		"POST /v1/chat/completions":       e.chat,
+		"GET /v1/models":                  e.models,
+		"GET /control/load":               e.load,
+		"GET /control/cache-events":       e.cacheEvents,
+		"GET /control/held":               e.heldTokens,
+		"GET /control/requests":           e.recorded,
+		"GET /control/calls/{id}":         e.callStatus,
+		"GET /control/calls/{id}/stream":  e.resume,
+		"POST /control/calls/{id}/cancel": e.cancel,
+		"POST /control/orders":            e.orders,
+		"POST /control/fault":             e.fault,
+	} {
+		e.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { e.receive(w, r, h) })
+	}
+}
+
+// ServeHTTP answers a request.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// receive reads and records a request. A silent connection delivers none.
+func (e *Engine) receive(w http.ResponseWriter, r *http.Request, h handler) {
+	p := e.newSession(r)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", "the body could not be read")
+		return
+	}
+	p.do(func(s *state) {
+		s.record(Request{r.Method, r.URL.Path, r.Header.Clone(), string(body)})
+		if r.URL.Path != "/control/fault" && s.crashesOn(body) {
+			s.crash(time.Now(), s.faults.down)
+		}
+	})
+	h(p, w, r, body)
+}
+
+func refuse(w http.ResponseWriter, status int, code, message string) {
+	reply(w, status, object{"error": object{"code": code, "message": message, "type": "invalid_request_error"}})
+}
+
+func reply(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // the caller may have gone
+}
+
+func (e *Engine) chat(p *session, w http.ResponseWriter, r *http.Request, body []byte) {
+	a, err := e.settings.Answer(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	id, program := r.Header.Get(HeaderCall), r.Header.Get(HeaderProgram)
+	loaded, begun := true, false
+	p.do(func(s *state) {
+		if id == "" {
+			id = "anonymous-" + strconv.FormatUint(p.serial, 10) + "-" + strconv.Itoa(len(s.calls))
+		}
+		if _, loaded = s.models[a.model]; loaded {
+			begun = s.begin(time.Now(), id, program, a)
+		}
+	})
+	switch {
+	case !loaded:
+		refuse(w, http.StatusNotFound, "model_not_found", "the model is not loaded")
+	case !begun:
+		refuse(w, http.StatusConflict, "duplicate_call", "the call id is in use; resume its stream")
+	case a.stream:
+		e.stream(p, w, id, 0)
+	default:
+		e.plain(p, w, id)
+	}
+}
+
+// follow passes a call's events from an offset on to write, until it is done.
+// It reports false when the call was cancelled or is unknown.
+func (p *session) follow(id string, offset int, write func(offset int, event []byte)) bool {
+	for {
+		var events [][]byte
+		var status CallStatus
+		var changed <-chan struct{}
+		p.do(func(s *state) {
+			if c := s.calls[id]; c != nil {
+				events = slices.Clone(c.events[min(offset, len(c.events)):])
+				status, changed = c.status(), c.changed
+			}
+		})
+		for _, event := range events {
+			write(offset, event)
+			offset++
+		}
+		if changed == nil || status.Cancelled {
+			return false
+		}
+		if status.Done {
+			return true
+		}
+		p.wait(changed, nil)
+	}
+}
+
+// stream writes server-sent events whose id is the event's offset.
+func (e *Engine) stream(p *session, w http.ResponseWriter, id string, offset int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush() // fails only when the caller has gone, which wait notices
+	whole := p.follow(id, offset, func(offset int, event []byte) {
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, event)
+		_ = flusher.Flush()
+	})
+	if !whole {
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (e *Engine) plain(p *session, w http.ResponseWriter, id string) {
+	var answer []byte
+	if !p.follow(id, 0, func(_ int, event []byte) { answer = event }) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer) // the caller may have gone
+}
+
+func (e *Engine) models(p *session, w http.ResponseWriter, _ *http.Request, _ []byte) {
+	data := []object{}
+	p.do(func(s *state) {
+		for model := range s.models {
+			data = append(data, object{"id": model, "object": "model", "created": created, "owned_by": "emulator"})
+		}
+	})
+	slices.SortFunc(data, func(a, b object) int { return bytes.Compare([]byte(a["id"].(string)), []byte(b["id"].(string))) })
+	reply(w, http.StatusOK, object{"object": "list", "data": data})
+}
+
+func (e *Engine) load(p *session, w http.ResponseWriter, _ *http.Request, _ []byte) {
+	var load Load
+	p.do(func(s *state) { load = s.laggedLoad(time.Now()) })
+	reply(w, http.StatusOK, load)
+}
+
+func (e *Engine) heldTokens(p *session, w http.ResponseWriter, _ *http.Request, _ []byte) {
+	var held map[string]int
+	p.do(func(s *state) { held = s.held() })
+	reply(w, http.StatusOK, held)
+}
+
+func (e *Engine) recorded(p *session, w http.ResponseWriter, _ *http.Request, _ []byte) {
+	var requests []Request
+	p.do(func(s *state) { requests = slices.Clone(s.requests) })
+	reply(w, http.StatusOK, requests)
+}
+
+func (e *Engine) callStatus(p *session, w http.ResponseWriter, r *http.Request, _ []byte) {
+	var status *CallStatus
+	p.do(func(s *state) {
+		if c := s.calls[r.PathValue("id")]; c != nil {
+			now := c.status()
+			status = &now
+		}
+	})
+	if status == nil {
+		refuse(w, http.StatusNotFound, "call_unknown", "the call is unknown or was forgotten")
+		return
+	}
+	reply(w, http.StatusOK, status)
+}
+
+func (e *Engine) resume(p *session, w http.ResponseWriter, r *http.Request, _ []byte) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	known := false
+	p.do(func(s *state) { _, known = s.calls[r.PathValue("id")] })
+	switch {
+	case err != nil || offset < 0:
+		refuse(w, http.StatusBadRequest, "bad_request", "offset must be a number of events")
+	case !known:
+		refuse(w, http.StatusNotFound, "call_unknown", "the call is unknown or was forgotten")
+	default:
+		e.stream(p, w, r.PathValue("id"), offset)
+	}
+}
+
+func (e *Engine) cancel(p *session, w http.ResponseWriter, r *http.Request, _ []byte) {
+	known := false
+	p.do(func(s *state) { known = s.cancel(time.Now(), r.PathValue("id")) })
+	if !known {
+		refuse(w, http.StatusNotFound, "call_unknown", "the call is unknown or was forgotten")
+		return
+	}
+	reply(w, http.StatusOK, object{})
+}
+
+func (e *Engine) fault(_ *session, w http.ResponseWriter, _ *http.Request, body []byte) {
+	var f Fault
+	if err := json.Unmarshal(body, &f); err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", "the body is not a fault")
+		return
+	}
+	reply(w, http.StatusOK, object{})
+	_ = http.NewResponseController(w).Flush() // before the fault stops this connection
+	e.Inject(f)
+}
+
+// cacheEvents streams events from the connection's start on, EventDelay late.
+func (e *Engine) cacheEvents(p *session, w http.ResponseWriter, _ *http.Request, _ []byte) {
+	flusher := http.NewResponseController(w)
+	next := uint64(0)
+	p.do(func(s *state) { next = s.lastSeq + 1 })
+	w.WriteHeader(http.StatusOK)
+	_ = flusher.Flush() // fails only when the caller has gone, which wait notices
+	for {
+		var events []CacheEvent
+		var changed <-chan struct{}
+		p.do(func(s *state) {
+			changed = s.eventsChange
+			for _, event := range s.events {
+				if event.Seq >= next {
+					events = append(events, event)
+				}
+			}
+		})
+		if len(events) == 0 {
+			p.wait(changed, time.After(e.settings.Heartbeat))
+			p.do(func(*state) {})
+			fmt.Fprintln(w)
+		}
+		for _, event := range events {
+			if late := time.Until(event.at.Add(e.settings.EventDelay)); late > 0 {
+				p.wait(nil, time.After(late))
+			}
+			p.do(func(*state) {})
+			_ = json.NewEncoder(w).Encode(event)
+			next = event.Seq + 1
+		}
+		_ = flusher.Flush()
+	}
+}
--- /dev/null
+++ b/emulator/engine/state.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Bounds on what the engine remembers.
+const (
+	maxRequests    = 4096
+	maxCacheEvents = 4096
+	// maxRecordedBody bounds the recorded part of a body, in bytes.
+	maxRecordedBody = 64 << 10
+)
+
+// Request is a recorded request with all its headers and the start of its body.
+type Request struct {
+	Method, Path string
+	Header       http.Header
+	Body         string
+}
+
+// Load is a load report.
+type Load struct {
+	Instance string `json:"instance"`
+	Running  int    `json:"running"`
+	Waiting  int    `json:"waiting"`
+	// Tokens is the size of the prefix cache in use.
+	Tokens int               `json:"tokens"`
+	Models map[string]string `json:"models"`
+	Role   string            `json:"role"`
+}
+
+type loadSample struct {
+	at   time.Time
+	load Load
+}
+
+// CacheEvent reports a change of the prefix cache. Numbers start at 1 for each
+// instance; a missing number is an event that was lost.
+type CacheEvent struct {
+	Instance string `json:"instance"`
+	Seq      uint64 `json:"seq"`
+	Kind     string `json:"kind"` // stored, removed
+	Program  string `json:"program"`
+	Tokens   int    `json:"tokens"`
+	at       time.Time
+}
+
+// state belongs to the control goroutine.
+type state struct {
+	settings Settings
+	timer    *time.Timer
+
+	// instance counts process starts; a crash begins the next one.
+	instance    int
+	down        time.Time // connections are cut until then
+	faults      faults
+	connections map[net.Conn]uint64
+	lastSerial  uint64
+	requests    []Request
+
+	cache   *cache
+	calls   map[string]*call
+	running []*call
+	waiting []*call
+	plan    []share // the step in progress
+	models  map[string]string
+	role    string
+	// engineEpoch fences orders on models and the role, programEpochs others.
+	engineEpoch   uint64
+	programEpochs map[string]uint64
+
+	events       []CacheEvent
+	lastSeq      uint64
+	eventsChange chan struct{} // closed and replaced when an event is added
+	loads        []loadSample
+}
+
+func newState(settings Settings) *state {
+	s := &state{settings: settings, timer: time.NewTimer(time.Hour), connections: map[net.Conn]uint64{}}
+	s.timer.Stop()
+	s.faults.changed = make(chan struct{})
+	s.restart(time.Now())
+	return s
+}
+
+// restart begins an instance with an empty cache and no calls.
+func (s *state) restart(now time.Time) {
+	s.instance++
+	s.timer.Stop()
+	s.calls, s.running, s.waiting, s.plan = map[string]*call{}, nil, nil, nil
+	s.models, s.role = map[string]string{}, "mixed"
+	for _, model := range s.settings.Models {
+		s.models[model] = "1"
+	}
+	s.engineEpoch, s.programEpochs = 0, map[string]uint64{}
+	s.events, s.lastSeq, s.loads = nil, 0, nil
+	if s.eventsChange != nil {
+		close(s.eventsChange)
+	}
+	s.eventsChange = make(chan struct{})
+	s.cache = newCache(s.settings.CacheTokens, s.emit)
+	s.sampleLoad(now)
+}
+
+func (s *state) instanceName() string { return strconv.Itoa(s.instance) }
+
+func (s *state) addConnection(c net.Conn) uint64 {
+	s.lastSerial++
+	s.connections[c] = s.lastSerial
+	return s.lastSerial
+}
+
+func (s *state) record(r Request) {
+	r.Body = r.Body[:min(len(r.Body), maxRecordedBody)]
+	if len(s.requests) == maxRequests {
+		s.requests = s.requests[1:]
+	}
+	s.requests = append(s.requests, r)
+}
+
+func (s *state) emit(kind, program string, tokens int) {
+	s.lastSeq++
+	if gap := s.settings.EventGap; gap > 0 && s.lastSeq%uint64(gap) == 0 {
+		return
+	}
+	if len(s.events) == maxCacheEvents {
+		s.events = s.events[1:]
+	}
+	s.events = append(s.events, CacheEvent{s.instanceName(), s.lastSeq, kind, program, tokens, time.Now()})
+	close(s.eventsChange)
+	s.eventsChange = make(chan struct{})
+}
+
+// sampleLoad notes the load, and drops samples that no report needs any more.
+func (s *state) sampleLoad(now time.Time) {
+	s.pruneLoads(now)
+	s.loads = append(s.loads, loadSample{now, Load{
+		Instance: s.instanceName(), Running: len(s.running), Waiting: len(s.waiting),
+		Tokens: len(s.cache.blocks) * blockTokens, Models: maps.Clone(s.models), Role: s.role,
+	}})
+}
+
+func (s *state) pruneLoads(now time.Time) {
+	for len(s.loads) > 1 && !s.loads[1].at.After(now.Add(-s.settings.LoadLag)) {
+		s.loads = s.loads[1:]
+	}
+}
+
+// laggedLoad returns the newest sample that is at least LoadLag old, or the
+// first one of the instance.
+func (s *state) laggedLoad(now time.Time) Load {
+	s.pruneLoads(now)
+	return s.loads[0].load
+}
+
+func (s *state) held() map[string]int {
+	held := s.cache.held()
+	for _, calls := range [][]*call{s.running, s.waiting} {
+		for _, c := range calls {
+			held[c.program] = max(1, held[c.program])
+		}
+	}
+	return held
+}
