Add a stand-in tool service

Cause: tests of run-once calls must see an effect that happened twice. Change: emulator/tool echoes any request, counts effects by request id and delays, hangs, fails or crashes before or after the effect.

--- /dev/null
+++ b/emulator/tool/tool.go
@@ -0,0 +1,231 @@
+// Package tool is a stand-in for a tool service. It answers any method and
+// path with an Echo, and counts the effects of each request id, so that a test
+// can see a call that ran twice.
+//
+// The request id is the header X-Request-Id. An effect is counted when the body
+// was read whole and before the delay, as a tool that acts and then dies.
+// Its control interface uses JSON:
+//
+//	GET  /control/effects   the number of effects by request id
+//	GET  /control/requests  the recorded requests
+//	POST /control/fault     Fault in, replaces the fault in force
+package tool
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// HeaderRequest names the request whose effects are counted.
+const HeaderRequest = "X-Request-Id"
+
+// Bounds on bodies, in bytes, and on the recorded requests.
+const (
+	maxBody     = 64 << 20
+	maxRequests = 4096
+)
+
+// Fault is the service's behaviour on requests outside /control.
+type Fault struct {
+	// DelayMillis postpones the answer.
+	DelayMillis int `json:"delay_ms"`
+	// Hang never answers.
+	Hang bool `json:"hang"`
+	// Status, if above 0, is answered instead of 200.
+	Status int `json:"status"`
+	// CrashBefore cuts the connection without an effect, Crash after it.
+	CrashBefore bool `json:"crash_before"`
+	Crash       bool `json:"crash"`
+}
+
+// Echo is the answer to a request.
+type Echo struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Query  string `json:"query"`
+	Body   []byte `json:"body"`
+	// Effects is the number of effects of the request id so far.
+	Effects int `json:"effects"`
+}
+
+// Request is a recorded request with all its headers.
+type Request struct {
+	Method, Path string
+	Header       http.Header
+}
+
+// state belongs to the control goroutine.
+type state struct {
+	fault    Fault
+	effects  map[string]int
+	requests []Request
+}
+
+// mailboxSize bounds the requests that wait for the control goroutine.
+const mailboxSize = 256
+
+// Service is an http.Handler. One control goroutine owns its state.
+type Service struct {
+	mailbox  chan func(*state)
+	stop     context.CancelFunc
+	stopping <-chan struct{}
+	stopped  chan struct{}
+	mux      *http.ServeMux
+	server   *http.Server
+}
+
+// New returns a running service. Close ends it.
+func New() *Service {
+	ctx, stop := context.WithCancel(context.Background())
+	t := &Service{
+		mailbox:  make(chan func(*state), mailboxSize),
+		stop:     stop,
+		stopping: ctx.Done(),
+		stopped:  make(chan struct{}),
+		mux:      http.NewServeMux(),
+	}
+	t.mux.HandleFunc("/", t.echo)
+	t.mux.HandleFunc("GET /control/effects", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, t.Effects()) })
+	t.mux.HandleFunc("GET /control/requests", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, t.Requests()) })
+	t.mux.HandleFunc("POST /control/fault", t.fault)
+	t.server = &http.Server{Handler: t, ReadHeaderTimeout: 10 * time.Second}
+	go t.control()
+	return t
+}
+
+// Start serves on the listener until Close.
+func (t *Service) Start(l net.Listener) error {
+	if err := t.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close cuts all connections and ends the control goroutine.
+func (t *Service) Close() error {
+	t.stop()
+	<-t.stopped
+	return t.server.Close()
+}
+
+// ServeHTTP answers a request.
+func (t *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.mux.ServeHTTP(w, r) }
+
+// Inject replaces the fault in force.
+func (t *Service) Inject(f Fault) { t.do(func(s *state) { s.fault = f }) }
+
+// Effects returns the number of effects by request id.
+func (t *Service) Effects() (out map[string]int) {
+	t.do(func(s *state) { out = maps.Clone(s.effects) })
+	return out
+}
+
+// Requests returns the recorded requests, oldest first.
+func (t *Service) Requests() (out []Request) {
+	t.do(func(s *state) { out = slices.Clone(s.requests) })
+	return out
+}
+
+func (t *Service) control() {
+	defer close(t.stopped)
+	s := &state{effects: map[string]int{}}
+	for {
+		select {
+		case f := <-t.mailbox:
+			f(s)
+		case <-t.stopping:
+			return
+		}
+	}
+}
+
+// do runs f on the control goroutine and reports false when the service is closed.
+func (t *Service) do(f func(*state)) bool {
+	done := make(chan struct{})
+	select {
+	case t.mailbox <- func(s *state) { f(s); close(done) }:
+	case <-t.stopped:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-t.stopped:
+		return false
+	}
+}
+
+func (s *state) record(r *http.Request) {
+	if len(s.requests) == maxRequests {
+		s.requests = s.requests[1:]
+	}
+	s.requests = append(s.requests, Request{r.Method, r.URL.Path, r.Header.Clone()})
+}
+
+func (t *Service) echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		reply(w, http.StatusBadRequest, map[string]string{"error": "the body could not be read"})
+		return
+	}
+	answer := Echo{Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Body: body}
+	var fault Fault
+	ok := t.do(func(s *state) {
+		s.record(r)
+		fault = s.fault
+		if fault.CrashBefore {
+			return
+		}
+		id := r.Header.Get(HeaderRequest)
+		s.effects[id]++
+		answer.Effects = s.effects[id]
+	})
+	if !ok || fault.CrashBefore || fault.Crash {
+		panic(http.ErrAbortHandler)
+	}
+	t.delay(r.Context(), fault)
+	status := http.StatusOK
+	if fault.Status > 0 {
+		status = fault.Status
+	}
+	reply(w, status, answer)
+}
+
+// delay waits as the fault says and cuts the connection when the caller has
+// gone or the service is closed.
+func (t *Service) delay(ctx context.Context, f Fault) {
+	var after <-chan time.Time
+	if !f.Hang {
+		after = time.After(time.Duration(f.DelayMillis) * time.Millisecond)
+	}
+	select {
+	case <-after:
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	case <-t.stopped:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (t *Service) fault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&f); err != nil {
+		reply(w, http.StatusBadRequest, map[string]string{"error": "the body is not a fault"})
+		return
+	}
+	t.Inject(f)
+	reply(w, http.StatusOK, map[string]string{})
+}
+
+func reply(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // the caller may have gone
+}
