Call targets over HTTP with resume, cancel and typed failures

Cause: connections go silent while new ones work, engines crash and hang, and no target may see a caller's key. Change: adapter/target builds requests from an allow-list, checks a stream without bytes by the engine's control interface, resumes it at its offset on a new connection, cancels at the engine and types each failure. Plain calls use a connection each, because net/http repeats a bodyless GET on a reused one.

--- /dev/null
+++ b/adapter/target/control.go
@@ -0,0 +1,141 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// control sends a request to an engine's control interface on a new connection
+// and decodes the answer.
+func (c *Client) control(ctx context.Context, target domain.Target, method, path string, in, out any, limit int) error {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.ControlTimeout)
+	defer cancel()
+	base, err := c.address(target, config.TargetEngine)
+	if err != nil {
+		return err
+	}
+	r, err := controlRequest(ctx, method, base+path, in)
+	if err != nil {
+		return &port.Failure{Kind: port.FailureRefused, Target: target, Err: err}
+	}
+	a := &attempt{target: target}
+	response, err := a.send(c.fresh, r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	switch {
+	case err != nil:
+		return a.failure(ctx, err, true)
+	case len(answer) > limit:
+		return badAnswer(target, response.StatusCode, nil, "the answer exceeds %d bytes", limit)
+	case response.StatusCode != http.StatusOK:
+		return badAnswer(target, response.StatusCode, answer, "the control interface answered with status %d", response.StatusCode)
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return badAnswer(target, response.StatusCode, nil, "the answer of the control interface is malformed: %w", err)
+	}
+	return nil
+}
+
+func controlRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
+	if in == nil {
+		return http.NewRequestWithContext(ctx, method, url, nil)
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err == nil {
+		r.Header.Set("Content-Type", contentJSON)
+	}
+	return r, err
+}
+
+// errorCode returns the code of an error answer of the control interface.
+func errorCode(err error) string {
+	var f *port.Failure
+	var refused struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if !errors.As(err, &f) || json.Unmarshal(f.Body, &refused) != nil {
+		return ""
+	}
+	return refused.Error.Code
+}
+
+// programKey names a program to engines. Its parts are escaped, so that no two
+// programs share a key and the key is valid in a header.
+func programKey(id domain.ProgramID) string {
+	return url.PathEscape(string(id.Account)) + "/" + url.PathEscape(string(id.Name))
+}
+
+// parseProgramKey reverses programKey.
+func parseProgramKey(key string) (domain.ProgramID, bool) {
+	account, name, found := strings.Cut(key, "/")
+	account, errAccount := url.PathUnescape(account)
+	name, errName := url.PathUnescape(name)
+	return domain.ProgramID{Account: domain.Account(account), Name: domain.ProgramName(name)},
+		found && errAccount == nil && errName == nil
+}
+
+type orderRequest struct {
+	Kind    port.OrderKind   `json:"kind"`
+	Epoch   domain.Epoch     `json:"epoch"`
+	Program string           `json:"program,omitempty"`
+	Model   domain.ModelName `json:"model,omitempty"`
+	Version string           `json:"version,omitempty"`
+	Role    string           `json:"role,omitempty"`
+	Data    []byte           `json:"data,omitempty"`
+}
+
+// Order implements port.EngineOrders.
+func (c *Client) Order(ctx context.Context, target domain.Target, order port.Order) (port.OrderResult, error) {
+	in := orderRequest{
+		Kind: order.Kind, Epoch: order.Epoch, Model: order.Model,
+		Version: order.Version, Role: order.Role, Data: order.Data,
+	}
+	switch order.Kind {
+	case port.OrderRelease, port.OrderExport, port.OrderImport:
+		in.Program = programKey(order.Program)
+	}
+	var out struct {
+		Tokens domain.Tokens `json:"tokens"`
+		Data   []byte        `json:"data"`
+	}
+	err := c.control(ctx, target, http.MethodPost, "/control/orders", in, &out, c.settings.MaxAnswer)
+	if err != nil {
+		return port.OrderResult{}, orderFailure(err)
+	}
+	return port.OrderResult{Tokens: out.Tokens, Data: out.Data}, nil
+}
+
+// orderFailure adds the typed reason of a refused order.
+func orderFailure(err error) error {
+	var f *port.Failure
+	if !errors.As(err, &f) {
+		return err
+	}
+	switch errorCode(err) {
+	case "fenced":
+		f.Err = fmt.Errorf("order refused: %w", port.ErrFenced)
+	case "busy":
+		f.Err = fmt.Errorf("order refused: %w", port.ErrBusy)
+	}
+	return f
+}
--- /dev/null
+++ b/adapter/target/events.go
@@ -0,0 +1,167 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	contentJSON   = "application/json"
+	contentEvents = "text/event-stream"
+	// lastEvent is the payload that ends an OpenAI stream.
+	lastEvent = "[DONE]"
+	// noID is the offset of an event that does not state one.
+	noID = -1
+)
+
+var (
+	errEventTooLarge = errors.New("an event of the answer exceeds the size limit")
+	errContentType   = errors.New("the answer is neither JSON nor a stream of events")
+)
+
+// events reads the payloads of an answer. next returns io.EOF after the last
+// event of a whole answer; an answer that ends early is io.ErrUnexpectedEOF.
+type events interface {
+	next() (id int, data []byte, err error)
+}
+
+func newEvents(response *http.Response, maxEvent int) (events, error) {
+	kind, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	switch {
+	case err != nil:
+		return nil, errContentType
+	case kind == contentEvents:
+		return &serverSentEvents{in: bufio.NewReader(response.Body), max: maxEvent}, nil
+	case kind == contentJSON:
+		return &singleEvent{in: response.Body, max: maxEvent}, nil
+	}
+	return nil, errContentType
+}
+
+// singleEvent is a plain JSON answer.
+type singleEvent struct {
+	in   io.Reader
+	max  int
+	done bool
+}
+
+func (e *singleEvent) next() (int, []byte, error) {
+	if e.done {
+		return noID, nil, io.EOF
+	}
+	data, err := io.ReadAll(io.LimitReader(e.in, int64(e.max)+1))
+	if err == nil && len(data) > e.max {
+		err = errEventTooLarge
+	}
+	e.done = err == nil
+	return noID, data, err
+}
+
+// serverSentEvents decodes the fields data and id.
+type serverSentEvents struct {
+	in  *bufio.Reader
+	max int
+}
+
+func (e *serverSentEvents) next() (int, []byte, error) {
+	id, size := noID, 0
+	var data []byte
+	for {
+		line, err := readLine(e.in, e.max)
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return noID, nil, err
+		}
+		if size += len(line); size > e.max {
+			return noID, nil, errEventTooLarge
+		}
+		if len(line) > 0 {
+			id, data = addField(line, id, data)
+			continue
+		}
+		switch {
+		case data == nil: // an empty event, such as a heartbeat
+			id, size = noID, 0
+		case string(data) == lastEvent:
+			return noID, nil, io.EOF
+		default:
+			return id, data, nil
+		}
+	}
+}
+
+func addField(line []byte, id int, data []byte) (int, []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		if n, err := strconv.Atoi(string(value)); err == nil && n >= 0 {
+			id = n
+		}
+	case "data":
+		if data != nil {
+			data = append(data, '\n')
+		} else {
+			data = []byte{}
+		}
+		data = append(data, value...)
+	}
+	return id, data
+}
+
+// readLine returns a line without its end. The line must be copied before the
+// next read. A last line without an end is not returned.
+func readLine(in *bufio.Reader, limit int) ([]byte, error) {
+	var long []byte
+	for {
+		part, err := in.ReadSlice('\n')
+		if len(long)+len(part) > limit {
+			return nil, errEventTooLarge
+		}
+		switch {
+		case err == nil && long == nil:
+			return trimEnd(part), nil
+		case err == nil:
+			return trimEnd(append(long, part...)), nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		}
+		long = append(long, part...)
+	}
+}
+
+func trimEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
+// usageOf returns the usage inside a payload, if it holds one.
+func usageOf(payload []byte) *port.Usage {
+	if !bytes.Contains(payload, []byte(`"usage"`)) {
+		return nil
+	}
+	var answer struct {
+		Usage *struct {
+			Prompt     domain.Tokens `json:"prompt_tokens"`
+			Completion domain.Tokens `json:"completion_tokens"`
+			Details    struct {
+				Cached domain.Tokens `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(payload, &answer) != nil || answer.Usage == nil {
+		return nil
+	}
+	u := answer.Usage
+	return &port.Usage{Prompt: u.Prompt, Cached: u.Details.Cached, Generated: u.Completion}
+}
--- /dev/null
+++ b/adapter/target/plain.go
@@ -0,0 +1,167 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// headerRequestID names the call to plain services.
+const headerRequestID = "X-Request-Id"
+
+// plainRequestHeaders are the caller's headers that plain services receive.
+var plainRequestHeaders = []string{
+	"Accept", "Accept-Encoding", "Accept-Language", "Content-Encoding", "Content-Language", "Content-Type",
+	"If-Match", "If-Modified-Since", "If-None-Match", "If-Unmodified-Since", "Range", "Traceparent", "Tracestate",
+}
+
+// plainAnswerHeaders are the headers of plain services that callers receive.
+var plainAnswerHeaders = []string{
+	"Accept-Ranges", "Cache-Control", "Content-Disposition", "Content-Encoding", "Content-Language",
+	"Content-Range", "Content-Type", "Etag", "Expires", "Last-Modified", "Location", "Retry-After", "Vary",
+}
+
+func allowed(header map[string][]string, names []string) http.Header {
+	out := http.Header{}
+	for _, name := range names {
+		if values := header[name]; len(values) > 0 {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+var (
+	errBodyTooLarge = errors.New("the request body exceeds the limit; send a smaller one")
+	errBadPath      = errors.New("the path or query is malformed; the path starts with a slash and is escaped")
+	errBadLimits    = errors.New("the timeout and the size limits must be above 0; check the route")
+)
+
+// Plain implements port.Targets.
+func (c *Client) Plain(ctx context.Context, call port.PlainCall) (*port.PlainAnswer, error) {
+	r, err := c.plainRequest(call)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	a := &attempt{target: call.Target}
+	response, err := a.send(c.fresh, r.WithContext(ctx))
+	if err != nil {
+		cancel()
+		failure := plainFailure(r.Body, err.(*port.Failure))
+		c.log.Info(logPrefix+"plain call failed", "target", call.Target, "call", call.Call, "kind", failure.Kind.String())
+		return nil, failure
+	}
+	return &port.PlainAnswer{
+		Status: response.StatusCode,
+		Header: port.Header(allowed(response.Header, plainAnswerHeaders)),
+		Body:   &answerBody{attempt: a, ctx: ctx, cancel: cancel, body: response.Body, left: call.MaxAnswer},
+	}, nil
+}
+
+// plainFailure corrects the kind of a failure that the request body caused.
+func plainFailure(body io.ReadCloser, f *port.Failure) *port.Failure {
+	upload, ok := body.(*uploadBody)
+	if !ok {
+		return f
+	}
+	if cause := upload.failed.Load(); cause != nil {
+		f.Kind, f.Err = port.FailureCancelled, *cause
+		if errors.Is(*cause, errBodyTooLarge) {
+			f.Kind = port.FailureRefused
+		}
+	}
+	return f
+}
+
+// plainRequest builds the request from the allow-list.
+func (c *Client) plainRequest(call port.PlainCall) (*http.Request, error) {
+	refused := func(err error) error {
+		return &port.Failure{Kind: port.FailureRefused, Target: call.Target, Err: err}
+	}
+	base, err := c.address(call.Target, config.TargetService)
+	if err != nil {
+		return nil, err
+	}
+	if call.Timeout <= 0 || call.MaxBody <= 0 || call.MaxAnswer <= 0 {
+		return nil, refused(errBadLimits)
+	}
+	if call.BodyLength > call.MaxBody {
+		return nil, refused(errBodyTooLarge)
+	}
+	raw := base + call.Path
+	if call.Query != "" {
+		raw += "?" + call.Query
+	}
+	parsed, err := url.Parse(raw)
+	if err != nil || !strings.HasPrefix(call.Path, "/") || strings.ContainsAny(call.Path, "?#") || parsed.Fragment != "" {
+		return nil, refused(errBadPath)
+	}
+	r, err := http.NewRequest(call.Method, parsed.String(), nil)
+	if err != nil {
+		return nil, refused(fmt.Errorf("the method is malformed: %w", err))
+	}
+	if call.Body != nil && call.BodyLength != 0 {
+		r.Body, r.ContentLength = &uploadBody{from: call.Body, left: call.MaxBody}, call.BodyLength
+	}
+	r.Header = allowed(call.Header, plainRequestHeaders)
+	r.Header.Set(headerRequestID, string(call.Call))
+	r.Header["User-Agent"] = nil // net/http adds its own otherwise
+	return r, nil
+}
+
+// uploadBody bounds a request body and notes why it failed, because such a
+// failure is not the target's.
+type uploadBody struct {
+	from   io.Reader
+	left   int64
+	failed atomic.Pointer[error]
+}
+
+func (b *uploadBody) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		n, err = 0, errBodyTooLarge
+	}
+	if err != nil && err != io.EOF {
+		b.failed.Store(&err)
+	}
+	return n, err
+}
+
+func (b *uploadBody) Close() error { return nil }
+
+// answerBody bounds an answer and types its errors.
+type answerBody struct {
+	attempt *attempt
+	ctx     context.Context
+	cancel  context.CancelFunc
+	body    io.ReadCloser
+	left    int64
+}
+
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return 0, badAnswer(b.attempt.target, 0, nil, "the answer exceeds the size limit")
+	}
+	if err != nil && err != io.EOF {
+		return n, b.attempt.failure(b.ctx, err, true)
+	}
+	return n, err
+}
+
+func (b *answerBody) Close() error {
+	b.cancel()
+	return b.body.Close()
+}
--- /dev/null
+++ b/adapter/target/target.go
@@ -0,0 +1,193 @@
+// Package target calls model engines and plain services over HTTP. Requests
+// are built from an allow-list, so that no caller's key reaches a target. The
+// engines' control interface is the one that package emulator/engine documents.
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// logPrefix starts each log line of the package.
+const logPrefix = "target: "
+
+// Settings configure a Client. Zero values get the defaults of New.
+type Settings struct {
+	DialTimeout time.Duration
+	// ControlTimeout bounds one request to an engine's control interface.
+	ControlTimeout time.Duration
+	// Silence is the time without bytes after which a stream is checked.
+	Silence time.Duration
+	// CallTimeout bounds a call of a model engine.
+	CallTimeout time.Duration
+	// ConnectionsPerTarget bounds the connections of each pool to one target.
+	ConnectionsPerTarget int
+	// MaxRequest, MaxEvent and MaxAnswer bound a model engine's body, one event
+	// and the whole answer. MaxControl bounds an answer of the control interface
+	// other than an export, for which MaxAnswer applies. All are in bytes.
+	MaxRequest, MaxEvent, MaxAnswer, MaxControl int
+	// LoadInterval is the time between two load reports.
+	LoadInterval time.Duration
+	// RetryDelay is the mean delay before a watcher connects again or a cancel is
+	// repeated.
+	RetryDelay time.Duration
+	// WatchSilence is the time without cache events or heartbeats after which a
+	// watcher connects again. It must exceed the engines' heartbeat.
+	WatchSilence time.Duration
+	// MaxResumes bounds the resumes of one stream without a new event.
+	MaxResumes int
+}
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.DialTimeout, 2*time.Second)
+	setDefault(&s.ControlTimeout, 2*time.Second)
+	setDefault(&s.Silence, 2*time.Second)
+	setDefault(&s.CallTimeout, 30*time.Minute)
+	setDefault(&s.ConnectionsPerTarget, 256)
+	setDefault(&s.MaxRequest, 16<<20)
+	setDefault(&s.MaxEvent, 4<<20)
+	setDefault(&s.MaxAnswer, 64<<20)
+	setDefault(&s.MaxControl, 1<<20)
+	setDefault(&s.LoadInterval, 500*time.Millisecond)
+	setDefault(&s.RetryDelay, 500*time.Millisecond)
+	setDefault(&s.WatchSilence, 5*time.Second)
+	setDefault(&s.MaxResumes, 3)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Lookup returns a target of the configuration snapshot, or nil.
+type Lookup func(domain.Target) *config.TargetSpec
+
+// Client implements port.Targets, port.EngineOrders and port.TargetSignals. It
+// is safe for concurrent use.
+type Client struct {
+	settings Settings
+	lookup   Lookup
+	log      logr.Logger
+	// calls pools connections for calls of model engines.
+	calls *http.Transport
+	// fresh makes a connection for each request. Checks and resumes need one,
+	// because pooled connections may be as silent as the stream. Plain services
+	// need one, because net/http sends a bodyless GET or a request with an
+	// Idempotency-Key again when a reused connection fails.
+	fresh *http.Transport
+	// background counts the cancels that are being sent.
+	background sync.WaitGroup
+}
+
+var (
+	_ port.Targets       = (*Client)(nil)
+	_ port.EngineOrders  = (*Client)(nil)
+	_ port.TargetSignals = (*Client)(nil)
+)
+
+// New returns a client that finds targets by lookup.
+func New(settings Settings, lookup Lookup, log logr.Logger) *Client {
+	settings = settings.withDefaults()
+	c := &Client{settings: settings, lookup: lookup, log: log}
+	c.calls = c.transport()
+	c.fresh = c.transport()
+	c.fresh.DisableKeepAlives = true
+	return c
+}
+
+// transport has no proxy and no redirects, since only the configured address
+// may receive the request.
+func (c *Client) transport() *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: c.settings.DialTimeout}).DialContext,
+		MaxConnsPerHost:        c.settings.ConnectionsPerTarget,
+		MaxIdleConnsPerHost:    c.settings.ConnectionsPerTarget / 4,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: 64 << 10,
+		DisableCompression:     true,
+	}
+}
+
+// Close waits for cancels that are being sent, a few time limits at most, and
+// closes idle connections. All streams must have been closed.
+func (c *Client) Close() {
+	c.background.Wait()
+	c.calls.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+var errUnknownTarget = errors.New("the target is not configured as this kind of back end; check its name and kind")
+
+// address returns the base URL of a target of the kind.
+func (c *Client) address(target domain.Target, kind config.TargetKind) (string, error) {
+	spec := c.lookup(target)
+	if spec == nil || spec.Kind != kind {
+		return "", &port.Failure{Kind: port.FailureRefused, Target: target, Err: errUnknownTarget}
+	}
+	return "http://" + spec.Address, nil
+}
+
+// attempt is one request and what is known about its connection.
+type attempt struct {
+	target    domain.Target
+	connected atomic.Bool
+}
+
+// send runs one request. The caller closes the response's body.
+func (a *attempt) send(t *http.Transport, r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) }}
+	response, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, a.failure(r.Context(), err, false)
+	}
+	return response, nil
+}
+
+// failure types the error of a request. started says that bytes of the answer
+// were received.
+func (a *attempt) failure(ctx context.Context, err error, started bool) *port.Failure {
+	var typed *port.Failure
+	if errors.As(err, &typed) {
+		return typed
+	}
+	f := &port.Failure{Target: a.target, Sent: a.connected.Load(), Err: err}
+	var network net.Error
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.Kind = port.FailureTimeout
+	case ctx.Err() != nil:
+		f.Kind = port.FailureCancelled
+	case !f.Sent:
+		f.Kind = port.FailureConnect
+	case errors.As(err, &network) && network.Timeout():
+		f.Kind = port.FailureTimeout
+	case started:
+		f.Kind = port.FailureCrashed
+	default:
+		f.Kind = port.FailureCrashedEarly
+	}
+	return f
+}
+
+func badAnswer(target domain.Target, status int, body []byte, format string, args ...any) *port.Failure {
+	return &port.Failure{
+		Kind: port.FailureBadAnswer, Target: target, Sent: true,
+		Status: status, Body: body, Err: fmt.Errorf(format, args...),
+	}
+}
--- /dev/null
+++ b/adapter/target/watchdog.go
@@ -0,0 +1,152 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// codeCallUnknown is the control interface's code for a call that it lost.
+const codeCallUnknown = "call_unknown"
+
+// maxFailedChecks is the number of failed checks in a row that end a stream. A
+// single one may be a lost packet or a request still in the socket's buffers.
+const maxFailedChecks = 3
+
+var (
+	errLost = errors.New("the engine has lost the call, or cannot be reached")
+	errHung = errors.New("the engine's control interface does not answer")
+)
+
+// verdict is what a check found out about a connection without bytes.
+type verdict int32
+
+const (
+	// verdictNone: the engine is slow, or was not checked.
+	verdictNone verdict = iota
+	// verdictSilent: the engine has more events than the connection delivered.
+	verdictSilent
+	// verdictLost: the engine crashed or restarted.
+	verdictLost
+	// verdictHung: the engine accepts connections and does not answer.
+	verdictHung
+)
+
+// watchdog checks a stream that waits for bytes longer than Settings.Silence.
+// When the wait is in vain it sets a verdict and cuts the connection, which
+// wakes the reader. A check that outlives its wait changes nothing.
+type watchdog struct {
+	stream *stream
+	timer  *time.Timer
+
+	mutex   sync.Mutex
+	waiting bool
+	wait    int64 // numbers the waits
+	cut     context.CancelFunc
+	found   verdict
+	// failed counts the checks of this wait that failed in a row.
+	failed   int
+	uploaded int64
+}
+
+func newWatchdog(s *stream) *watchdog {
+	w := &watchdog{stream: s}
+	w.timer = time.AfterFunc(time.Hour, w.check)
+	w.timer.Stop()
+	return w
+}
+
+// start begins a wait on the connection that cut ends.
+func (w *watchdog) start(cut context.CancelFunc) {
+	w.mutex.Lock()
+	w.waiting, w.cut, w.found, w.failed = true, cut, verdictNone, 0
+	w.wait++
+	w.mutex.Unlock()
+	w.timer.Reset(w.stream.client.settings.Silence)
+}
+
+// stop ends the wait. The verdict stays until the next one.
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	w.mutex.Lock()
+	w.waiting = false
+	w.mutex.Unlock()
+}
+
+func (w *watchdog) verdict() verdict {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.found
+}
+
+func (w *watchdog) check() {
+	w.mutex.Lock()
+	waiting, wait := w.waiting, w.wait
+	w.mutex.Unlock()
+	if !waiting {
+		return
+	}
+	var status callStatus
+	var err error
+	connected := w.stream.attempt.connected.Load()
+	if connected {
+		status, err = w.stream.status()
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.waiting || w.wait != wait {
+		return
+	}
+	if connected {
+		w.found = w.judge(status, err)
+	}
+	if w.found != verdictNone {
+		w.cut()
+		return
+	}
+	w.timer.Reset(w.stream.client.settings.Silence)
+}
+
+// judge is called with the mutex held.
+func (w *watchdog) judge(status callStatus, err error) verdict {
+	offset := w.stream.offset.Load()
+	var failure *port.Failure
+	switch {
+	case err == nil && status.Cancelled:
+		return verdictLost
+	case err == nil && (status.Done || status.Events > offset):
+		return verdictSilent
+	case err == nil:
+		w.failed = 0
+		return verdictNone
+	case !errors.As(err, &failure) || failure.Kind == port.FailureCancelled:
+		return verdictNone
+	case errorCode(err) == codeCallUnknown:
+		if offset > 0 {
+			return verdictLost
+		}
+		return w.count(verdictLost)
+	case failure.Kind == port.FailureBadAnswer: // no such control interface
+		return verdictNone
+	case failure.Kind == port.FailureTimeout:
+		return w.count(verdictHung)
+	}
+	return w.count(verdictLost)
+}
+
+// count returns the verdict after enough failed checks. A large request on a
+// narrow link is unknown to the engine while it is sent, so progress of the
+// upload starts the count again.
+func (w *watchdog) count(v verdict) verdict {
+	if uploaded := w.stream.uploaded.Load(); uploaded != w.uploaded {
+		w.uploaded, w.failed = uploaded, 0
+		return verdictNone
+	}
+	if w.failed++; w.failed < maxFailedChecks {
+		return verdictNone
+	}
+	return v
+}
