share: bound the rate and burst of accounts over all VMs

Cause: requests of an account reach any VM, and no single VM sees them all.

Change: Root, Holder and Entry move request tokens that exist once. A source refills up to burst minus outstanding grants; grants expire after 1 s and count from the send time of the request; spent and unused tokens are reported as totals.

--- /dev/null
+++ b/core/share/entry.go
@@ -0,0 +1,247 @@
+package share
+
+import (
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Ticket identifies a waiting request at its entry VM.
+type Ticket uint64
+
+// Decision is the answer to a request at its entry VM.
+type Decision int
+
+// The decisions.
+const (
+	// Pending requests get their outcome from a later Step or Tick.
+	Pending Decision = iota
+	Admitted
+	Refused
+)
+
+// Outcome is the decision on a request that was pending.
+type Outcome struct {
+	Ticket  Ticket
+	Refusal *domain.Refusal // nil: admitted
+}
+
+// Effects are the results of an input to an Entry.
+type Effects struct {
+	Sends    []domain.Send
+	Outcomes []Outcome
+}
+
+type pending struct {
+	ticket Ticket
+	since  time.Time
+}
+
+// entryAccount is the state of one account at an entry VM.
+type entryAccount struct {
+	borrower
+	limit  Limit
+	holder Peer
+	queue  []pending
+	// demand is an exponential average of requests a second.
+	demand      float64
+	demandAt    time.Time
+	exhaustedAt time.Time
+	retryAfter  time.Duration
+}
+
+// Entry admits the requests that reach this VM.
+type Entry struct {
+	rand     *rand.Rand
+	accounts map[domain.Account]*entryAccount
+	active   map[domain.Account]bool // accounts with lots, asks or a queue
+	wake     time.Time
+}
+
+// entryInterval is the time between two wake-ups while requests wait or tokens
+// are held.
+const entryInterval = 20 * time.Millisecond
+
+// NewEntry returns an entry without accounts.
+func NewEntry(r *rand.Rand) *Entry {
+	return &Entry{rand: r, accounts: map[domain.Account]*entryAccount{}, active: map[domain.Account]bool{}}
+}
+
+// Configure sets an account's limit and the holder of this data centre.
+func (e *Entry) Configure(l Limit, holder Peer) {
+	a := e.accounts[l.Account]
+	if a == nil {
+		a = &entryAccount{borrower: borrower{seq: e.rand.Uint64(), asked: map[peerKey]ask{}}}
+		e.accounts[l.Account] = a
+	}
+	if a.holder != holder {
+		clear(a.asked)
+	}
+	a.limit, a.holder, a.reportEvery = l, holder, reportEvery(l)
+}
+
+// Remove forgets an account. Its waiting requests get no outcome.
+func (e *Entry) Remove(account domain.Account) {
+	delete(e.accounts, account)
+	delete(e.active, account)
+}
+
+// Admit takes a token for a request. Requests wait in arrival order.
+func (e *Entry) Admit(now time.Time, account domain.Account, t Ticket) (Decision, []domain.Send) {
+	a := e.accounts[account]
+	if a == nil || a.limit.Burst < 1 {
+		return Refused, nil
+	}
+	a.observe(now)
+	if len(a.queue) == 0 && a.spend(now) {
+		return Admitted, a.restock(now)
+	}
+	if a.overflows(now) {
+		return Refused, a.restock(now)
+	}
+	a.queue = append(a.queue, pending{t, now})
+	e.activate(now, account)
+	return Pending, a.restock(now)
+}
+
+// Refusal explains a Refused decision.
+func (e *Entry) Refusal(account domain.Account) *domain.Refusal {
+	retry := time.Second
+	if a := e.accounts[account]; a != nil && a.retryAfter > 0 {
+		retry = a.retryAfter
+	}
+	return domain.NotRun(domain.ReasonRateExceeded, "the account's rate and burst are used up; retry after the stated time or ask the operator for a higher rate").After(retry)
+}
+
+// Cancel forgets a waiting request.
+func (e *Entry) Cancel(account domain.Account, t Ticket) {
+	a := e.accounts[account]
+	if a == nil {
+		return
+	}
+	for i, p := range a.queue {
+		if p.ticket == t {
+			a.queue = append(a.queue[:i], a.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Step handles a message from another VM.
+func (e *Entry) Step(now time.Time, from domain.VM, m domain.Message) Effects {
+	var fx Effects
+	g, ok := m.(*Grant)
+	if !ok || g.To != RoleEntry {
+		return fx
+	}
+	a := e.accounts[g.Account]
+	if a == nil || !a.take(now, peerKey{from, RoleHolder}, g.Seq, g.Items) {
+		return fx
+	}
+	if g.Exhausted {
+		a.exhaustedAt, a.retryAfter = now, g.RetryAfter
+	}
+	e.activate(now, g.Account)
+	a.serve(now, &fx)
+	fx.Sends = append(fx.Sends, a.restock(now)...)
+	return fx
+}
+
+// Tick ends requests that have waited for MaxWait and returns unused tokens.
+func (e *Entry) Tick(now time.Time) Effects {
+	var fx Effects
+	for _, account := range slices.Sorted(maps.Keys(e.active)) {
+		a := e.accounts[account]
+		a.expire(now)
+		a.serve(now, &fx)
+		e.refuseLate(now, account, a, &fx)
+		for _, to := range a.due(now) {
+			fx.Sends = append(fx.Sends, a.newRequest(now, account, to, RoleEntry, a.holder.Epoch, 0))
+		}
+		fx.Sends = append(fx.Sends, a.restock(now)...)
+		if len(a.queue) == 0 && len(a.lots) == 0 {
+			delete(e.active, account)
+		}
+	}
+	e.wake = now.Add(entryInterval)
+	return fx
+}
+
+// NextWake returns the time of the next Tick, or zero when nothing is pending.
+func (e *Entry) NextWake() time.Time {
+	if len(e.active) == 0 {
+		return time.Time{}
+	}
+	return e.wake
+}
+
+func (e *Entry) activate(now time.Time, account domain.Account) {
+	if len(e.active) == 0 {
+		e.wake = now.Add(entryInterval)
+	}
+	e.active[account] = true
+}
+
+func (e *Entry) refuseLate(now time.Time, account domain.Account, a *entryAccount, fx *Effects) {
+	for len(a.queue) > 0 && now.Sub(a.queue[0].since) >= MaxWait {
+		p := a.queue[0]
+		a.queue = a.queue[1:]
+		refusal := e.Refusal(account)
+		if a.exhaustedAt.Before(p.since) {
+			refusal = domain.NotRun(domain.ReasonUnreachable, "the account's rate could not be checked in time; retry, and check the connection to the account's root").After(time.Second)
+		}
+		fx.Outcomes = append(fx.Outcomes, Outcome{p.ticket, refusal})
+	}
+}
+
+// demandWindow is the time constant of the average of recent demand.
+const demandWindow = 500 * time.Millisecond
+
+func (a *entryAccount) observe(now time.Time) {
+	a.decay(now)
+	a.demand += 1 / demandWindow.Seconds()
+}
+
+func (a *entryAccount) decay(now time.Time) {
+	if now.After(a.demandAt) {
+		a.demand *= math.Exp(-now.Sub(a.demandAt).Seconds() / demandWindow.Seconds())
+		a.demandAt = now
+	}
+}
+
+// overflows says whether the queue is longer than the account's whole rate and
+// burst could serve within MaxWait, after the root has said that it is exhausted.
+func (a *entryAccount) overflows(now time.Time) bool {
+	bound := a.limit.Burst + a.limit.RatePerSecond*MaxWait.Seconds()
+	recent := !a.exhaustedAt.IsZero() && now.Sub(a.exhaustedAt) < MaxWait
+	return float64(len(a.queue)) >= bound && (recent || float64(len(a.queue)) >= 2*bound)
+}
+
+func (a *entryAccount) serve(now time.Time, fx *Effects) {
+	for len(a.queue) > 0 && a.spend(now) {
+		fx.Outcomes = append(fx.Outcomes, Outcome{Ticket: a.queue[0].ticket})
+		a.queue = a.queue[1:]
+	}
+}
+
+// restock asks the holder for tokens when requests wait or when the stock has
+// fallen below half of the recent demand of the prefetch time.
+func (a *entryAccount) restock(now time.Time) []domain.Send {
+	to := peerKey{a.holder.VM, RoleHolder}
+	if to.vm == "" || !a.canAsk(now, to) {
+		return nil
+	}
+	a.decay(now)
+	stock := float64(a.lendable(now)) / float64(Token)
+	target := min(a.demand, a.limit.RatePerSecond) * prefetchTime(a.limit).Seconds()
+	waiting := float64(len(a.queue))
+	if waiting == 0 && (target < 1 || stock >= target/2) {
+		return nil
+	}
+	want := Amount(math.Ceil(waiting+max(target-stock, 0))) * Token
+	return []domain.Send{a.newRequest(now, a.limit.Account, to, RoleEntry, a.holder.Epoch, want)}
+}
--- /dev/null
+++ b/core/share/source.go
@@ -0,0 +1,270 @@
+package share
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Intervals between two ticks of a source: with waiting requests, and with
+// tokens that are only lent or collected.
+const (
+	sourceInterval = 20 * time.Millisecond
+	idleInterval   = 100 * time.Millisecond
+)
+
+// neverRefuse keeps requests at a holder until the root has answered.
+const neverRefuse = time.Hour
+
+// sources is the part that Root and Holder share: the lenders of one VM.
+type sources struct {
+	rand    *rand.Rand
+	lenders map[domain.Account]*lender
+	busy    map[domain.Account]bool // accounts that need the next Tick
+	wake    time.Time
+}
+
+func newSources(r *rand.Rand) sources {
+	return sources{rand: r, lenders: map[domain.Account]*lender{}, busy: map[domain.Account]bool{}}
+}
+
+// activate starts or updates the lender of an account.
+func (s *sources) activate(now time.Time, limit Limit, epoch domain.Epoch, rate, burst float64) *lender {
+	account := limit.Account
+	l := s.lenders[account]
+	if l == nil || l.epoch != epoch {
+		l = &lender{
+			account: account, epoch: epoch, loans: map[uint64]*loan{}, nextID: s.rand.Uint64(),
+			lastSeq:  map[peerKey]uint64{},
+			borrower: borrower{seq: s.rand.Uint64(), asked: map[peerKey]ask{}},
+			// A lender may be 1% fast where its predecessor was 1% slow.
+			bucket: bucket{refilledAt: now.Add(GrantTerm * 103 / 100)},
+		}
+		s.lenders[account] = l
+	}
+	l.expire(now)
+	l.bucket.rate, l.bucket.burst = rate, Amount(burst*float64(Token))
+	l.reportEvery = reportEvery(limit)
+	l.bucket.level = min(l.bucket.level, l.bucket.burst)
+	return l
+}
+
+// Deactivate stops the account's source on this VM at once. Its tokens are lost.
+func (s *sources) Deactivate(account domain.Account) {
+	delete(s.lenders, account)
+	delete(s.busy, account)
+}
+
+// NextWake returns the time of the next Tick, or zero when nothing is pending.
+// An idle source needs no wake-up, because the refill is computed on use.
+func (s *sources) NextWake() time.Time {
+	if len(s.busy) == 0 {
+		return time.Time{}
+	}
+	return s.wake
+}
+
+// touch schedules a tick for an account after a message.
+func (s *sources) touch(now time.Time, l *lender) {
+	next := now.Add(idleInterval)
+	if len(l.waiters) > 0 {
+		next = now.Add(sourceInterval)
+	}
+	if len(s.busy) == 0 || next.Before(s.wake) {
+		s.wake = next
+	}
+	s.busy[l.account] = true
+}
+
+// tick visits the busy accounts in a repeatable order. visit says whether the
+// account needs another tick.
+func (s *sources) tick(now time.Time, visit func(*lender) bool) {
+	accounts := slices.Sorted(maps.Keys(s.busy))
+	clear(s.busy)
+	for _, a := range accounts {
+		l := s.lenders[a]
+		l.expire(now)
+		if visit(l) {
+			s.touch(now, l)
+		}
+	}
+}
+
+// Root lends the tokens of the accounts whose root shard this VM owns.
+type Root struct {
+	sources
+	holders map[domain.Account][]Peer
+	// collectAt is the time of the next request for unused base tokens.
+	collectAt map[domain.Account]time.Time
+}
+
+// NewRoot returns a root without accounts.
+func NewRoot(r *rand.Rand) *Root {
+	return &Root{sources: newSources(r), holders: map[domain.Account][]Peer{}, collectAt: map[domain.Account]time.Time{}}
+}
+
+// Activate makes this VM the root of an account, or updates its limit and
+// holders. There is one holder for each data centre, reachable or not.
+func (r *Root) Activate(now time.Time, l Limit, epoch domain.Epoch, holders []Peer) {
+	rate, burst := baseShare(l, len(holders))
+	n := float64(len(holders))
+	if rate > 0 {
+		r.holders[l.Account] = slices.Clone(holders)
+	} else {
+		delete(r.holders, l.Account) // no base shares to collect
+	}
+	r.activate(now, l, epoch, l.RatePerSecond-n*rate, l.Burst-n*burst)
+}
+
+// Step handles a message from another VM.
+func (r *Root) Step(now time.Time, from domain.VM, m domain.Message) []domain.Send {
+	var out []domain.Send
+	switch m := m.(type) {
+	case *Request:
+		l := r.lenders[m.Account]
+		if m.To != RoleRoot || l == nil || !l.accept(now, from, m) || m.Want <= 0 {
+			return nil
+		}
+		l.wait(now, from, m)
+		r.serve(now, l, &out)
+	case *Donate:
+		l := r.lenders[m.Account]
+		from := peerKey{from, RoleHolder}
+		if l == nil || !l.take(now, from, m.Seq, m.Items) {
+			return nil
+		}
+		l.expire(now)
+		l.absorb()
+		if len(l.lots) > 0 {
+			out = append(out, l.newRequest(now, l.account, from, RoleRoot, m.Epoch, 0))
+			l.lots = nil
+		}
+		r.serve(now, l, &out)
+	}
+	return out
+}
+
+// Tick answers requests that have waited long enough and collects unused base
+// tokens.
+func (r *Root) Tick(now time.Time) []domain.Send {
+	var out []domain.Send
+	r.tick(now, func(l *lender) bool {
+		r.serve(now, l, &out)
+		collecting := len(r.holders[l.account]) > 0 && l.room() > 0
+		return len(l.waiters) > 0 || collecting
+	})
+	return out
+}
+
+// serve answers what it can and asks the holders for unused base tokens: for
+// all of them when requests have to wait, and otherwise for what exceeds half
+// of their base share while the root's bucket is not full. Without the second
+// rule, full holders would refill nothing while the root's bucket drains.
+func (r *Root) serve(now time.Time, l *lender, out *[]domain.Send) {
+	l.serveWaiters(now, partialDelay, answerDelay, true, out)
+	r.touch(now, l)
+	urgent := len(l.waiters) > 0
+	want := max(l.wanted(), l.room())
+	if want == 0 || !urgent && now.Before(r.collectAt[l.account]) {
+		return
+	}
+	r.collectAt[l.account] = now.Add(2 * l.reportEvery)
+	for _, h := range r.holders[l.account] {
+		to := peerKey{h.VM, RoleHolder}
+		if l.canAsk(now, to) {
+			ask := l.newRequest(now, l.account, to, RoleRoot, h.Epoch, want)
+			ask.Body.(*Request).Urgent = urgent
+			*out = append(*out, ask)
+		}
+	}
+}
+
+// Holder lends tokens to the entries of its data centre: its base share, and
+// what it borrows from the root.
+type Holder struct {
+	sources
+	roots map[domain.Account]Peer
+}
+
+// NewHolder returns a holder without accounts.
+func NewHolder(r *rand.Rand) *Holder {
+	return &Holder{sources: newSources(r), roots: map[domain.Account]Peer{}}
+}
+
+// Activate makes this VM the holder of an account in its data centre, or
+// updates its limit and root. holders is the number of data centres.
+func (h *Holder) Activate(now time.Time, l Limit, epoch domain.Epoch, root Peer, holders int) {
+	rate, burst := baseShare(l, holders)
+	h.roots[l.Account] = root
+	h.activate(now, l, epoch, rate, burst)
+}
+
+// Step handles a message from another VM.
+func (h *Holder) Step(now time.Time, from domain.VM, m domain.Message) []domain.Send {
+	var out []domain.Send
+	switch m := m.(type) {
+	case *Request:
+		l := h.lenders[m.Account]
+		if m.To != RoleHolder || l == nil || !l.accept(now, from, m) || m.Want <= 0 {
+			return nil
+		}
+		if m.From == RoleRoot {
+			return []domain.Send{h.donate(now, l, from, m)}
+		}
+		l.wait(now, from, m)
+		h.serve(now, l, &out)
+	case *Grant:
+		l := h.lenders[m.Account]
+		if m.To != RoleHolder || l == nil || !l.take(now, peerKey{from, RoleRoot}, m.Seq, m.Items) {
+			return nil
+		}
+		l.expire(now)
+		refuseAfter := neverRefuse
+		if m.Exhausted {
+			refuseAfter = 0
+		}
+		l.serveWaiters(now, 0, refuseAfter, m.Exhausted, &out)
+		h.serve(now, l, &out)
+	}
+	return out
+}
+
+// donate gives unused base tokens to the root. Requests of the own data centre
+// go first.
+func (h *Holder) donate(now time.Time, l *lender, from domain.VM, m *Request) domain.Send {
+	d := &Donate{Account: l.account, Epoch: l.epoch, Seq: m.Seq}
+	spare := l.bucket.level
+	if !m.Urgent {
+		spare -= l.bucket.burst / 2
+	}
+	if len(l.waiters) == 0 {
+		d.Items = l.lendOwn(now, min(m.Want, spare))
+	}
+	return domain.Send{To: from, Body: d}
+}
+
+// Tick repeats unanswered requests and returns unused lots.
+func (h *Holder) Tick(now time.Time) []domain.Send {
+	var out []domain.Send
+	h.tick(now, func(l *lender) bool {
+		for _, to := range l.due(now) {
+			out = append(out, l.newRequest(now, l.account, to, RoleHolder, h.roots[l.account].Epoch, 0))
+		}
+		h.serve(now, l, &out)
+		l.waiters = slices.DeleteFunc(l.waiters, func(w waiter) bool { return now.Sub(w.since) > MaxWait })
+		return len(l.waiters) > 0 || len(l.lots) > 0
+	})
+	return out
+}
+
+func (h *Holder) serve(now time.Time, l *lender, out *[]domain.Send) {
+	l.serveWaiters(now, answerDelay, neverRefuse, false, out)
+	h.touch(now, l)
+	to := peerKey{h.roots[l.account].VM, RoleRoot}
+	if len(l.waiters) > 0 && to.vm != "" && l.canAsk(now, to) {
+		*out = append(*out, l.newRequest(now, l.account, to, RoleHolder, h.roots[l.account].Epoch, l.wanted()))
+	}
+}
