Scan the raft log for members only when they change

Cause: a follower looked for the last member set through its whole log for each Append, so the cost of a proposal grew with the log (up to 10,000 entries in the benchmark). Change: storeEntries reloads the members only after a truncation or when the new entries carry a set.

--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -200,7 +200,10 @@
 		}
 		r.log.append(entries[i:]...)
 		r.markUnwritten(e.Index)
-		r.loadMembers()
+		// A scan for every Append would cost the length of the log.
+		if ok || slices.ContainsFunc(entries[i:], func(e Entry) bool { return e.Members != nil }) {
+			r.loadMembers()
+		}
 		return
 	}
 }
