Add the Disk port and its file and memory implementations

Cause: voters and shard owners need records that are durable before they count, without blocking the control goroutine. Change: port.Disk with completion by callback; adapter/disk writes one frame and one sync for each group commit, cuts a torn last frame at load, and refuses damage before it with file, offset and remedy. A failed write or sync is final for its stream. A full queue refuses appends until a Replace, so that a stream never has a gap. Conclusion: a cut at every byte of a file loads; a flipped byte before the last frame is refused at every position.

--- /dev/null
+++ b/adapter/disk/disk.go
@@ -0,0 +1,263 @@
+// Package disk implements port.Disk on a folder of append-only files, or in
+// memory on a VM without a data folder.
+package disk
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Limits of one stream.
+const (
+	// DefaultQueue bounds the writes that wait for one stream.
+	DefaultQueue = 4096
+	// maxBatchRecords bounds the records of one group commit, so that the first
+	// write of a batch does not wait for an unbounded one.
+	maxBatchRecords = 4096
+)
+
+// Codec encodes records. adapter/codec implements it.
+type Codec interface {
+	EncodeRecord(domain.Record) ([]byte, error)
+	DecodeRecord([]byte) (domain.Record, error)
+}
+
+// store keeps the content of one stream. Only one goroutine uses it at a time.
+type store interface {
+	load(apply func(domain.Record) error) error
+	append(records []domain.Record) error
+	replace(records []domain.Record) error
+	close() error
+}
+
+// Disk has one writer goroutine for each stream. It is safe for concurrent use.
+type Disk struct {
+	open  func(stream string) (store, error)
+	queue int
+
+	mu      sync.Mutex
+	closed  bool
+	streams map[string]*stream
+	writers sync.WaitGroup
+}
+
+var _ port.Disk = (*Disk)(nil)
+
+// New returns a disk on an existing folder. queue bounds the waiting writes of
+// each stream; 0 means DefaultQueue.
+func New(folder string, codec Codec, queue int) *Disk {
+	return newDisk(queue, func(name string) (store, error) {
+		return newFileStore(osFiles{folder}, name, codec)
+	})
+}
+
+// NewMemory returns a disk that keeps its records until the process ends.
+func NewMemory(queue int) *Disk {
+	return newDisk(queue, func(string) (store, error) { return &memoryStore{}, nil })
+}
+
+func newDisk(queue int, open func(string) (store, error)) *Disk {
+	if queue <= 0 {
+		queue = DefaultQueue
+	}
+	return &Disk{open: open, queue: queue, streams: map[string]*stream{}}
+}
+
+// Append implements port.Disk.
+func (d *Disk) Append(name string, records []domain.Record, done func(error)) {
+	d.write(name, write{records: records, done: done})
+}
+
+// Replace implements port.Disk.
+func (d *Disk) Replace(name string, records []domain.Record, done func(error)) {
+	d.write(name, write{records: records, replace: true, done: done})
+}
+
+// Load implements port.Disk.
+func (d *Disk) Load(name string, apply func(domain.Record) error) error {
+	s, err := d.stream(name)
+	if err != nil {
+		return err
+	}
+	return s.load(apply)
+}
+
+func (d *Disk) write(name string, w write) {
+	s, err := d.stream(name)
+	if err != nil {
+		go w.done(err) // the caller's goroutine is never used for done
+		return
+	}
+	s.enqueue(w, d.queue)
+}
+
+func (d *Disk) stream(name string) (*stream, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, fmt.Errorf("disk: stream %q: %w", name, port.ErrDiskClosed)
+	}
+	if s := d.streams[name]; s != nil {
+		return s, nil
+	}
+	st, err := d.open(name)
+	if err != nil {
+		return nil, err
+	}
+	s := &stream{name: name, store: st, wake: make(chan struct{}, 1)}
+	d.streams[name] = s
+	d.writers.Go(s.run)
+	return s, nil
+}
+
+// Close completes the queued writes and stops the writers.
+func (d *Disk) Close() error {
+	d.mu.Lock()
+	d.closed = true
+	streams := d.streams
+	d.streams = map[string]*stream{}
+	d.mu.Unlock()
+	for _, s := range streams {
+		s.stop()
+	}
+	d.writers.Wait()
+	var first error
+	for _, s := range streams {
+		if err := s.store.close(); err != nil && first == nil {
+			first = fmt.Errorf("disk: close stream %q: %w", s.name, err)
+		}
+	}
+	return first
+}
+
+// write is one queued Append or Replace. A refused write keeps its place in the
+// queue without its records, so that completions stay in order.
+type write struct {
+	records []domain.Record
+	replace bool
+	refused error
+	done    func(error)
+}
+
+type stream struct {
+	name  string
+	store store
+
+	storeMu sync.Mutex // held while the store is used
+	failed  error      // first error of the store, under storeMu
+
+	mu      sync.Mutex
+	queue   []write
+	gap     bool // an Append was refused since the last Replace
+	stopped bool
+	wake    chan struct{}
+}
+
+func (s *stream) load(apply func(domain.Record) error) error {
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	if err := s.store.load(apply); err != nil {
+		s.failed = err // a stream that was not understood must not grow
+	}
+	return s.failed
+}
+
+func (s *stream) enqueue(w write, limit int) {
+	s.mu.Lock()
+	full := len(s.queue) >= limit
+	switch {
+	case s.stopped:
+		w = write{done: w.done, refused: fmt.Errorf("disk: stream %q: %w", s.name, port.ErrDiskClosed)}
+		go w.done(w.refused)
+		s.mu.Unlock()
+		return
+	case full || (s.gap && !w.replace):
+		w = write{done: w.done, refused: fmt.Errorf("disk: stream %q: %w", s.name, port.ErrDiskBusy)}
+		s.gap = true
+	case w.replace:
+		s.gap = false
+	}
+	s.queue = append(s.queue, w)
+	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *stream) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *stream) stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.signal()
+}
+
+// run writes batches until the stream is stopped and its queue is empty.
+func (s *stream) run() {
+	for {
+		batch, stopped := s.take()
+		if len(batch) == 0 && stopped {
+			return
+		}
+		if len(batch) == 0 {
+			<-s.wake
+			continue
+		}
+		err := s.commit(batch)
+		for _, w := range batch {
+			if w.refused != nil {
+				w.done(w.refused)
+			} else {
+				w.done(err)
+			}
+		}
+	}
+}
+
+// take removes the writes of the next group commit: one Replace, or appends up
+// to the next Replace.
+func (s *stream) take() (batch []write, stopped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, records := 0, 0
+	for n < len(s.queue) && records < maxBatchRecords && (n == 0 || !s.queue[n].replace) {
+		records += len(s.queue[n].records)
+		n++
+		if s.queue[n-1].replace {
+			break
+		}
+	}
+	batch = s.queue[:n:n]
+	s.queue = s.queue[n:]
+	if len(s.queue) == 0 {
+		s.queue = nil
+	}
+	return batch, s.stopped
+}
+
+func (s *stream) commit(batch []write) error {
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if batch[0].replace {
+		s.failed = s.store.replace(batch[0].records)
+		return s.failed
+	}
+	var records []domain.Record
+	for _, w := range batch {
+		records = append(records, w.records...)
+	}
+	if len(records) > 0 {
+		s.failed = s.store.append(records)
+	}
+	return s.failed
+}
--- /dev/null
+++ b/adapter/disk/file.go
@@ -0,0 +1,227 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+const (
+	fileSuffix = ".rec"
+	newSuffix  = ".new"
+	fileMode   = 0o600
+)
+
+var streamName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// file is an open append-only file.
+type file interface {
+	Write([]byte) (int, error)
+	Truncate(size int64) error
+	Sync() error
+	Close() error
+}
+
+// files is the part of the file system that a store needs. Tests put failures
+// in its place.
+type files interface {
+	Read(name string) ([]byte, error)
+	// Open opens a file for appending and creates it if it is absent. With
+	// truncate the old content is dropped.
+	Open(name string, truncate bool) (file, error)
+	Rename(from, to string) error
+	SyncFolder() error
+}
+
+type osFiles struct{ folder string }
+
+func (o osFiles) Read(name string) ([]byte, error) { return os.ReadFile(filepath.Join(o.folder, name)) }
+
+func (o osFiles) Open(name string, truncate bool) (file, error) {
+	flags := os.O_CREATE | os.O_WRONLY | os.O_APPEND
+	if truncate {
+		flags |= os.O_TRUNC
+	}
+	return os.OpenFile(filepath.Join(o.folder, name), flags, fileMode)
+}
+
+func (o osFiles) Rename(from, to string) error {
+	return os.Rename(filepath.Join(o.folder, from), filepath.Join(o.folder, to))
+}
+
+func (o osFiles) SyncFolder() error {
+	d, err := os.Open(o.folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// CorruptError refuses a file whose content is damaged before its last write.
+type CorruptError struct {
+	File   string
+	Offset int64
+	Err    error
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("disk: %s is damaged at offset %d: %v; move the file away and rejoin this VM as a learner, or restore it from a backup", e.File, e.Offset, e.Err)
+}
+
+// Unwrap returns the kind of damage.
+func (e *CorruptError) Unwrap() error { return e.Err }
+
+// fileStore is a stream in one append-only file.
+type fileStore struct {
+	files files
+	name  string
+	codec Codec
+	file  file // nil until the intact end is known
+}
+
+func newFileStore(f files, stream string, codec Codec) (store, error) {
+	if !streamName.MatchString(stream) {
+		return nil, fmt.Errorf("disk: stream name %q: use letters, digits, dots, dashes and underscores", stream)
+	}
+	return &fileStore{files: f, name: stream + fileSuffix, codec: codec}, nil
+}
+
+func (s *fileStore) load(apply func(domain.Record) error) error {
+	if s.file != nil {
+		return fmt.Errorf("disk: %s is already open for writing; load it before the first write", s.name)
+	}
+	return s.open(apply)
+}
+
+// open reads the file, cuts a torn tail, and leaves the file open at its end.
+func (s *fileStore) open(apply func(domain.Record) error) error {
+	data, err := s.files.Read(s.name)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("disk: read %s: %w", s.name, err)
+	}
+	intact, err := readFile(data, func(b []byte) error {
+		if apply == nil {
+			return nil
+		}
+		r, err := s.codec.DecodeRecord(b)
+		if err != nil {
+			return err
+		}
+		return apply(r)
+	})
+	if err != nil {
+		return &CorruptError{File: s.name, Offset: int64(intact), Err: err}
+	}
+	f, err := s.files.Open(s.name, false)
+	if err != nil {
+		return fmt.Errorf("disk: open %s: %w", s.name, err)
+	}
+	if err := s.repair(f, data, intact); err != nil {
+		return errors.Join(fmt.Errorf("disk: prepare %s (check space and permissions): %w", s.name, err), f.Close())
+	}
+	s.file = f
+	return nil
+}
+
+func (s *fileStore) repair(f file, data []byte, intact int) error {
+	if intact > 0 && intact == len(data) {
+		return nil
+	}
+	if err := f.Truncate(int64(intact)); err != nil {
+		return err
+	}
+	if intact == 0 {
+		if _, err := f.Write(fileHeader()); err != nil {
+			return err
+		}
+	}
+	if err := f.Sync(); err != nil {
+		return err
+	}
+	return s.files.SyncFolder()
+}
+
+func (s *fileStore) append(records []domain.Record) error {
+	if s.file == nil {
+		if err := s.open(nil); err != nil {
+			return err
+		}
+	}
+	frame, err := s.encode(nil, records)
+	if err != nil {
+		return err
+	}
+	return s.writeSynced(s.file, frame)
+}
+
+func (s *fileStore) encode(out []byte, records []domain.Record) ([]byte, error) {
+	var payload []byte
+	for _, r := range records {
+		b, err := s.codec.EncodeRecord(r)
+		if err != nil {
+			return nil, fmt.Errorf("disk: encode a record of %s: %w", s.name, err)
+		}
+		payload = appendRecord(payload, b)
+	}
+	return appendFrame(out, payload)
+}
+
+func (s *fileStore) writeSynced(f file, data []byte) error {
+	if _, err := f.Write(data); err != nil {
+		return fmt.Errorf("disk: write %s (check the free space, then restart): %w", s.name, err)
+	}
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("disk: sync %s (check the device, then restart): %w", s.name, err)
+	}
+	return nil
+}
+
+// replace keeps the old file until the new one is complete and durable. The
+// folder is synced after the rename, or the old name could come back.
+func (s *fileStore) replace(records []domain.Record) error {
+	content := fileHeader()
+	if len(records) > 0 {
+		var err error
+		if content, err = s.encode(content, records); err != nil {
+			return err
+		}
+	}
+	f, err := s.files.Open(s.name+newSuffix, true)
+	if err != nil {
+		return fmt.Errorf("disk: create %s: %w", s.name+newSuffix, err)
+	}
+	if err := s.install(f, content); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	old := s.file
+	s.file = f
+	if old != nil {
+		return old.Close()
+	}
+	return nil
+}
+
+func (s *fileStore) install(f file, content []byte) error {
+	if err := s.writeSynced(f, content); err != nil {
+		return err
+	}
+	if err := s.files.Rename(s.name+newSuffix, s.name); err != nil {
+		return fmt.Errorf("disk: rename %s: %w", s.name+newSuffix, err)
+	}
+	if err := s.files.SyncFolder(); err != nil {
+		return fmt.Errorf("disk: sync the folder of %s: %w", s.name, err)
+	}
+	return nil
+}
+
+func (s *fileStore) close() error {
+	if s.file == nil {
+		return nil
+	}
+	return s.file.Close()
+}
