Add ownership leases, replication and takeover of shards

Cause: programs need one owner for each shard, with a backup that takes over. The schedule test found that a VM that had led accepted a delayed append of a past epoch; TestDelayedAppend guards against it.

--- /dev/null
+++ b/core/shard/log.go
@@ -0,0 +1,52 @@
+package shard
+
+import "github.com/mangoknot/mangoknot/core/domain"
+
+// shardLog is a snapshot up to base and the contiguous entries after it.
+type shardLog struct {
+	base     Position
+	snapshot []domain.Record
+	entries  []Entry
+}
+
+func (l *shardLog) last() Position {
+	if len(l.entries) == 0 {
+		return l.base
+	}
+	return l.entries[len(l.entries)-1].Position
+}
+
+// at returns the position of an index, if the log still knows it.
+func (l *shardLog) at(index uint64) (Position, bool) {
+	if index == l.base.Index {
+		return l.base, true
+	}
+	if index < l.base.Index || index > l.last().Index {
+		return Position{}, false
+	}
+	return l.entries[index-l.base.Index-1].Position, true
+}
+
+// after returns up to limit entries that follow the index, as a copy.
+func (l *shardLog) after(index uint64, limit int) []Entry {
+	tail := l.entries[index-l.base.Index:]
+	return append([]Entry(nil), tail[:min(limit, len(tail))]...)
+}
+
+func (l *shardLog) add(e Entry) { l.entries = append(l.entries, e) }
+
+// truncate drops the index and everything after it.
+func (l *shardLog) truncate(index uint64) { l.entries = l.entries[:index-l.base.Index-1] }
+
+func (l *shardLog) compact(p Position, snapshot []domain.Record) {
+	l.entries = append([]Entry(nil), l.entries[p.Index-l.base.Index:]...)
+	l.base, l.snapshot = p, snapshot
+}
+
+func (l *shardLog) records() []domain.Record {
+	out := append([]domain.Record(nil), l.snapshot...)
+	for _, e := range l.entries {
+		out = append(out, e.Record)
+	}
+	return out
+}
--- /dev/null
+++ b/core/shard/manager.go
@@ -0,0 +1,384 @@
+package shard
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Defaults of the settings.
+const (
+	DefaultTerm   = 2 * time.Second
+	DefaultRenew  = 500 * time.Millisecond
+	DefaultResend = 200 * time.Millisecond
+	DefaultBatch  = 256
+	// DriftPercent bounds the difference between the clock rates of two VMs.
+	DriftPercent = 1
+)
+
+// ErrNotOwner says that the VM does not own the shard in a state that accepts records.
+var ErrNotOwner = errors.New("this VM does not own the shard; read the configuration again and send to the owner")
+
+// ErrNoLease says that neither the leader nor the backup has renewed the lease.
+var ErrNoLease = errors.New("the ownership lease has ended; retry when the VM reaches the leader or its backup")
+
+// ErrPosition says that a compaction names a record that is not committed.
+var ErrPosition = errors.New("the position is not committed or was compacted before; use the position of a committed record")
+
+// Config holds the settings of a Manager. Zero durations take the defaults.
+type Config struct {
+	Self       domain.VM
+	DataCentre domain.DataCentre
+	// Incarnation must grow with each start of the process.
+	Incarnation uint64
+	// HasDisk requests Writes and waits for Persisted. Without it records live
+	// in memory only.
+	HasDisk             bool
+	Term, Renew, Resend time.Duration
+	// Batch bounds the records of one message.
+	Batch int
+}
+
+// Write asks the node to store records in order and to sync them, then to call
+// Persisted with the token.
+type Write struct {
+	Token   uint64
+	Records []domain.Record
+}
+
+// Committed is one record that survives the loss of the owner or the backup.
+type Committed struct {
+	Shard    domain.ShardID
+	Position Position
+	Record   domain.Record
+}
+
+// Effects are the results of one step, in order.
+type Effects struct {
+	Sends                  []domain.Send
+	Writes                 []Write
+	Committed              []Committed
+	Activated, Deactivated []domain.ShardID
+	Proposals              []config.Command
+}
+
+// Manager holds all shards of one VM. It is not safe for concurrent use.
+type Manager struct {
+	config     Config
+	started    time.Time
+	view       *config.View
+	shards     map[domain.ShardID]*replica
+	candidates map[domain.VM]Candidate
+	leader     domain.VM
+	sequence   uint64
+	token      uint64
+	draining   bool
+	nextRenew  time.Time
+	nextResend time.Time
+	// nextLead is the end of a promise that delays an activation, or zero.
+	nextLead time.Time
+	out      Effects
+}
+
+// New returns a manager without shards. It activates no shard for one lease
+// term, because promises of an earlier process of this VM may still run.
+func New(c Config, now time.Time) *Manager {
+	setDefault(&c.Term, DefaultTerm)
+	setDefault(&c.Renew, DefaultRenew)
+	setDefault(&c.Resend, DefaultResend)
+	if c.Batch == 0 {
+		c.Batch = DefaultBatch
+	}
+	return &Manager{config: c, started: now, shards: map[domain.ShardID]*replica{}, candidates: map[domain.VM]Candidate{}}
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Restore loads the records that an earlier process stored, in their order. It
+// must be called before Configure.
+func (m *Manager) Restore(records []domain.Record) {
+	for _, r := range records {
+		switch r := r.(type) {
+		case *Stored:
+			m.replica(r.Shard).restoreEntry(r.Entry)
+		case *StoredSnapshot:
+			m.replica(r.Shard).restoreSnapshot(r)
+		case *StoredComplete:
+			m.replica(r.Shard).complete = true
+		}
+	}
+	for _, s := range m.shards {
+		s.persisted = s.log.last().Index
+	}
+}
+
+// Configure applies a newer configuration. The first view must include every
+// entry that was committed when the process started; until then the VM has no
+// role. An owner named by the first view starts only at a later epoch, which it
+// proposes itself, because an earlier process may have used this one.
+func (m *Manager) Configure(now time.Time, v *config.View) Effects {
+	if m.view != nil && v.AppliedIndex() < m.view.AppliedIndex() {
+		return Effects{}
+	}
+	first := m.view == nil
+	m.view = v
+	for _, a := range v.Assignments() {
+		if a.Shard.DataCentre != m.config.DataCentre {
+			continue
+		}
+		s := m.replica(a.Shard)
+		if first {
+			s.floor = a.Epoch
+			s.fresh = a.Epoch == 1 && a.Owner == m.config.Self && s.log.last().Index == 0
+		}
+		if a.Epoch > s.assignment.Epoch {
+			s.assign(now, a)
+		}
+	}
+	m.progress(now)
+	return m.take()
+}
+
+// Observe sets the VMs of membership and the VM that leads the configuration
+// ("" when unknown).
+func (m *Manager) Observe(now time.Time, candidates []Candidate, leader domain.VM) Effects {
+	m.leader = leader
+	clear(m.candidates)
+	for _, c := range candidates {
+		m.candidates[c.VM] = c
+	}
+	m.progress(now)
+	return m.take()
+}
+
+// Step handles a message from another VM.
+func (m *Manager) Step(now time.Time, from domain.VM, message domain.Message) Effects {
+	if id, ok := shardOf(message); ok && id.DataCentre != m.config.DataCentre {
+		return Effects{}
+	}
+	switch message := message.(type) {
+	case *LeaseRequest:
+		m.grantLeases(now, from, message)
+	case *LeaseGrant:
+		m.acceptGrant(from, message)
+	case *Release:
+		m.acceptRelease(from, message)
+	case *Append:
+		m.replica(message.Shard).receiveAppend(from, message)
+	case *AppendReply:
+		m.replica(message.Shard).receiveReply(from, message)
+	case *State:
+		m.replica(message.Shard).receiveState(from, message)
+	}
+	m.progress(now)
+	return m.take()
+}
+
+func shardOf(message domain.Message) (domain.ShardID, bool) {
+	switch message := message.(type) {
+	case *Append:
+		return message.Shard, true
+	case *AppendReply:
+		return message.Shard, true
+	case *State:
+		return message.Shard, true
+	default:
+		return domain.ShardID{}, false
+	}
+}
+
+// Tick does what is due. Call it at or after NextWake.
+func (m *Manager) Tick(now time.Time) Effects {
+	m.nextLead = time.Time{}
+	if !now.Before(m.nextRenew) {
+		m.nextRenew = now.Add(m.config.Renew)
+		m.requestLeases(now)
+	}
+	if !now.Before(m.nextResend) {
+		m.nextResend = now.Add(m.config.Resend)
+		for _, s := range m.ordered() {
+			s.resend(now)
+		}
+	}
+	m.progress(now)
+	return m.take()
+}
+
+// NextWake returns the time of the next Tick.
+func (m *Manager) NextWake() time.Time {
+	next := m.nextResend
+	if m.nextRenew.Before(next) {
+		next = m.nextRenew
+	}
+	if !m.nextLead.IsZero() && m.nextLead.Before(next) {
+		next = m.nextLead
+	}
+	return next
+}
+
+func (m *Manager) wakeAt(at time.Time) {
+	if m.nextLead.IsZero() || at.Before(m.nextLead) {
+		m.nextLead = at
+	}
+}
+
+// promisesEnd returns when the last promise of this VM for the shard, or of an
+// earlier process on it, has ended.
+func (m *Manager) promisesEnd(s *replica) time.Time {
+	end := m.started.Add(m.config.Term)
+	for _, t := range []time.Time{s.promised.until, s.notBefore} {
+		if t.After(end) {
+			end = t
+		}
+	}
+	return end
+}
+
+// Append adds a record to a shard that the VM owns.
+func (m *Manager) Append(now time.Time, id domain.ShardID, r domain.Record) (Position, Effects, error) {
+	s := m.shards[id]
+	if s == nil || !s.active || s.frozen {
+		return Position{}, Effects{}, ErrNotOwner
+	}
+	if !s.leased(now) {
+		return Position{}, Effects{}, ErrNoLease
+	}
+	p := Position{s.assignment.Epoch, s.log.last().Index + 1}
+	s.extend([]Entry{{p, r}})
+	s.replicate()
+	m.progress(now)
+	return p, m.take(), nil
+}
+
+// Persisted says that the write with the token, and all before it, are synced.
+func (m *Manager) Persisted(now time.Time, token uint64) Effects {
+	for _, s := range m.ordered() {
+		s.synced(token)
+	}
+	m.progress(now)
+	return m.take()
+}
+
+// Owns returns the epoch at which the VM may act for the shard now.
+func (m *Manager) Owns(now time.Time, id domain.ShardID) (domain.Epoch, bool) {
+	s := m.shards[id]
+	if s == nil || !s.active || s.frozen || !s.leased(now) {
+		return 0, false
+	}
+	return s.assignment.Epoch, true
+}
+
+// Drain starts a planned stop: every owned shard is handed to its backup.
+func (m *Manager) Drain(now time.Time) Effects {
+	m.draining = true
+	m.progress(now)
+	return m.take()
+}
+
+// Drained reports whether a planned stop has finished: the VM owns no shard,
+// and it is a backup only where no other VM can replace it.
+func (m *Manager) Drained() bool {
+	for _, s := range m.shards {
+		a := s.assignment
+		if a.Owner == m.config.Self || a.Backup == m.config.Self && m.replaceable(a.Owner) {
+			return false
+		}
+	}
+	return m.draining
+}
+
+func (m *Manager) replaceable(owner domain.VM) bool {
+	for _, c := range m.candidates {
+		if c.VM != owner && c.VM != m.config.Self && c.DataCentre == m.config.DataCentre && c.Alive && c.Eligible {
+			return true
+		}
+	}
+	return false
+}
+
+// ShardRecords returns the snapshot and all later records of a shard. The user
+// rebuilds its state from them after Activated.
+func (m *Manager) ShardRecords(id domain.ShardID) []domain.Record {
+	if s := m.shards[id]; s != nil {
+		return s.log.records()
+	}
+	return nil
+}
+
+// Compact replaces the log up to a committed position with the records of a
+// snapshot that rebuilds the state at that position.
+func (m *Manager) Compact(now time.Time, id domain.ShardID, p Position, snapshot []domain.Record) (Effects, error) {
+	s := m.shards[id]
+	if s == nil || !s.active || p.Index > s.committed || p.Index <= s.log.base.Index {
+		return Effects{}, ErrPosition
+	}
+	if known, ok := s.log.at(p.Index); !ok || known != p {
+		return Effects{}, ErrPosition
+	}
+	s.log.compact(p, snapshot)
+	s.store(&StoredSnapshot{Shard: id, Base: p, Records: snapshot})
+	s.copyToHolders()
+	m.progress(now)
+	return m.take(), nil
+}
+
+// AcceptLoss lets the VM serve a shard from the records it has, although it may
+// miss committed ones. It is an operator's decision after both copies were lost.
+func (m *Manager) AcceptLoss(now time.Time, id domain.ShardID) Effects {
+	if s := m.shards[id]; s != nil {
+		s.markComplete()
+	}
+	m.progress(now)
+	return m.take()
+}
+
+func (m *Manager) replica(id domain.ShardID) *replica {
+	s := m.shards[id]
+	if s == nil {
+		s = &replica{id: id, m: m}
+		m.shards[id] = s
+	}
+	return s
+}
+
+func (m *Manager) ordered() []*replica {
+	ids := slices.SortedFunc(maps.Keys(m.shards), func(a, b domain.ShardID) int {
+		if a.Less(b) {
+			return -1
+		}
+		return 1
+	})
+	out := make([]*replica, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, m.shards[id])
+	}
+	return out
+}
+
+// progress lets every shard take the steps that have become possible.
+func (m *Manager) progress(now time.Time) {
+	if m.view == nil {
+		return
+	}
+	for _, s := range m.ordered() {
+		s.progress(now)
+	}
+}
+
+func (m *Manager) send(to domain.VM, body domain.Message) {
+	m.out.Sends = append(m.out.Sends, domain.Send{To: to, Body: body})
+}
+
+func (m *Manager) take() Effects {
+	out := m.out
+	m.out = Effects{}
+	return out
+}
--- /dev/null
+++ b/core/shard/manager_test.go
@@ -0,0 +1,323 @@
+package shard
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// seeds is the number of random schedules to run.
+var seeds = flag.Int("seeds", 30, "number of random schedules")
+
+const shards = int(config.ShardsPerDataCentre)
+
+// settled returns a world in which every shard has an owner and a backup.
+func settled(t *testing.T, seed uint64, disks []bool) *world {
+	t.Helper()
+	w := newWorld(seed, disks)
+	w.run(12 * time.Second)
+	must.Eq(t, "", w.failure)
+	must.Eq(t, shards, w.appendAll())
+	w.run(time.Second)
+	return w
+}
+
+func (w *world) mustServe(t *testing.T) {
+	t.Helper()
+	must.Eq(t, "", w.failure)
+	before := w.committed()
+	must.Eq(t, shards, w.appendAll(), must.Func(w.describe))
+	w.run(2 * time.Second)
+	must.Eq(t, "", w.failure)
+	must.Eq(t, before+shards, w.committed())
+}
+
+// describe lists the shards that no VM owns.
+func (w *world) describe() string {
+	out := ""
+	for _, a := range w.state.View().Assignments() {
+		out += fmt.Sprintf("%+v leader %q\n", a, w.leader)
+		for _, vm := range w.vms {
+			s := vm.manager.shards[a.Shard]
+			if s != nil && vm.up {
+				out += fmt.Sprintf("  %s epoch %d floor %d complete %t leading %t active %t frozen %t leased %t last %v committed %d inherited %d proposed %v\n",
+					vm.name, s.assignment.Epoch, s.floor, s.complete, s.leading, s.active, s.frozen, s.leased(w.clock(vm)), s.log.last(), s.committed, s.inherited, s.proposed)
+			}
+		}
+	}
+	return out
+}
+
+func (w *world) committed() int {
+	n := 0
+	for _, h := range w.history {
+		n += len(h)
+	}
+	return n
+}
+
+func (w *world) owned(vm *testVM) int {
+	n := 0
+	for id := range vm.manager.shards {
+		if _, ok := vm.manager.Owns(w.clock(vm), id); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a takeover that is late or loses records, and against a second
+// loss right after the repair that loses them.
+func TestTakeover(t *testing.T) {
+	w := settled(t, 1, []bool{false, false, false, false})
+	w.loss = 0
+	w.crash(w.vms[0])
+	w.run(2900 * time.Millisecond)
+	w.mustServe(t)
+	w.run(5 * time.Second)
+	must.True(t, w.mayLose(w.vms[1]))
+	w.crash(w.vms[1])
+	w.run(2900 * time.Millisecond)
+	w.mustServe(t)
+}
+
+// Guards against a data centre that stops when it is cut off, and against a VM
+// that goes on alone after one lease term.
+func TestPartitions(t *testing.T) {
+	w := settled(t, 2, []bool{false, false, false})
+	w.blocked = func(a, b domain.VM) bool { return a == "z" || b == "z" }
+	w.run(10 * time.Second)
+	w.mustServe(t)
+	w.blocked = func(a, b domain.VM) bool { return a == "v0" || b == "v0" }
+	w.run(DefaultTerm)
+	must.Zero(t, w.owned(w.vms[0]))
+	w.run(3 * time.Second)
+	w.mustServe(t)
+}
+
+// Guards against a delayed message of a past epoch that replaces committed
+// records, after its sender became the owner again.
+func TestDelayedAppend(t *testing.T) {
+	w := settled(t, 6, []bool{false, false})
+	w.loss = 0
+	a := w.state.View().Assignments()[0]
+	old := &Append{Shard: a.Shard, Epoch: a.Epoch, Previous: Position{}, Entries: []Entry{{Position{a.Epoch, 2}, &testRecord{-1}}}}
+	old.Previous, _ = w.vm(a.Owner).manager.shards[a.Shard].log.at(1)
+	w.blocked = func(x, y domain.VM) bool { return x == a.Owner || y == a.Owner }
+	w.run(4 * time.Second)
+	w.appendAll()
+	w.blocked = func(domain.VM, domain.VM) bool { return false }
+	w.run(4 * time.Second)
+	must.Eq(t, a.Owner, w.state.View().Assignment(a.Shard).Owner)
+	backup := w.vm(a.Backup)
+	w.effects(backup, backup.manager.Step(w.clock(backup), a.Owner, old))
+	must.Eq(t, w.history[a.Shard], backup.manager.ShardRecords(a.Shard))
+	w.mustServe(t)
+}
+
+// Guards against a data centre with one VM that cannot serve.
+func TestSingleVM(t *testing.T) {
+	w := settled(t, 3, []bool{true})
+	w.crash(w.vms[0])
+	w.start(w.vms[0])
+	w.run(5 * time.Second)
+	w.mustServe(t)
+}
+
+// Guards against a planned stop that loses records or never finishes.
+func TestDrain(t *testing.T) {
+	w := settled(t, 4, []bool{false, false, false})
+	vm := w.vms[0]
+	vm.leaving = true
+	w.effects(vm, vm.manager.Drain(w.clock(vm)))
+	w.run(15 * time.Second)
+	must.True(t, vm.manager.Drained())
+	must.Zero(t, w.owned(vm))
+	w.crash(vm)
+	w.run(time.Second)
+	w.mustServe(t)
+}
+
+// Guards against records that get lost between a compaction and a new copy.
+func TestCompactAndCopy(t *testing.T) {
+	w := settled(t, 5, []bool{false, true, false})
+	for range 10 {
+		w.appendAll()
+		w.run(100 * time.Millisecond)
+	}
+	w.run(2 * time.Second)
+	w.compactAll()
+	w.run(2 * time.Second)
+	w.appendAll()
+	w.run(time.Second)
+	w.crash(w.vms[0])
+	w.run(5 * time.Second)
+	w.mustServe(t)
+	w.start(w.vms[0])
+	w.run(10 * time.Second)
+	w.mustServe(t)
+}
+
+func (w *world) compactAll() {
+	for _, vm := range w.vms {
+		for _, s := range vm.manager.ordered() {
+			if !vm.up || !s.active || s.committed == s.log.base.Index {
+				continue
+			}
+			p, _ := s.log.at(s.committed)
+			snapshot := s.log.records()[:s.committed]
+			e, err := vm.manager.Compact(w.clock(vm), s.id, p, snapshot)
+			if err != nil {
+				w.fail("compact: %v", err)
+			}
+			w.effects(vm, e)
+		}
+	}
+}
+
+// partition cuts links. A copy that is cut off is lost to the leader, so links
+// stay whole while a lost memory copy is being repaired.
+func (w *world) partition(blocked func(a, b domain.VM) bool) {
+	if w.underRepair() {
+		return
+	}
+	w.blocked, w.cutAt, w.connected = blocked, w.now, false
+}
+
+func (w *world) underRepair() bool {
+	w.repairing = w.repairing && !w.whole()
+	return w.repairing
+}
+
+// crashOne loses a VM. A VM without a disk is lost only while every other copy
+// is whole and reachable: at most one copy of a shard is lost at a time.
+func (w *world) crashOne(vm *testVM) {
+	if w.underRepair() {
+		return
+	}
+	if vm.hasDisk {
+		w.crash(vm)
+		return
+	}
+	if w.now-w.cutAt > 3*time.Second && w.connected && w.whole() && w.mayLose(vm) {
+		w.repairing = true
+		w.crash(vm)
+	}
+}
+
+// disturb causes one random fault.
+func (w *world) disturb() {
+	vm := w.vms[w.rng.IntN(len(w.vms))]
+	other := w.vms[w.rng.IntN(len(w.vms))]
+	switch w.rng.IntN(9) {
+	case 0:
+		w.partition(func(a, b domain.VM) bool { return a == vm.name || b == vm.name })
+	case 1:
+		w.partition(func(a, b domain.VM) bool { return a == vm.name && b == other.name })
+	case 2, 3:
+		w.blocked = func(domain.VM, domain.VM) bool { return false }
+		w.connected = true
+	case 4, 5:
+		if vm.up && vm.name != "z" {
+			w.crashOne(vm)
+		} else if !vm.up {
+			w.start(vm)
+		}
+	case 6:
+		if vm.up && vm.applied >= 0 {
+			w.elect(vm.name)
+		}
+	case 7:
+		w.compactAll()
+	case 8:
+		if vm.up && vm.name != "z" && w.rng.IntN(3) == 0 {
+			vm.leaving = true
+			w.effects(vm, vm.manager.Drain(w.clock(vm)))
+		}
+	}
+}
+
+func schedule(seed uint64, broken func(*world)) *world {
+	disks := make([]bool, 2+seed%5)
+	for i := range disks {
+		disks[i] = (seed>>(i%3))&1 == 1
+	}
+	w := newWorld(seed, disks)
+	w.broken = broken
+	w.run(6 * time.Second)
+	for range 60 {
+		w.disturb()
+		w.appendAll()
+		w.run(time.Duration(50+w.rng.IntN(1200)) * time.Millisecond)
+	}
+	return w
+}
+
+// Guards against two owners at one time and lost records, under partitions,
+// crashes, leader changes, loss, reordering and duplication.
+func TestRandomSchedules(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		w := schedule(seed, nil)
+		must.Eq(t, "", w.failure, must.Sprintf("seed %d", seed))
+		w.heal()
+		must.Eq(t, "", w.failure, must.Sprintf("seed %d after healing", seed))
+		before := w.committed()
+		must.Eq(t, shards, w.appendAll(), must.Sprintf("seed %d after healing", seed), must.Func(w.describe))
+		w.run(2 * time.Second)
+		must.Eq(t, before+shards, w.committed(), must.Sprintf("seed %d after healing", seed))
+	}
+}
+
+// heal ends all faults and gives the system time to repair itself.
+func (w *world) heal() {
+	w.blocked = func(domain.VM, domain.VM) bool { return false }
+	w.loss = 0
+	for _, vm := range w.vms {
+		if vm.leaving && vm.up {
+			for i := 0; i < 40 && !vm.manager.Drained(); i++ {
+				w.run(500 * time.Millisecond)
+			}
+		}
+		if !vm.up {
+			w.start(vm)
+		}
+	}
+	if w.leader == "" {
+		w.elect("z")
+	}
+	w.run(20 * time.Second)
+}
+
+// Guards against checks that see nothing: a backup and a leader that ignore
+// their promises must be caught.
+func TestBrokenGrantorIsCaught(t *testing.T) {
+	variants := map[string]func(*world){
+		"backup": func(w *world) {
+			for _, vm := range w.vms {
+				for _, s := range vm.manager.shards {
+					s.promised, s.notBefore = promise{}, time.Time{}
+				}
+			}
+		},
+		"leader": func(w *world) {
+			for _, vm := range w.vms {
+				clear(vm.grantor.promises)
+				vm.grantor.since = time.Time{}
+			}
+		},
+	}
+	for name, broken := range variants {
+		caught := ""
+		for seed := uint64(0); seed < 60 && caught == ""; seed++ {
+			caught = schedule(seed, broken).failure
+		}
+		t.Logf("%s: %s", name, caught)
+		must.NotEq(t, "", caught, must.Sprint(name))
+	}
+}
