Add the fan-out of the configuration

Cause: each VM needs the committed configuration within 5 s, also when its parent is dead, and the leader must know where a change is in force.

--- /dev/null
+++ b/core/relay/parent.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// chooseParent follows the rules of the design: a voter of the data centre, or
+// its relay VM, which follows a voter. All VMs of a data centre choose the same
+// parent, so that one VM has the whole summary of the data centre.
+func (r *Relay) chooseParent(e *Effects, now time.Time) {
+	if len(r.nodes) == 0 || r.self.Voter {
+		r.parent, r.hops = "", 0
+		return
+	}
+	best := r.candidate(now)
+	if best == "" && len(r.avoid) > 0 {
+		clear(r.avoid)
+		best = r.candidate(now)
+	}
+	if best == r.parent || best == "" {
+		return
+	}
+	r.parent, r.parentHeard, r.parentLast, r.asked = best, now, 0, now
+	e.send(best, &Follow{r.applied})
+}
+
+func (r *Relay) candidate(now time.Time) domain.VM {
+	local := func(n Node) bool { return n.DataCentre == r.self.DataCentre }
+	if vm := r.highest(now, func(n Node) bool { return n.Voter && local(n) }); vm != "" {
+		return vm
+	}
+	relay := r.highest(now, func(n Node) bool { return !n.Voter && local(n) })
+	if relay != r.cfg.Self {
+		return relay
+	}
+	// A voter of the own region keeps the billed link between regions free.
+	if vm := r.highest(now, func(n Node) bool { return n.Voter && n.Region == r.self.Region }); vm != "" {
+		return vm
+	}
+	return r.highest(now, func(n Node) bool { return n.Voter })
+}
+
+// highest returns the first VM by rendezvous hashing among those that match and
+// are not avoided, so that few VMs move when the list changes.
+func (r *Relay) highest(now time.Time, match func(Node) bool) domain.VM {
+	var best domain.VM
+	var top uint64
+	for _, n := range r.nodes {
+		if !match(n) || now.Before(r.avoid[n.VM]) {
+			continue
+		}
+		if h := domain.Hash64("relay", string(r.self.DataCentre), string(n.VM)); best == "" || h > top {
+			best, top = n.VM, h
+		}
+	}
+	return best
+}
+
+// dropParent avoids a parent that is silent or part of a loop.
+func (r *Relay) dropParent(e *Effects, now time.Time) {
+	r.avoid[r.parent] = now.Add(avoidTime)
+	r.parent = ""
+	r.chooseParent(e, now)
+}
--- /dev/null
+++ b/core/relay/report.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/raft"
+)
+
+func (r *Relay) stepReport(now time.Time, from domain.VM, m *Report) {
+	c := r.children[from]
+	if c == nil {
+		// A Follow was lost, or this VM restarted. The heartbeat shows the
+		// child what it lacks.
+		c = &child{sent: r.applied}
+		r.children[from] = c
+	}
+	c.heard, c.report, c.voter = now, m, slices.Contains(r.voters(), from)
+}
+
+// tickReport reports upwards. The summaries of other data centres pass through
+// a voter to the leader unchanged.
+func (r *Relay) tickReport(e *Effects) {
+	to := r.parent
+	if r.self.Voter {
+		to = r.leader
+	}
+	if to == "" || to == r.cfg.Self {
+		return
+	}
+	m := &Report{Applied: r.applied}
+	if len(r.children) > 0 {
+		m.Summaries = r.summaries()
+	}
+	e.send(to, m)
+}
+
+// summaries returns the own data centre's summary and those of the children.
+// Voters that report here are children of the leader only.
+func (r *Relay) summaries() []Summary {
+	own := Summary{DataCentre: r.self.DataCentre, Last: max(r.applied, r.parentLast)}
+	for _, n := range r.nodes {
+		if n.DataCentre != r.self.DataCentre {
+			continue
+		}
+		if v := r.directVersion(n.VM); v < own.Last {
+			own.Behind = append(own.Behind, VMVersion{n.VM, v})
+		}
+	}
+	out := []Summary{own}
+	for _, vm := range r.childNames() {
+		if c := r.children[vm]; c.report != nil {
+			out = append(out, c.report.Summaries...)
+		}
+	}
+	return out
+}
+
+// directVersion is what a VM reported here itself, or 0.
+func (r *Relay) directVersion(vm domain.VM) raft.Index {
+	if vm == r.cfg.Self {
+		return r.applied
+	}
+	if c := r.children[vm]; c != nil && c.report != nil {
+		return c.report.Applied
+	}
+	return 0
+}
+
+// Versions returns the highest index that each live VM is known to have applied,
+// as far as it was reported to this VM. 0 means that nothing is known.
+func (r *Relay) Versions() []VMVersion {
+	byCentre := map[domain.DataCentre][]Summary{}
+	for _, s := range r.summaries() {
+		byCentre[s.DataCentre] = append(byCentre[s.DataCentre], s)
+	}
+	out := make([]VMVersion, 0, len(r.nodes))
+	for _, n := range r.nodes {
+		v := r.directVersion(n.VM)
+		for _, s := range byCentre[n.DataCentre] {
+			v = max(v, s.version(n.VM))
+		}
+		out = append(out, VMVersion{n.VM, v})
+	}
+	return out
+}
+
+func (s Summary) version(vm domain.VM) raft.Index {
+	for _, b := range s.Behind {
+		if b.VM == vm {
+			return b.Applied
+		}
+	}
+	return s.Last
+}
+
+// InForce splits the live VMs into those that have applied an index and those
+// that have not, as far as is known here. The leader knows all VMs.
+func (r *Relay) InForce(index raft.Index) (yes, no []domain.VM) {
+	for _, v := range r.Versions() {
+		if v.Applied >= index {
+			yes = append(yes, v.VM)
+		} else {
+			no = append(no, v.VM)
+		}
+	}
+	return yes, no
+}
--- /dev/null
+++ b/core/relay/withdrawn.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"slices"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// withdrawnBuckets splits the set for comparison. 64 sums fit in one message of
+// about 600 bytes, and a difference of one key then resends 1/64 of the set.
+const withdrawnBuckets = 64
+
+// Digest identifies the content of a set with high probability.
+type Digest struct {
+	Count uint64
+	Sum   uint64
+}
+
+// Withdrawn is a grow-only set of withdrawn keys. Sets that merged the same keys
+// in any order are equal. The zero value is empty and ready to use.
+type Withdrawn struct {
+	buckets [withdrawnBuckets]map[config.KeyID]struct{}
+	sums    [withdrawnBuckets]uint64
+	count   uint64
+}
+
+func keyHash(id config.KeyID) uint64 { return domain.Hash64("withdrawn", string(id)) }
+
+// Has says whether a key is withdrawn.
+func (w *Withdrawn) Has(id config.KeyID) bool {
+	_, ok := w.buckets[keyHash(id)%withdrawnBuckets][id]
+	return ok
+}
+
+// Merge adds keys and returns those that are new.
+func (w *Withdrawn) Merge(ids ...config.KeyID) []config.KeyID {
+	var added []config.KeyID
+	for _, id := range ids {
+		h := keyHash(id)
+		b := h % withdrawnBuckets
+		if _, ok := w.buckets[b][id]; ok {
+			continue
+		}
+		if w.buckets[b] == nil {
+			w.buckets[b] = map[config.KeyID]struct{}{}
+		}
+		w.buckets[b][id] = struct{}{}
+		w.sums[b] ^= h
+		w.count++
+		added = append(added, id)
+	}
+	return added
+}
+
+// Keys returns all keys, sorted.
+func (w *Withdrawn) Keys() []config.KeyID {
+	all := make([]int, withdrawnBuckets)
+	for i := range all {
+		all[i] = i
+	}
+	return w.keysOf(all)
+}
+
+func (w *Withdrawn) keysOf(buckets []int) []config.KeyID {
+	var ids []config.KeyID
+	for _, b := range buckets {
+		if b < 0 || b >= withdrawnBuckets {
+			continue
+		}
+		for id := range w.buckets[b] {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Digest returns the digest of the whole set.
+func (w *Withdrawn) Digest() Digest {
+	d := Digest{Count: w.count}
+	for _, sum := range w.sums {
+		d.Sum ^= sum
+	}
+	return d
+}
+
+// Sums returns the digests of the buckets.
+func (w *Withdrawn) Sums() []uint64 { return slices.Clone(w.sums[:]) }
+
+// Delta returns the keys of the buckets that differ from another set's sums, and
+// those buckets.
+func (w *Withdrawn) Delta(sums []uint64) ([]config.KeyID, []int) {
+	if len(sums) != withdrawnBuckets {
+		return nil, nil
+	}
+	var differ []int
+	for b, sum := range w.sums {
+		if sum != sums[b] {
+			differ = append(differ, b)
+		}
+	}
+	return w.keysOf(differ), differ
+}
