--- /dev/null
+++ b/core/ledger/escrow.go
@@ -0,0 +1,270 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Step handles a message of another shard, or of this one.
+func (l *Ledger) Step(now time.Time, msg domain.Message) Effects {
+	var e Effects
+	switch m := msg.(type) {
+	case *Request:
+		l.onRequest(now, m, &e)
+	case *Denied:
+		h := l.holder(key{m.Account, m.Month})
+		h.reason, h.rootFree, h.deniedAt = m.Reason, m.Free, now
+		h.wanted, h.askedAt = 0, time.Time{}
+	case *Recall:
+		l.onRecall(now, m, &e)
+	case *Transfer:
+		l.onTransfer(now, m, &e)
+	case *TransferReply:
+		l.onReply(m)
+	case *UsageReport:
+		l.onReport(now, m)
+	}
+	return e
+}
+
+func (l *Ledger) emit(e *Effects, r domain.Record) {
+	l.Apply(r)
+	e.Records = append(e.Records, r)
+}
+
+func (e *Effects) send(to domain.ShardID, m domain.Message) {
+	e.Outbound = append(e.Outbound, Outbound{to, m})
+}
+
+func (l *Ledger) ask(now time.Time, h *holder, e *Effects) {
+	shard, err := RootShard(l.view, h.Account)
+	if err != nil {
+		return
+	}
+	h.askedAt = now
+	e.send(shard, &Request{h.Account, h.Month, l.shard, h.wanted})
+}
+
+// free returns what the root may release now and the reason of the limit.
+func (l *Ledger) free(now time.Time, b *root) (domain.Micros, domain.Reason) {
+	spec := l.view.Account(b.Account)
+	if spec == nil || spec.Disabled {
+		return 0, domain.ReasonAccountBudget
+	}
+	budget := spec.MonthlyBudget - b.outstanding()
+	today := dailyAllowance(spec.MonthlyBudget, l.view.Preset().DailySpendPermille)
+	if day := dayOf(now); day <= b.Day {
+		today -= b.DayNet
+	}
+	if today < budget {
+		return max(today, 0), domain.ReasonSpendRate
+	}
+	return max(budget, 0), domain.ReasonAccountBudget
+}
+
+// isRoot guards against a message that was sent under another configuration.
+func (l *Ledger) isRoot(account domain.Account) bool {
+	shard, err := RootShard(l.view, account)
+	return err == nil && shard == l.shard
+}
+
+func (l *Ledger) onRequest(now time.Time, m *Request, e *Effects) {
+	if m.Month != MonthOf(now) || m.Amount <= 0 || !l.isRoot(m.Account) {
+		return
+	}
+	b := l.root(key{m.Account, m.Month})
+	p := b.peer(m.From)
+	if p.Pending > 0 {
+		l.resendRelease(now, b, p, e)
+		return
+	}
+	free, reason := l.free(now, b)
+	if free >= m.Amount {
+		amount := m.Amount + min(3*min(m.Amount, free/grantShare), (free-m.Amount)/grantShare)
+		b.recallAt = time.Time{}
+		p.sentAt = now
+		l.emit(e, &TransferSent{m.Account, m.Month, m.From, p.OutNumber + 1, amount, dayOf(now), false})
+		e.send(m.From, l.release(b, p))
+		return
+	}
+	if l.recall(now, b, m.From, m.Amount-free, e) {
+		return
+	}
+	e.send(m.From, &Denied{m.Account, m.Month, reason, free})
+}
+
+// recall asks the other holders for the missing amount and says whether the
+// requester should wait for it.
+func (l *Ledger) recall(now time.Time, b *root, requester domain.ShardID, missing domain.Micros, e *Effects) bool {
+	since := now.Sub(b.recallAt)
+	if since < recallWait {
+		return true
+	}
+	if since < recallInterval {
+		return false
+	}
+	asked := false
+	for _, p := range b.sorted() {
+		if p.Shard != requester && p.Released > p.Returned {
+			e.send(p.Shard, &Recall{b.Account, b.Month, missing})
+			asked = true
+		}
+	}
+	if asked {
+		b.recallAt = now
+	}
+	return asked
+}
+
+func (l *Ledger) onRecall(now time.Time, m *Recall, e *Effects) {
+	h := l.holders[key{m.Account, m.Month}]
+	if h == nil || h.Pending > 0 {
+		return
+	}
+	amount := min(h.available(), m.Amount)
+	shard, err := RootShard(l.view, m.Account)
+	if amount <= 0 || err != nil {
+		return
+	}
+	h.sentAt = now
+	l.emit(e, &TransferSent{m.Account, m.Month, shard, h.OutNumber + 1, amount, dayOf(now), true})
+	e.send(shard, l.giveBack(h))
+}
+
+// onTransfer credits the next number and confirms every number up to it. The
+// confirmation is sent after the record is durable, so the sender forgets a
+// transfer only when its credit cannot be lost.
+func (l *Ledger) onTransfer(now time.Time, m *Transfer, e *Effects) {
+	if m.Month < MonthOf(now)-1 || m.Return && !l.isRoot(m.Account) {
+		return
+	}
+	k := key{m.Account, m.Month}
+	var last uint64
+	if m.Return {
+		last = l.root(k).peer(m.From).InNumber
+	} else {
+		last = l.holder(k).InNumber
+	}
+	if m.Number > last+1 {
+		return
+	}
+	if m.Number == last+1 {
+		l.emit(e, &TransferReceived{m.Account, m.Month, m.From, m.Number, m.Amount, dayOf(now), m.Return})
+	}
+	if !m.Return {
+		h := l.holder(k)
+		h.wanted, h.deniedAt, h.askedAt = 0, time.Time{}, time.Time{}
+	}
+	e.send(m.From, &TransferReply{m.Account, m.Month, l.shard, m.Number, m.Return})
+}
+
+// onReply ends the resending of a transfer. It needs no record: after a
+// restart the transfer is sent and confirmed once more.
+func (l *Ledger) onReply(m *TransferReply) {
+	k := key{m.Account, m.Month}
+	if m.Return {
+		if h := l.holders[k]; h != nil && h.OutNumber == m.Number {
+			h.Pending = 0
+		}
+		return
+	}
+	if b := l.roots[k]; b != nil {
+		if p := b.peers[m.From]; p != nil && p.OutNumber == m.Number {
+			p.Pending = 0
+		}
+	}
+}
+
+func (l *Ledger) release(b *root, p *peer) *Transfer {
+	return &Transfer{b.Account, b.Month, l.shard, p.OutNumber, p.Pending, false}
+}
+
+func (l *Ledger) giveBack(h *holder) *Transfer {
+	return &Transfer{h.Account, h.Month, l.shard, h.OutNumber, h.Pending, true}
+}
+
+func (l *Ledger) resendRelease(now time.Time, b *root, p *peer, e *Effects) {
+	if now.Sub(p.sentAt) >= resendInterval {
+		p.sentAt = now
+		e.send(p.Shard, l.release(b, p))
+	}
+}
+
+// Tick resends what is unconfirmed, reports usage, recalls what a lowered
+// budget no longer covers, and forgets months before the previous one.
+func (l *Ledger) Tick(now time.Time) Effects {
+	var e Effects
+	if l.view == nil {
+		return e
+	}
+	l.ticked = now
+	month := MonthOf(now)
+	for _, k := range sortedKeys(l.holders) {
+		h := l.holders[k]
+		if k.month < month-1 && h.Reserved == 0 && h.held == 0 {
+			delete(l.holders, k)
+			continue
+		}
+		l.tickHolder(now, h, &e)
+	}
+	for _, k := range sortedKeys(l.roots) {
+		if k.month < month-1 {
+			delete(l.roots, k)
+			continue
+		}
+		l.tickRoot(now, l.roots[k], &e)
+	}
+	return e
+}
+
+func (l *Ledger) tickHolder(now time.Time, h *holder, e *Effects) {
+	shard, err := RootShard(l.view, h.Account)
+	if err != nil {
+		return
+	}
+	if h.Pending > 0 && now.Sub(h.sentAt) >= resendInterval {
+		h.sentAt = now
+		e.send(shard, l.giveBack(h))
+	}
+	if h.wanted > 0 && h.Month == MonthOf(now) && now.Sub(h.askedAt) >= resendInterval {
+		l.ask(now, h, e)
+	}
+	since := now.Sub(h.reportedAt)
+	if since >= reportRepeat || since >= reportInterval && h.Charged > h.reported {
+		h.reported, h.reportedAt = h.Charged, now
+		e.send(shard, &UsageReport{h.Account, h.Month, l.shard, h.Charged})
+	}
+}
+
+func (l *Ledger) tickRoot(now time.Time, b *root, e *Effects) {
+	for _, p := range b.sorted() {
+		if p.Pending > 0 {
+			l.resendRelease(now, b, p, e)
+		}
+	}
+	spec := l.view.Account(b.Account)
+	if spec == nil || b.Month != MonthOf(now) {
+		return
+	}
+	if excess := b.outstanding() - spec.MonthlyBudget; excess > 0 {
+		l.recall(now, b, domain.ShardID{}, excess, e)
+	}
+}
+
+// NextWake returns the time of the next Tick.
+func (l *Ledger) NextWake() time.Time {
+	for _, h := range l.holders {
+		if h.Pending > 0 || h.wanted > 0 {
+			return l.ticked.Add(resendInterval)
+		}
+	}
+	for _, b := range l.roots {
+		for _, p := range b.peers {
+			if p.Pending > 0 {
+				return l.ticked.Add(resendInterval)
+			}
+		}
+	}
+	return l.ticked.Add(reportInterval)
+}
--- /dev/null
+++ b/core/ledger/ledger.go
@@ -0,0 +1,326 @@
+// Package ledger decides about money: prices, reservations, charges, the
+// escrow of account budgets between shards, and the forecast.
+//
+// The root shard of an account holds the budget of each calendar month (UTC)
+// and releases parts of it to the shards that run the account's programs. Each
+// direction between the root and a holder has one transfer in flight; its
+// number grows by one. The sender debits in the record that creates the
+// transfer and resends until confirmed; the receiver credits the next number
+// only. The charges of a holder never exceed what it was credited, so the
+// charges of all holders never exceed what the root released.
+//
+// A lowered budget stops releases and recalls the excess; amounts that calls
+// have reserved or charged stay valid. A month's unused amounts expire with it.
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+const (
+	// resendInterval repeats requests and transfers after a loss. It is far
+	// above the one-way delay between regions.
+	resendInterval = 250 * time.Millisecond
+	// recallWait is the time that holders have to return amounts before the
+	// root denies a request.
+	recallWait = time.Second
+	// recallInterval bounds how often the root recalls while it is low.
+	recallInterval = 5 * time.Second
+	// deniedFor is the time that a denial is used again without a request.
+	deniedFor = time.Second
+	// reportInterval spaces usage reports to the root.
+	reportInterval = 10 * time.Second
+	// grantShare is the part of the free amount that a release adds to the
+	// requested amount at most, so that many holders find something left.
+	grantShare = 16
+)
+
+type key struct {
+	account domain.Account
+	month   Month
+}
+
+// Ledger is the money state of one shard, as holder and as root. It is not
+// safe for concurrent use.
+type Ledger struct {
+	shard   domain.ShardID
+	view    *config.View
+	holders map[key]*holder
+	roots   map[key]*root
+	usage   map[domain.Account]*usage
+	ticked  time.Time
+}
+
+type holder struct {
+	HolderState
+	// The fields below are rebuilt after a restart.
+	held                      domain.Micros
+	wanted                    domain.Micros
+	askedAt, sentAt, deniedAt time.Time
+	reported                  domain.Micros
+	reportedAt                time.Time
+	reason                    domain.Reason
+	rootFree                  domain.Micros
+}
+
+func (h *holder) available() domain.Micros {
+	return h.Credited - h.Returned - h.Charged - h.Reserved - h.held
+}
+
+type root struct {
+	RootState
+	peers    map[domain.ShardID]*peer
+	recallAt time.Time
+}
+
+type peer struct {
+	PeerState
+	charged  domain.Micros
+	reported bool
+	sentAt   time.Time
+}
+
+func (r *root) outstanding() domain.Micros {
+	var total domain.Micros
+	for _, p := range r.peers {
+		total += p.Released - p.Returned
+	}
+	return total
+}
+
+// New returns the empty ledger of a shard.
+func New(shard domain.ShardID) *Ledger {
+	return &Ledger{
+		shard: shard, holders: map[key]*holder{}, roots: map[key]*root{}, usage: map[domain.Account]*usage{},
+	}
+}
+
+// Configure sets the configuration in force.
+func (l *Ledger) Configure(v *config.View) { l.view = v }
+
+// RootShard returns the shard that holds the account's budget.
+func RootShard(v *config.View, account domain.Account) (domain.ShardID, error) {
+	homes := v.Homes()
+	if len(homes) == 0 {
+		return domain.ShardID{}, domain.ErrNoDataCentre
+	}
+	dc := homes[domain.Hash64("budget", string(account))%uint64(len(homes))]
+	return domain.AccountShard(account, dc, config.ShardsPerDataCentre), nil
+}
+
+// Verdict is the answer to a hold.
+type Verdict int
+
+// The verdicts. Pending callers ask again after the next Step or Tick.
+const (
+	Held Verdict = iota
+	Pending
+	Refused
+)
+
+// Hold sets an amount aside in memory until Unhold or the Reservation. A
+// pending hold has asked the root. A refusal names the missing amount.
+func (l *Ledger) Hold(now time.Time, account domain.Account, amount domain.Micros) (Reservation, Verdict, *domain.Refusal, Effects) {
+	h := l.holder(key{account, MonthOf(now)})
+	reservation := Reservation{Account: account, Month: h.Month, Amount: amount}
+	missing := amount - h.available()
+	if missing <= 0 {
+		h.held += amount
+		return reservation, Held, nil, Effects{}
+	}
+	if !h.deniedAt.IsZero() && now.Sub(h.deniedAt) < deniedFor && missing > h.rootFree {
+		return reservation, Refused, refusal(h.reason, account, missing-h.rootFree, now), Effects{}
+	}
+	h.wanted = max(h.wanted, missing)
+	var e Effects
+	if now.Sub(h.askedAt) >= resendInterval {
+		l.ask(now, h, &e)
+	}
+	return reservation, Pending, nil, e
+}
+
+// Unreachable returns the refusal of a pending hold that got no answer.
+func (l *Ledger) Unreachable(now time.Time, r Reservation) *domain.Refusal {
+	h := l.holder(key{r.Account, r.Month})
+	return refusal(domain.ReasonBudgetUnreachable, r.Account, r.Amount-h.available(), now)
+}
+
+func refusal(reason domain.Reason, account domain.Account, missing domain.Micros, now time.Time) *domain.Refusal {
+	switch reason {
+	case domain.ReasonSpendRate:
+		next := time.Unix((dayOf(now)+1)*int64(24*time.Hour/time.Second), 0)
+		return domain.NotRun(reason, "account %s lacks %s within the preset's daily spend rate; wait until the next day (UTC) or ask the operator for another preset", account, missing).After(next.Sub(now))
+	case domain.ReasonBudgetUnreachable:
+		return domain.NotRun(reason, "the root of the budget of account %s did not answer and %s is missing here; retry later", account, missing).After(recallInterval)
+	default:
+		return domain.NotRun(reason, "account %s lacks %s in its monthly budget; ask the operator to raise it", account, missing)
+	}
+}
+
+// Unhold gives back a held amount.
+func (l *Ledger) Unhold(r Reservation) { l.holder(key{r.Account, r.Month}).held -= r.Amount }
+
+// Settle returns the charge that ends a reservation. The cost is cut off at
+// the reserved amount, because a prompt estimate that was too low must not let
+// charges pass the budget.
+func Settle(r Reservation, cost domain.Micros) Charge {
+	return Charge{Account: r.Account, Month: r.Month, Reserved: r.Amount, Amount: min(max(cost, 0), r.Amount)}
+}
+
+// Apply changes the state by a record and says whether it was one of the
+// ledger. The order of the records is the order of the decisions.
+func (l *Ledger) Apply(record domain.Record) bool {
+	switch r := record.(type) {
+	case *Reservation:
+		l.holder(key{r.Account, r.Month}).Reserved += r.Amount
+	case *Charge:
+		h := l.holder(key{r.Account, r.Month})
+		h.Reserved -= r.Reserved
+		h.Charged += r.Amount
+	case *TransferSent:
+		l.applySent(r)
+	case *TransferReceived:
+		l.applyReceived(r)
+	case *HolderState:
+		l.holder(key{r.Account, r.Month}).HolderState = *r
+	case *RootState:
+		l.applyRoot(r)
+	default:
+		return false
+	}
+	return true
+}
+
+func (l *Ledger) applySent(r *TransferSent) {
+	if r.Return {
+		h := l.holder(key{r.Account, r.Month})
+		h.Returned += r.Amount
+		h.OutNumber, h.Pending = r.Number, r.Amount
+		return
+	}
+	b := l.root(key{r.Account, r.Month})
+	p := b.peer(r.Peer)
+	p.Released += r.Amount
+	p.OutNumber, p.Pending = r.Number, r.Amount
+	b.count(r.Day, r.Amount)
+}
+
+func (l *Ledger) applyReceived(r *TransferReceived) {
+	if !r.Return {
+		h := l.holder(key{r.Account, r.Month})
+		h.Credited += r.Amount
+		h.InNumber = r.Number
+		return
+	}
+	b := l.root(key{r.Account, r.Month})
+	p := b.peer(r.Peer)
+	p.Returned += r.Amount
+	p.InNumber = r.Number
+	b.count(r.Day, -r.Amount)
+}
+
+// count adds to the net release of a day. Returns may make it negative, so the
+// outstanding amount grows by at most the allowance on each day. A clock that
+// steps back continues the later day.
+func (r *root) count(day int64, amount domain.Micros) {
+	if day > r.Day {
+		r.Day, r.DayNet = day, 0
+	}
+	r.DayNet += amount
+}
+
+func (l *Ledger) applyRoot(s *RootState) {
+	b := l.root(key{s.Account, s.Month})
+	b.RootState = *s
+	b.Peers = nil
+	b.peers = map[domain.ShardID]*peer{}
+	for _, p := range s.Peers {
+		b.peers[p.Shard] = &peer{PeerState: p}
+	}
+}
+
+func (l *Ledger) holder(k key) *holder {
+	h := l.holders[k]
+	if h == nil {
+		h = &holder{HolderState: HolderState{Account: k.account, Month: k.month}}
+		l.holders[k] = h
+	}
+	return h
+}
+
+func (l *Ledger) root(k key) *root {
+	b := l.roots[k]
+	if b == nil {
+		b = &root{RootState: RootState{Account: k.account, Month: k.month}, peers: map[domain.ShardID]*peer{}}
+		l.roots[k] = b
+	}
+	return b
+}
+
+func (r *root) peer(shard domain.ShardID) *peer {
+	p := r.peers[shard]
+	if p == nil {
+		p = &peer{PeerState: PeerState{Shard: shard}}
+		r.peers[shard] = p
+	}
+	return p
+}
+
+// Snapshot returns records that rebuild the state, in a fixed order. Held
+// amounts are not part of it.
+func (l *Ledger) Snapshot() []domain.Record {
+	var out []domain.Record
+	for _, k := range sortedKeys(l.holders) {
+		state := l.holders[k].HolderState
+		if state != (HolderState{Account: k.account, Month: k.month}) {
+			out = append(out, &state)
+		}
+	}
+	for _, k := range sortedKeys(l.roots) {
+		b := l.roots[k]
+		state := b.RootState
+		for _, p := range b.sorted() {
+			state.Peers = append(state.Peers, p.PeerState)
+		}
+		out = append(out, &state)
+	}
+	return out
+}
+
+func (r *root) sorted() []*peer {
+	out := make([]*peer, 0, len(r.peers))
+	for _, p := range r.peers {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *peer) int {
+		if a.Shard.Less(b.Shard) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func sortedKeys[V any](m map[key]V) []key {
+	out := make([]key, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.month, b.month))
+	})
+	return out
+}
+
+// Charged returns the account's charges of the month in this shard.
+func (l *Ledger) Charged(account domain.Account, month Month) domain.Micros {
+	if h := l.holders[key{account, month}]; h != nil {
+		return h.Charged
+	}
+	return 0
+}
