--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -285,9 +285,14 @@
 		b := l.roots[k]
 		state := b.RootState
 		for _, p := range b.sorted() {
-			state.Peers = append(state.Peers, p.PeerState)
+			// Peers that only asked or reported have no record.
+			if p.OutNumber > 0 || p.InNumber > 0 {
+				state.Peers = append(state.Peers, p.PeerState)
+			}
+		}
+		if len(state.Peers) > 0 {
+			out = append(out, &state)
 		}
-		out = append(out, &state)
 	}
 	return out
 }
