--- /dev/null
+++ b/core/program/messages.go
@@ -0,0 +1,241 @@
+package program
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/ledger"
+)
+
+// Fingerprint is a SHA-256 of account, model or route, and body.
+type Fingerprint [32]byte
+
+// HistoryRef names the bytes of one stored turn together with its program.
+type HistoryRef struct {
+	SHA256 [32]byte
+	Length uint32
+	// Roles counts the system, user, assistant and tool messages.
+	Roles [4]uint16
+}
+
+// Answer names the bytes of a stored whole answer together with its program.
+type Answer struct {
+	SHA256 [32]byte
+	Length uint32
+}
+
+// BeginCall asks the owner to run a call. A resend has the same call id.
+type BeginCall struct {
+	Call    domain.CallID
+	Entry   domain.VM
+	Program domain.ProgramID
+	// Parent is the program that started this one, if any.
+	Parent domain.ProgramName
+	// Single ends the program with this call.
+	Single bool
+	// Model is set for a model engine, Route for a plain service.
+	Model        domain.ModelName
+	Route        string
+	RunOnce      bool
+	Fingerprint  Fingerprint
+	Key          string
+	PromptTokens domain.Tokens
+	TokenLimit   domain.Tokens
+	// NewMessagesOnly says that the stored history goes before the messages.
+	NewMessagesOnly bool
+	Arrived         time.Time
+	// Attempts is the highest attempt for which Entry has seen StartCall.
+	Attempts uint32
+}
+
+// StartCall orders the entry VM to send a call. It may arrive more than once;
+// the entry VM sends each attempt at most once.
+type StartCall struct {
+	Call       domain.CallID
+	Program    domain.ProgramID
+	Epoch      domain.Epoch
+	Target     domain.Target
+	Attempt    uint32
+	TokenLimit domain.Tokens
+	// History lists the turns that go before new messages.
+	History []HistoryRef
+}
+
+// FinishCall reports a complete answer whose bytes are stored.
+type FinishCall struct {
+	Call    domain.CallID
+	Entry   domain.VM
+	Program domain.ProgramID
+	Attempt uint32
+	Usage   ledger.Usage
+	Turn    HistoryRef
+	// Answer is set for calls with an idempotency key.
+	Answer *Answer
+}
+
+// FailKind says why a started call has no answer.
+type FailKind string
+
+// The kinds of failure.
+const (
+	// FailCrashed says that the target crashed while it ran the call.
+	FailCrashed FailKind = "crashed"
+	// FailTimedOut says that the target did not answer in time.
+	FailTimedOut FailKind = "timed_out"
+	// FailRefused says that the target refused the call without running it.
+	FailRefused FailKind = "refused"
+	// FailNotSent says that the entry VM did not send the call.
+	FailNotSent FailKind = "not_sent"
+	// FailCallerGone says that the caller closed its connection.
+	FailCallerGone FailKind = "caller_gone"
+	// FailCancelled confirms CancelCall.
+	FailCancelled FailKind = "cancelled"
+	// FailEntryDead says that membership has declared the entry VM dead.
+	FailEntryDead FailKind = "entry_dead"
+)
+
+// FailCall reports that a call ended without an answer.
+type FailCall struct {
+	Call    domain.CallID
+	Entry   domain.VM
+	Program domain.ProgramID
+	Attempt uint32
+	Kind    FailKind
+	Target  domain.Target
+	// Crash numbers the crashes of the target; all calls that one crash ended
+	// report the same number.
+	Crash uint64
+	// Passed says that the caller has received bytes of the answer.
+	Passed bool
+}
+
+// CallCommitted confirms a finished call.
+type CallCommitted struct {
+	Call    domain.CallID
+	Program domain.ProgramID
+	// Turn counts the program's turns from 1.
+	Turn   int
+	Charge domain.Micros
+	// Stored is set when an earlier call with the same key gave the answer.
+	Stored *Answer
+}
+
+// CallRefused ends a call with a refusal.
+type CallRefused struct {
+	Call    domain.CallID
+	Program domain.ProgramID
+	Refusal domain.Refusal
+}
+
+// CallEnded tells the owner that the caller of a call has gone.
+type CallEnded struct {
+	Call    domain.CallID
+	Entry   domain.VM
+	Program domain.ProgramID
+}
+
+// CancelCall orders the entry VM to stop a call that it has sent. It is
+// repeated until the call has ended.
+type CancelCall struct {
+	Call    domain.CallID
+	Program domain.ProgramID
+	Reason  domain.Reason
+}
+
+// EndProgram asks the owner to end a program.
+type EndProgram struct {
+	Request domain.CallID
+	From    domain.VM
+	Program domain.ProgramID
+}
+
+// EndProgramReply answers EndProgram. A nil refusal confirms the end.
+type EndProgramReply struct {
+	Request domain.CallID
+	Program domain.ProgramID
+	Refusal *domain.Refusal
+}
+
+// GetProgram asks for the state of a program.
+type GetProgram struct {
+	Request domain.CallID
+	From    domain.VM
+	Program domain.ProgramID
+}
+
+// GetProgramReply answers GetProgram.
+type GetProgramReply struct {
+	Request domain.CallID
+	Program domain.ProgramID
+	Found   bool
+	Parent  domain.ProgramName
+	Started time.Time
+	// Ended is the reason of the end, empty while the program is open.
+	Ended domain.Reason
+	// Running says that a call is in flight.
+	Running bool
+	Waiting int
+	// Spent and Reserved include all descendants.
+	Spent, Reserved, Budget domain.Micros
+	History                 []HistoryRef
+}
+
+// Suspicion tells other VMs which requests were in flight on a crashed target.
+type Suspicion struct {
+	Target       domain.Target
+	Crash        uint64
+	Fingerprints []Fingerprint
+}
+
+// Cleared tells other VMs that a suspect has completed.
+type Cleared struct{ Fingerprint Fingerprint }
+
+// MessageName implements domain.Message.
+func (*BeginCall) MessageName() string { return "program.BeginCall" }
+
+// MessageName implements domain.Message.
+func (*StartCall) MessageName() string { return "program.StartCall" }
+
+// MessageName implements domain.Message.
+func (*FinishCall) MessageName() string { return "program.FinishCall" }
+
+// MessageName implements domain.Message.
+func (*FailCall) MessageName() string { return "program.FailCall" }
+
+// MessageName implements domain.Message.
+func (*CallCommitted) MessageName() string { return "program.CallCommitted" }
+
+// MessageName implements domain.Message.
+func (*CallRefused) MessageName() string { return "program.CallRefused" }
+
+// MessageName implements domain.Message.
+func (*CallEnded) MessageName() string { return "program.CallEnded" }
+
+// MessageName implements domain.Message.
+func (*CancelCall) MessageName() string { return "program.CancelCall" }
+
+// MessageName implements domain.Message.
+func (*EndProgram) MessageName() string { return "program.EndProgram" }
+
+// MessageName implements domain.Message.
+func (*EndProgramReply) MessageName() string { return "program.EndProgramReply" }
+
+// MessageName implements domain.Message.
+func (*GetProgram) MessageName() string { return "program.GetProgram" }
+
+// MessageName implements domain.Message.
+func (*GetProgramReply) MessageName() string { return "program.GetProgramReply" }
+
+// MessageName implements domain.Message.
+func (*Suspicion) MessageName() string { return "program.Suspicion" }
+
+// MessageName implements domain.Message.
+func (*Cleared) MessageName() string { return "program.Cleared" }
+
+// Messages returns a zero value of each message for the codec.
+func Messages() []domain.Message {
+	return []domain.Message{
+		&BeginCall{}, &StartCall{}, &FinishCall{}, &FailCall{}, &CallCommitted{}, &CallRefused{}, &CallEnded{},
+		&CancelCall{}, &EndProgram{}, &EndProgramReply{}, &GetProgram{}, &GetProgramReply{}, &Suspicion{}, &Cleared{},
+	}
+}
