Add the programs of one owned shard

Cause: the owner of a shard decides order, limits, money and run-once outcomes of its programs, and a new owner must reach the same state from the records. Change: Store decides and changes state only by records; messages that depend on records wait until these are committed. Crash suspects are shared between VMs. Release orders and cancellations repeat until confirmed.

--- /dev/null
+++ b/core/program/store.go
@@ -0,0 +1,369 @@
+package program
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/ledger"
+)
+
+const (
+	// maxWaiting bounds the calls that wait behind one of the same program.
+	maxWaiting = 64
+	// maxAttempts bounds how often a repeatable call is placed.
+	maxAttempts = 3
+	// budgetWait is the time that a call waits for budget on its way.
+	budgetWait = 2 * time.Second
+	// idleTime ends programs without a call. It is far above tool pauses.
+	idleTime = 2 * time.Hour
+	// doneTime is how long the outcome of a call is kept for resends.
+	doneTime = 10 * time.Minute
+	// endedTime is how long an ended program is kept once its memory is
+	// released. Its name is free afterwards.
+	endedTime = time.Hour
+	// keyTime is how long idempotency keys are kept.
+	keyTime = 24 * time.Hour
+	// scanInterval spaces the search for idle and overdue programs.
+	scanInterval = 10 * time.Second
+	// cancelInterval and releaseInterval repeat unconfirmed orders.
+	cancelInterval  = time.Second
+	releaseInterval = 5 * time.Second
+)
+
+// Effects is the result of a decision. Records go to the shard's log in order.
+// The other fields may be used at once.
+type Effects struct {
+	Records  []domain.Record
+	Sends    []domain.Send
+	Outbound []ledger.Outbound
+	Releases []Release
+	// Ready lists calls for the scheduler, Unready those to remove from it.
+	Ready   []Ready
+	Unready []domain.CallID
+	// Broadcast is for all VMs.
+	Broadcast []domain.Message
+	// kept holds the messages that wait for the records.
+	kept dependent
+}
+
+// dependent holds effects that may be used when count records are committed.
+type dependent struct {
+	count    uint64
+	sends    []domain.Send
+	outbound []ledger.Outbound
+	releases []Release
+}
+
+// Ready is a call that waits for a target.
+type Ready struct {
+	Call       domain.CallID
+	Program    domain.ProgramID
+	Model      domain.ModelName
+	Route      string
+	Prompt     domain.Tokens
+	TokenLimit domain.Tokens
+	Arrived    time.Time
+	// Alone asks for a target with nothing else in flight until the call ends.
+	Alone bool
+	// Avoid names the target that failed the last attempt.
+	Avoid domain.Target
+	// Targets lists the targets that have run calls of the program.
+	Targets []domain.Target
+}
+
+// Release orders a target to free the memory of an ended program.
+type Release struct {
+	Program domain.ProgramID
+	Target  domain.Target
+	Epoch   domain.Epoch
+}
+
+type state uint8
+
+// The states of a call. Only running calls have a record.
+const (
+	waiting state = iota
+	funding
+	ready
+	running
+)
+
+type call struct {
+	BeginCall
+	program *program
+	state   state
+	attempt uint32
+	target  domain.Target
+	avoid   domain.Target
+	// mayHaveRun says that an earlier attempt may have run.
+	mayHaveRun  bool
+	hold        ledger.Reservation
+	reservation ledger.Reservation
+	fundBy      time.Time
+	started     *CallStarted
+}
+
+type program struct {
+	id             domain.ProgramID
+	parent         domain.ProgramName
+	started        int64 // Unix nanoseconds, as are the times below
+	used, ended    int64
+	reason         domain.Reason
+	turns          []HistoryRef
+	targets        []domain.Target
+	spent          domain.Micros
+	reserved, held domain.Micros
+	cap            domain.Micros
+	last           Fingerprint
+	repeats        int32
+	children       int32
+	active         *call
+	queue          []*call
+}
+
+type keyID struct {
+	program domain.ProgramID
+	key     string
+}
+
+// The states of an idempotency key. A queued key has no record.
+const (
+	keyQueued uint8 = iota
+	keyStarted
+	keyDone
+	keyUnknown
+)
+
+// Store holds the programs of one shard. It is not safe for concurrent use.
+type Store struct {
+	shard     domain.ShardID
+	epoch     domain.Epoch
+	active    bool
+	vm        *VMState
+	view      *config.View
+	ledger    *ledger.Ledger
+	programs  map[domain.ProgramID]*program
+	calls     map[domain.CallID]*call
+	keys      map[keyID]*KeyState
+	done      map[domain.CallID]*DoneState
+	releases  map[Release]time.Time
+	cancels   map[domain.CallID]cancel
+	funding   []*call
+	names     map[string]string
+	doneOrder []*DoneState
+	keyOrder  []*KeyState
+	endOrder  []*program
+	scanned   time.Time
+	forgot    time.Time
+	ticked    time.Time
+	// appended and committed count the records since Activate.
+	appended, committed uint64
+	kept                []dependent
+}
+
+type cancel struct {
+	reason domain.Reason
+	sentAt time.Time
+}
+
+// New returns the empty store of a shard. A backup only calls Apply, and Tick
+// to forget what is old; an owner calls Activate after the last record.
+func New(shard domain.ShardID, vm *VMState) *Store {
+	return &Store{
+		shard: shard, vm: vm, ledger: ledger.New(shard),
+		programs: map[domain.ProgramID]*program{}, calls: map[domain.CallID]*call{},
+		keys: map[keyID]*KeyState{}, done: map[domain.CallID]*DoneState{},
+		releases: map[Release]time.Time{}, cancels: map[domain.CallID]cancel{}, names: map[string]string{},
+	}
+}
+
+// Activate starts to decide as owner at an epoch. Calls that wait are not part
+// of the records; their entry VMs send BeginCall again.
+func (s *Store) Activate(now time.Time, epoch domain.Epoch, v *config.View) Effects {
+	s.active, s.epoch = true, epoch
+	s.appended, s.committed, s.kept = 0, 0, nil
+	for _, c := range s.calls {
+		s.vm.accounts[c.Program.Account]++
+		s.vm.started(c.target, c.Call, c.Fingerprint)
+	}
+	var e Effects
+	s.configure(now, v, &e)
+	s.tick(now, &e)
+	return s.result(e)
+}
+
+// Deactivate gives up ownership. The store is then of no further use; the VM
+// builds a new one from the records if it stays backup.
+func (s *Store) Deactivate() {
+	s.active = false
+	for _, c := range s.calls {
+		if c.state != waiting {
+			s.vm.accounts[c.Program.Account]--
+		}
+		s.vm.stopped(c.target, c.Call)
+	}
+}
+
+// Entries returns the VMs that have calls here, to be checked against
+// membership after Activate.
+func (s *Store) Entries() map[domain.VM]bool {
+	out := map[domain.VM]bool{}
+	for _, c := range s.calls {
+		out[c.Entry] = true
+	}
+	return out
+}
+
+// Committed reports that the first count records since Activate are durable
+// and replicated. It returns the effects that waited for them.
+func (s *Store) Committed(count uint64) Effects {
+	s.committed = max(s.committed, count)
+	var e Effects
+	for len(s.kept) > 0 && s.kept[0].count <= s.committed {
+		e.release(s.kept[0])
+		s.kept[0] = dependent{}
+		s.kept = s.kept[1:]
+	}
+	return e
+}
+
+func (e *Effects) release(d dependent) {
+	e.Sends = append(e.Sends, d.sends...)
+	e.Outbound = append(e.Outbound, d.outbound...)
+	e.Releases = append(e.Releases, d.releases...)
+}
+
+// result keeps back what depends on records that are not committed, including
+// records of earlier decisions.
+func (s *Store) result(e Effects) Effects {
+	d := e.kept
+	e.kept = dependent{}
+	if s.committed >= s.appended {
+		e.release(d)
+	} else if len(d.sends)+len(d.outbound)+len(d.releases) > 0 {
+		d.count = s.appended
+		s.kept = append(s.kept, d)
+	}
+	return e
+}
+
+func (s *Store) emit(e *Effects, r domain.Record) {
+	s.Apply(r)
+	s.appended++
+	e.Records = append(e.Records, r)
+}
+
+// reply sends a message when all records so far are committed.
+func (e *Effects) reply(to domain.VM, m domain.Message) {
+	e.kept.sends = append(e.kept.sends, domain.Send{To: to, Body: m})
+}
+
+func (e *Effects) refuse(c *BeginCall, r *domain.Refusal) {
+	e.reply(c.Entry, &CallRefused{Call: c.Call, Program: c.Program, Refusal: *r})
+}
+
+// addLedger takes over the ledger's effects. Its records are applied already.
+func (s *Store) addLedger(e *Effects, l ledger.Effects) {
+	s.appended += uint64(len(l.Records))
+	e.Records = append(e.Records, l.Records...)
+	e.kept.outbound = append(e.kept.outbound, l.Outbound...)
+}
+
+// Step handles a message of another VM or shard.
+func (s *Store) Step(now time.Time, msg domain.Message) Effects {
+	var e Effects
+	switch m := msg.(type) {
+	case *BeginCall:
+		s.begin(now, m, &e)
+	case *FinishCall:
+		s.finish(now, m, &e)
+	case *FailCall:
+		s.fail(now, m, &e)
+	case *CallEnded:
+		s.callerGone(now, m, &e)
+	case *EndProgram:
+		s.endRequest(now, m, &e)
+	case *GetProgram:
+		s.get(m, &e)
+	default:
+		s.addLedger(&e, s.ledger.Step(now, msg))
+		s.fund(now, &e)
+	}
+	return s.result(e)
+}
+
+// Ledger returns the shard's ledger for forecasts and figures.
+func (s *Store) Ledger() *ledger.Ledger { return s.ledger }
+
+// Tick repeats what is unconfirmed, ends idle and overdue programs, and forgets
+// what is old.
+func (s *Store) Tick(now time.Time) Effects {
+	var e Effects
+	if s.active {
+		s.tick(now, &e)
+	}
+	s.forget(now)
+	return s.result(e)
+}
+
+// NextWake returns the time of the next Tick.
+func (s *Store) NextWake() time.Time {
+	wake := s.ledger.NextWake()
+	if len(s.releases)+len(s.cancels)+len(s.funding) > 0 {
+		return earlier(wake, s.ticked.Add(cancelInterval))
+	}
+	return earlier(wake, s.scanned.Add(scanInterval))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// name returns one copy of equal strings, because each decoded record brings
+// its own copy of the account, model and target names.
+func (s *Store) name(v string) string {
+	if known, ok := s.names[v]; ok {
+		return known
+	}
+	s.names[v] = v
+	return v
+}
+
+// chain calls f for the program and all its ancestors.
+func (s *Store) chain(p *program, f func(*program)) {
+	for p != nil {
+		f(p)
+		p = s.parentOf(p)
+	}
+}
+
+func (s *Store) parentOf(p *program) *program {
+	if p.parent == "" {
+		return nil
+	}
+	return s.programs[domain.ProgramID{Account: p.id.Account, Name: p.parent}]
+}
+
+// budget returns the bound on the spend of a program and its descendants.
+func (s *Store) budget(p *program) domain.Micros {
+	var budget domain.Micros
+	if spec := s.view.Account(p.id.Account); spec != nil {
+		budget = spec.ProgramBudget
+	}
+	if p.parent != "" && p.started != 0 {
+		return min(budget, p.cap)
+	}
+	return budget
+}
+
+// remaining returns what the program may still reserve: the least of what is
+// left to itself and to each ancestor.
+func (s *Store) remaining(p *program) domain.Micros {
+	left := s.budget(p)
+	s.chain(p, func(q *program) { left = min(left, s.budget(q)-q.spent-q.reserved-q.held) })
+	return left
+}
--- /dev/null
+++ b/core/program/suspects.go
@@ -0,0 +1,146 @@
+package program
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+const (
+	// suspicionTime is how long a crash is remembered after its last report.
+	suspicionTime = time.Hour
+	// maxCrashes bounds the remembered crashes; the oldest is dropped.
+	maxCrashes = 1024
+	// refusedAfter is the number of crashes that refuse a request.
+	refusedAfter = 2
+)
+
+type crashID struct {
+	target domain.Target
+	number uint64
+}
+
+type crash struct {
+	at       time.Time
+	inFlight map[Fingerprint]bool
+}
+
+// VMState is shared by the stores of one VM: calls in flight for each account
+// and target, and the crash suspects.
+type VMState struct {
+	accounts map[domain.Account]int
+	targets  map[domain.Target]map[domain.CallID]Fingerprint
+	crashes  map[crashID]*crash
+}
+
+// NewVMState returns the empty state of a VM.
+func NewVMState() *VMState {
+	return &VMState{
+		accounts: map[domain.Account]int{},
+		targets:  map[domain.Target]map[domain.CallID]Fingerprint{},
+		crashes:  map[crashID]*crash{},
+	}
+}
+
+// Step merges the suspicions of another VM.
+func (v *VMState) Step(now time.Time, msg domain.Message) {
+	switch m := msg.(type) {
+	case *Suspicion:
+		v.suspect(now, m)
+	case *Cleared:
+		v.clear(m.Fingerprint)
+	}
+}
+
+func (v *VMState) suspect(now time.Time, m *Suspicion) {
+	id := crashID{m.Target, m.Crash}
+	c := v.crashes[id]
+	if c == nil {
+		v.makeRoom(now)
+		c = &crash{inFlight: map[Fingerprint]bool{}}
+		v.crashes[id] = c
+	}
+	c.at = now
+	for _, f := range m.Fingerprints {
+		if _, known := c.inFlight[f]; !known {
+			c.inFlight[f] = true
+		}
+	}
+}
+
+func (v *VMState) makeRoom(now time.Time) {
+	maps.DeleteFunc(v.crashes, func(_ crashID, c *crash) bool { return now.Sub(c.at) > suspicionTime })
+	if len(v.crashes) < maxCrashes {
+		return
+	}
+	var oldest crashID
+	for id, c := range v.crashes {
+		if o := v.crashes[oldest]; o == nil || c.at.Before(o.at) {
+			oldest = id
+		}
+	}
+	delete(v.crashes, oldest)
+}
+
+// clear ends the suspicion of a completed request. It stays counted in k, so
+// that the suspicion of the others does not grow by it.
+func (v *VMState) clear(f Fingerprint) bool {
+	cleared := false
+	for _, c := range v.crashes {
+		if c.inFlight[f] {
+			c.inFlight[f] = false
+			cleared = true
+		}
+	}
+	return cleared
+}
+
+// Suspicion returns the sum of 1/k over the crashes of the request, and
+// whether it must run alone or be refused.
+func (v *VMState) Suspicion(now time.Time, f Fingerprint) (sum float64, alone, refused bool) {
+	crashes, lone := 0, 0
+	for _, c := range v.crashes {
+		if !c.inFlight[f] || now.Sub(c.at) > suspicionTime {
+			continue
+		}
+		crashes++
+		sum += 1 / float64(len(c.inFlight))
+		if len(c.inFlight) == 1 {
+			lone++
+		}
+	}
+	return sum, crashes > 0, crashes >= refusedAfter && lone > 0
+}
+
+// crashed returns the suspicion that a failed call gives rise to. The first
+// report of a crash names everything in flight on the target; a later report
+// adds its own call only, because the others may run on the restarted target.
+func (v *VMState) crashed(now time.Time, m *FailCall, f Fingerprint) *Suspicion {
+	s := &Suspicion{Target: m.Target, Crash: m.Crash, Fingerprints: []Fingerprint{f}}
+	if v.crashes[crashID{m.Target, m.Crash}] == nil {
+		for _, other := range v.targets[m.Target] {
+			s.Fingerprints = append(s.Fingerprints, other)
+		}
+	}
+	slices.SortFunc(s.Fingerprints, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	s.Fingerprints = slices.Compact(s.Fingerprints)
+	v.suspect(now, s)
+	return s
+}
+
+func (v *VMState) started(t domain.Target, id domain.CallID, f Fingerprint) {
+	if v.targets[t] == nil {
+		v.targets[t] = map[domain.CallID]Fingerprint{}
+	}
+	v.targets[t][id] = f
+}
+
+func (v *VMState) stopped(t domain.Target, id domain.CallID) {
+	delete(v.targets[t], id)
+	if len(v.targets[t]) == 0 {
+		delete(v.targets, t)
+	}
+}
