Extend the tests of programs

Cause: changing single lines of core/program in a scratch copy showed faults that no test noticed: a budget that is passed by a few micros, the commit of a replaced attempt, a key that stays taken and counts of calls that drift. Change: the random runs prefer the newest call and compare the VM's counts; direct tests cover these faults, the cut-off root, idleness and wall time.

--- a/core/program/program_test.go
+++ b/core/program/program_test.go
@@ -34,13 +34,13 @@
 				delete(inFlight, r.Program)
 			}
 		}
-		for _, id := range w.started {
+		for _, b := range w.started {
 			found := false
 			for _, record := range w.log[:w.committed] {
 				s, ok := record.(*CallStarted)
-				found = found || ok && s.Begin.Call == id
+				found = found || ok && s.Begin.Call == b.Call
 			}
-			must.True(t, found, must.Sprintf("%s was sent without a committed record", id))
+			must.True(t, found, must.Sprintf("%s was sent without a committed record", b.Call))
 		}
 	})
 }
@@ -135,6 +135,27 @@
 	}
 }
 
+// Guards against the commit of an attempt that was replaced, and against a key
+// that stays taken when the owner stops between two attempts.
+func TestReplacedAttempt(t *testing.T) {
+	r := newRig(t, settings(nil))
+	b := begin("c", "p")
+	b.Key = "k"
+	r.step(b)
+	r.place("t1", true)
+	r.step(failure(b, 1, FailCrashed, "t1", 1))
+	r.place("t2", true)
+	r.step(finish(b, 1, 1))
+	must.Eq(t, domain.ReasonOutcomeUnknown, r.refused().Reason)
+	must.Eq(t, 0, r.store.programs[b.Program].spent)
+	r.step(failure(b, 2, FailRefused, "t2", 0))
+	r.takeover(0)
+	again := *b
+	again.Call = "c2"
+	r.step(&again)
+	must.Len(t, 1, r.ready)
+}
+
 // Guards against a resend that runs a call again after both copies of its
 // record are lost.
 func TestRunOnceWithoutRecord(t *testing.T) {
@@ -198,7 +219,7 @@
 			r := newRig(t, settings(nil))
 			b := begin("c", "p")
 			b.RunOnce, b.Key = true, "k"
-			w := &world{rig: r, attempts: map[domain.CallID]uint32{}, runs: map[domain.CallID]int{}, ended: map[domain.CallID]domain.Message{}}
+			w := &world{rig: r, begins: []*BeginCall{b}, attempts: map[domain.CallID]uint32{}, runs: map[domain.CallID]int{}, ended: map[domain.CallID]domain.Message{}}
 			r.holdBack = true
 			for i, step := range []func(){
 				func() { r.step(b) }, func() { r.commit(len(r.log)) }, func() { r.place("t1", true) },
@@ -328,11 +349,15 @@
 		return b
 	}
 	r.run(child("c2"), 10)
-	r.step(child("c3"))
-	r.step(begin("c4", "p"))
+	third := child("c3")
+	third.TokenLimit = 9
+	r.step(third)
+	rest := begin("c4", "p")
+	rest.PromptTokens, rest.TokenLimit = 1, 1
+	r.step(rest)
 	must.Eq(t, domain.ReasonProgramBudget, r.refused().Reason)
-	must.StrContains(t, r.refused().Remedy, "0.000020 is missing")
-	r.place("t1", true)
+	must.StrContains(t, r.refused().Remedy, "0.000001 is missing")
+	must.True(t, r.place("t1", true))
 	r.log = r.store.Snapshot()
 	r.committed = len(r.log)
 	r.takeover(0)
@@ -343,11 +368,56 @@
 	r = newRig(t, settings(nil))
 	r.run(begin("c1", "p"), 1)
 	r.step(child("c2"))
+	r.step(begin("c3", "child"))
+	r.step(&CallEnded{Call: "c2", Entry: entry})
+	must.True(t, r.place("t1", true))
+	must.Eq(t, 20, r.store.programs[begin("", "p").Program].reserved)
+	r.checkRebuild()
+	r = newRig(t, settings(nil))
+	r.run(begin("c1", "p"), 1)
+	r.step(child("c2"))
 	r.step(&EndProgram{Program: begin("", "p").Program})
 	must.False(t, r.place("t1", true), must.Sprint("a call of a sub-agent started after the end of its parent"))
 	must.Eq(t, domain.ReasonProgramEnded, r.refused().Reason)
 }
 
+// Guards against a call that waits for ever for budget, or that starts without
+// it, when the root is not reached.
+func TestBudgetUnreachable(t *testing.T) {
+	r := newRig(t, settings(nil))
+	r.cutOff = true
+	r.step(begin("c", "p"))
+	for range 10 {
+		must.SliceEmpty(t, r.ready)
+		must.False(t, r.store.NextWake().After(r.now.Add(cancelInterval)))
+		r.now = r.now.Add(250 * time.Millisecond)
+		r.take(r.store.Tick(r.now))
+	}
+	must.Eq(t, domain.ReasonBudgetUnreachable, r.refused().Reason)
+	must.StrContains(t, r.refused().Remedy, "0.000020 is missing")
+	must.MapEmpty(t, r.store.programs)
+}
+
+// Guards against programs that are never ended although their callers are gone,
+// and against the end of a program at work.
+func TestIdleAndTimeLimit(t *testing.T) {
+	r := newRig(t, settings(func(_ *config.AccountSpec, p *config.PresetSpec) { p.MaxWallTime = 2 * idleTime }))
+	r.run(begin("c1", "p"), 1)
+	r.run(begin("c2", "q"), 1)
+	r.step(begin("c3", "q"))
+	r.place("t1", true)
+	r.now = r.now.Add(idleTime)
+	r.take(r.store.Tick(r.now))
+	reason := func(name string) domain.Reason { return r.store.programs[begin("", name).Program].reason }
+	must.Eq(t, domain.ReasonProgramEnded, reason("p"))
+	must.Eq(t, "", reason("q"))
+	r.now = r.now.Add(idleTime)
+	r.take(r.store.Tick(r.now))
+	must.Eq(t, domain.ReasonTimeLimit, reason("q"))
+	must.Eq(t, domain.ReasonTimeLimit, r.sent[len(r.sent)-1].(*CancelCall).Reason)
+	r.checkRebuild()
+}
+
 // Guards against engine memory that stays held after the end of a program, when
 // orders are lost or the owner changes.
 func TestReleaseRepeated(t *testing.T) {
--- a/core/program/rig_test.go
+++ b/core/program/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,7 @@
 	committed int
 	epoch     domain.Epoch
 	holdBack  bool // records stay uncommitted until commit is called
+	cutOff    bool // the root of the budget is not reached
 	sent      []domain.Message
 	ready     []Ready
 	releases  []Release
@@ -114,6 +116,9 @@
 	r.ready = append(r.ready, e.Ready...)
 	r.releases = append(r.releases, e.Releases...)
 	r.broadcast = append(r.broadcast, e.Broadcast...)
+	if r.cutOff {
+		return
+	}
 	for _, o := range e.Outbound {
 		r.take(r.store.Step(r.now, o.Body))
 	}
@@ -221,7 +226,7 @@
 	attempts map[domain.CallID]uint32 // the highest attempt sent to a target
 	runs     map[domain.CallID]int
 	ended    map[domain.CallID]domain.Message
-	started  []domain.CallID
+	started  []*BeginCall
 }
 
 func explore(t *testing.T, v *config.View, check func(must.T, *world)) {
@@ -236,17 +241,39 @@
 			w.act(t)
 			w.now = w.now.Add(300 * time.Millisecond)
 			check(t, w)
+			w.checkCounts()
 		}
 		w.checkRebuild()
 	})
 }
 
+// checkCounts compares the VM's counts with the calls in flight.
+func (w *world) checkCounts() {
+	inFlight, onTargets := 0, 0
+	for _, c := range w.store.calls {
+		if c.state != waiting {
+			inFlight++
+		}
+		if c.state == running {
+			onTargets++
+		}
+	}
+	for _, calls := range w.vm.targets {
+		onTargets -= len(calls)
+	}
+	must.Eq(w.t, inFlight, w.vm.accounts[account])
+	must.Eq(w.t, 0, onTargets)
+}
+
 func (w *world) act(t *rapid.T) {
 	action := rapid.IntRange(0, 15).Draw(t, "action")
 	var b *BeginCall
 	if len(w.begins) > 0 {
 		b = w.begins[rapid.IntRange(0, len(w.begins)-1).Draw(t, "call")]
 	}
+	if n := len(w.started); n > 0 && rapid.Bool().Draw(t, "newest") {
+		b = w.started[n-1]
+	}
 	switch {
 	case action == 0 || b == nil:
 		w.begin(t)
@@ -310,7 +337,8 @@
 			if w.ended[m.Call] == nil && m.Attempt > w.attempts[m.Call] {
 				w.attempts[m.Call] = m.Attempt
 				w.runs[m.Call]++
-				w.started = append(w.started, m.Call)
+				i := slices.IndexFunc(w.begins, func(b *BeginCall) bool { return b.Call == m.Call })
+				w.started = append(w.started, w.begins[i])
 			}
 		case *CallCommitted:
 			w.ended[m.Call] = m
