Find the ledger's next wake-up without visiting all accounts

Cause: the controller asks for the next wake-up after each event, and the ledger visited all accounts of the shard each time. Change: the ledger remembers whether something may be unanswered and checks all accounts in Tick only. Conclusion: the query no longer grows with the number of accounts.

--- a/core/ledger/escrow.go
+++ b/core/ledger/escrow.go
@@ -198,7 +198,7 @@
 	if l.view == nil {
 		return e
 	}
-	l.ticked = now
+	l.ticked, l.urgent = now, false
 	month := MonthOf(now)
 	for _, k := range sortedKeys(l.holders) {
 		h := l.holders[k]
@@ -223,6 +223,9 @@
 	if err != nil {
 		return
 	}
+	if h.Pending > 0 || h.wanted > 0 && h.Month == MonthOf(now) {
+		l.urgent = true
+	}
 	if h.Pending > 0 && now.Sub(h.sentAt) >= resendInterval {
 		h.sentAt = now
 		e.send(shard, l.giveBack(h))
@@ -240,6 +243,7 @@
 func (l *Ledger) tickRoot(now time.Time, b *root, e *Effects) {
 	for _, p := range b.sorted() {
 		if p.Pending > 0 {
+			l.urgent = true
 			l.resendRelease(now, b, p, e)
 		}
 	}
@@ -254,17 +258,8 @@
 
 // NextWake returns the time of the next Tick.
 func (l *Ledger) NextWake() time.Time {
-	for _, h := range l.holders {
-		if h.Pending > 0 || h.wanted > 0 {
-			return l.ticked.Add(resendInterval)
-		}
-	}
-	for _, b := range l.roots {
-		for _, p := range b.peers {
-			if p.Pending > 0 {
-				return l.ticked.Add(resendInterval)
-			}
-		}
+	if l.urgent {
+		return l.ticked.Add(resendInterval)
 	}
 	return l.ticked.Add(reportInterval)
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -54,6 +54,9 @@
 	roots   map[key]*root
 	usage   map[domain.Account]*usage
 	ticked  time.Time
+	// urgent says that a transfer or a request may be unanswered. It is kept so
+	// that NextWake, which follows each event, does not visit all accounts.
+	urgent bool
 }
 
 type holder struct {
@@ -136,7 +139,7 @@
 	if !h.deniedAt.IsZero() && now.Sub(h.deniedAt) < deniedFor && missing > h.rootFree {
 		return reservation, Refused, refusal(h.reason, account, missing-h.rootFree, now), Effects{}
 	}
-	h.wanted = max(h.wanted, missing)
+	h.wanted, l.urgent = max(h.wanted, missing), true
 	var e Effects
 	if now.Sub(h.askedAt) >= resendInterval {
 		l.ask(now, h, &e)
@@ -197,6 +200,7 @@
 }
 
 func (l *Ledger) applySent(r *TransferSent) {
+	l.urgent = true
 	if r.Return {
 		h := l.holder(key{r.Account, r.Month})
 		h.Returned += r.Amount
--- a/core/program/doc.go
+++ b/core/program/doc.go
@@ -20,8 +20,8 @@
 // ancestors at once, both while it is reserved and when it is charged. So the
 // budget of a program bounds the sum of its own charges and those of all its
 // descendants, without amounts set aside that a child does not use. A child's
-// own bound is what is left of its parent's when its first call arrives. The end of a parent ends
-// its children.
+// own bound is what is left of its parent's when its first call starts. The end
+// of a parent ends its children.
 //
 // # Run-once calls
 //
--- a/core/program/program_test.go
+++ b/core/program/program_test.go
@@ -523,6 +523,7 @@
 		must.NoError(b, err)
 		commit(placed)
 		commit(s.Step(start, finish(c, 1, 1)))
+		s.NextWake()
 		if i%10_000 == 0 {
 			s.forget(start.Add(doneTime))
 		}
