Tell a silent pooled connection from a crash

Cause: a call on a pooled connection that had gone silent ended as a crash, and the caller would have suspected the request. Change: when a running engine does not know the call, the failure is a time-out and the idle connections are closed. Conclusion: the next call runs on a new connection; the caller decides on the retry, since the request may still arrive.

--- a/adapter/target/call.go
+++ b/adapter/target/call.go
@@ -248,6 +248,9 @@
 		return failure
 	case verdict == verdictHung:
 		return s.lost(port.FailureTimeout, errHung)
+	case verdict == verdictUnheard:
+		s.client.calls.CloseIdleConnections() // the others may be silent too
+		return s.lost(port.FailureTimeout, errUnheard)
 	case verdict == verdictLost:
 		return s.lost(s.crashKind(), errLost)
 	case s.resumes >= s.client.settings.MaxResumes:
--- a/adapter/target/target_test.go
+++ b/adapter/target/target_test.go
@@ -137,6 +137,18 @@
 	}
 }
 
+// Guards against a pooled connection that went silent between two calls and is
+// taken for a crash by the request, or is used again.
+func TestSilentIdleConnection(t *testing.T) {
+	b := newBench(t, engine.Settings{TimeScale: 1e4}, quick)
+	b.whole("1", chatBody("hello", true))
+	b.engine.Inject(engine.Fault{Kind: engine.FaultSilent})
+	_, err := b.call(context.Background(), "2", chatBody("hello", true))
+	must.Eq(t, port.FailureTimeout, kindOf(t, err).Kind, must.Sprint(err))
+	must.True(t, kindOf(t, err).MayHaveRun())
+	b.whole("3", chatBody("hello", true))
+}
+
 // Guards against an engine that is only slow and is taken for silent.
 func TestSlowEngineIsNotSilent(t *testing.T) {
 	b := newBench(t, engine.Settings{DecodePerSecond: 10, AnswerTokens: 6}, quick)
--- a/adapter/target/watchdog.go
+++ b/adapter/target/watchdog.go
@@ -17,8 +17,9 @@
 const maxFailedChecks = 3
 
 var (
-	errLost = errors.New("the engine has lost the call, or cannot be reached")
-	errHung = errors.New("the engine's control interface does not answer")
+	errLost    = errors.New("the engine has lost the call, or cannot be reached")
+	errUnheard = errors.New("the engine does not know the call; the connection was silent before the request")
+	errHung    = errors.New("the engine's control interface does not answer")
 )
 
 // verdict is what a check found out about a connection without bytes.
@@ -31,6 +32,10 @@
 	verdictSilent
 	// verdictLost: the engine crashed or restarted.
 	verdictLost
+	// verdictUnheard: the engine runs and does not know the call, as a pooled
+	// connection was silent from the start. This is no crash, which would make
+	// the request suspect.
+	verdictUnheard
 	// verdictHung: the engine accepts connections and does not answer.
 	verdictHung
 )
@@ -137,7 +142,7 @@
 		if offset > 0 {
 			return verdictLost
 		}
-		return w.count(verdictLost)
+		return w.count(verdictUnheard)
 	case failure.Kind == port.FailureBadAnswer: // no such control interface
 		return verdictNone
 	case failure.Kind == port.FailureTimeout:
--- a/port/targets.go
+++ b/port/targets.go
@@ -95,7 +95,8 @@
 	FailureCrashedEarly
 	// FailureCrashed says that it was lost after some of the answer.
 	FailureCrashed
-	// FailureTimeout says that a time limit passed.
+	// FailureTimeout says that a time limit passed, or that no answer came and a
+	// running engine does not know the call.
 	FailureTimeout
 	// FailureBadAnswer says that the target answered with an error status, or
 	// not as its protocol or a size limit demands.
