--- a/adapter/target/watchdog.go
+++ b/adapter/target/watchdog.go
@@ -17,8 +17,9 @@
 const maxFailedChecks = 3
 
 var (
-	errLost = errors.New("the engine has lost the call, or cannot be reached")
-	errHung = errors.New("the engine's control interface does not answer")
+	errLost    = errors.New("the engine has lost the call, or cannot be reached")
+	errUnheard = errors.New("the engine does not know the call; the connection was silent before the request")
+	errHung    = errors.New("the engine's control interface does not answer")
 )
 
 // verdict is what a check found out about a connection without bytes.
@@ -31,6 +32,10 @@
 	verdictSilent
 	// verdictLost: the engine crashed or restarted.
 	verdictLost
+	// verdictUnheard: the engine runs and does not know the call, as a pooled
+	// connection was silent from the start. This is no crash, which would make
+	// the request suspect.
+	verdictUnheard
 	// verdictHung: the engine accepts connections and does not answer.
 	verdictHung
 )
@@ -50,6 +55,9 @@
 	// failed counts the checks of this wait that failed in a row.
 	failed   int
 	uploaded int64
+	// behind says that the last check of this wait found events that the
+	// connection had not delivered.
+	behind bool
 }
 
 func newWatchdog(s *stream) *watchdog {
@@ -62,7 +70,7 @@
 // start begins a wait on the connection that cut ends.
 func (w *watchdog) start(cut context.CancelFunc) {
 	w.mutex.Lock()
-	w.waiting, w.cut, w.found, w.failed = true, cut, verdictNone, 0
+	w.waiting, w.cut, w.found, w.failed, w.behind = true, cut, verdictNone, 0, false
 	w.wait++
 	w.mutex.Unlock()
 	w.timer.Reset(w.stream.client.settings.Silence)
@@ -107,7 +115,15 @@
 		w.cut()
 		return
 	}
-	w.timer.Reset(w.stream.client.settings.Silence)
+	w.timer.Reset(w.untilNext())
+}
+
+// untilNext is shorter when only a second look is missing.
+func (w *watchdog) untilNext() time.Duration {
+	if w.behind {
+		return w.stream.client.settings.Silence / 2
+	}
+	return w.stream.client.settings.Silence
 }
 
 // judge is called with the mutex held.
@@ -117,18 +133,16 @@
 	switch {
 	case err == nil && status.Cancelled:
 		return verdictLost
-	case err == nil && (status.Done || status.Events > offset):
-		return verdictSilent
 	case err == nil:
 		w.failed = 0
-		return verdictNone
+		return w.compare(status, offset)
 	case !errors.As(err, &failure) || failure.Kind == port.FailureCancelled:
 		return verdictNone
 	case errorCode(err) == codeCallUnknown:
 		if offset > 0 {
 			return verdictLost
 		}
-		return w.count(verdictLost)
+		return w.count(verdictUnheard)
 	case failure.Kind == port.FailureBadAnswer: // no such control interface
 		return verdictNone
 	case failure.Kind == port.FailureTimeout:
@@ -137,6 +151,17 @@
 	return w.count(verdictLost)
 }
 
+// compare takes a connection for silent when two checks in a row found it
+// behind the engine, because a single one may meet bytes on their way.
+func (w *watchdog) compare(status callStatus, offset int64) verdict {
+	before := w.behind
+	w.behind = status.Done || status.Events > offset
+	if before && w.behind {
+		return verdictSilent
+	}
+	return verdictNone
+}
+
 // count returns the verdict after enough failed checks. A large request on a
 // narrow link is unknown to the engine while it is sent, so progress of the
 // upload starts the count again.
