Add failure detection with suspicion, refutation and silent connections

Cause: takeovers need a dead VM to be found within 1.5 s at a bounded cost. Acks carry the sender's own entry: without it a monitor declared an outdated incarnation dead, and only 24 of 95 members believed it.

--- /dev/null
+++ b/core/membership/membership.go
@@ -0,0 +1,346 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Defaults of the settings. A dead VM is found within the sum of an interval, a
+// timeout and the time from doubt to death: 1.3 s, plus one round trip.
+const (
+	DefaultInterval = 500 * time.Millisecond
+	DefaultTimeout  = 200 * time.Millisecond
+	DefaultRetry    = 100 * time.Millisecond
+	DefaultSuspect  = 300 * time.Millisecond
+	DefaultDead     = 600 * time.Millisecond
+	// DefaultMonitors is the number of ring successors that a VM probes.
+	DefaultMonitors = 2
+	// DefaultHelpers is the number of members asked for an indirect probe.
+	DefaultHelpers = 3
+	// DefaultMaxUpdates bounds the updates in one message, and with it the cost
+	// while all VMs start.
+	DefaultMaxUpdates = 4
+)
+
+// spreadFactor times the logarithm of the number of members is the number of
+// messages that carry one update.
+const spreadFactor = 2
+
+// urgentFactor multiplies the messages of a suspicion or death, which then goes
+// before other changes.
+const urgentFactor = 2
+
+// spreadFanout is the number of members that hear of a change at once.
+const spreadFanout = 3
+
+// gossipInterval bounds the messages that changes cause when many arrive at
+// once, as when all VMs start; the changes between travel with the probes.
+const gossipInterval = 20 * time.Millisecond
+
+// Config holds the settings. Zero values take the defaults.
+type Config struct {
+	// Interval is the time between two probes of one member.
+	Interval time.Duration
+	// Timeout is the wait for an answer before a member is doubted.
+	Timeout time.Duration
+	// Retry is the time between two probes of a doubted member.
+	Retry time.Duration
+	// Suspect and Dead are the times without a sign of life, after the first
+	// doubt, until the member is called suspect and dead.
+	Suspect, Dead time.Duration
+	Monitors      int
+	Helpers       int
+	MaxUpdates    int
+	Rand          *rand.Rand
+}
+
+// Effects are the results of one step.
+type Effects struct {
+	Sends   []domain.Send
+	Changes []Member
+	// ReplaceConnections lists live VMs whose connection is silent although
+	// probes on other paths are answered.
+	ReplaceConnections []domain.VM
+}
+
+// update is a change that is still being spread.
+type update struct {
+	member Member
+	left   int
+}
+
+// Membership is the view of one VM. It is not safe for concurrent use.
+type Membership struct {
+	config   Config
+	self     domain.VM
+	members  map[domain.VM]*Member
+	listed   map[domain.VM]bool
+	heard    map[domain.VM]time.Time
+	since    map[domain.VM]time.Time // of the state of a suspect
+	probes   map[domain.VM]*probe
+	ring     []domain.VM // see ringOrder; nil when it must be built again
+	position int         // of this VM in the ring
+	updates  []*update
+	sequence uint64
+	refresh  int
+	nextPing time.Time
+	// nextGossip is the earliest time of the next gossip.
+	nextGossip time.Time
+	nextTick   time.Time
+	out        Effects
+}
+
+// New returns a membership that knows only itself. Self.Incarnation must be
+// above that of every earlier process of the VM, for example its start time.
+func New(c Config, self Member, now time.Time) *Membership {
+	setDefault(&c.Interval, DefaultInterval)
+	setDefault(&c.Timeout, DefaultTimeout)
+	setDefault(&c.Retry, DefaultRetry)
+	setDefault(&c.Suspect, DefaultSuspect)
+	setDefault(&c.Dead, DefaultDead)
+	setDefault(&c.Monitors, DefaultMonitors)
+	setDefault(&c.Helpers, DefaultHelpers)
+	setDefault(&c.MaxUpdates, DefaultMaxUpdates)
+	m := &Membership{
+		config:  c,
+		self:    self.VM,
+		members: map[domain.VM]*Member{self.VM: &self},
+		listed:  map[domain.VM]bool{},
+		heard:   map[domain.VM]time.Time{},
+		since:   map[domain.VM]time.Time{},
+		probes:  map[domain.VM]*probe{},
+	}
+	// The first probe is spread over one interval, so that VMs started together
+	// do not probe at the same time.
+	m.nextPing = now.Add(time.Duration(c.Rand.Int64N(int64(c.Interval))))
+	m.nextTick = m.nextPing
+	return m
+}
+
+func setDefault[T time.Duration | int](value *T, other T) {
+	if *value == 0 {
+		*value = other
+	}
+}
+
+// Members returns all known members in the order of their names, with this VM.
+func (m *Membership) Members() []Member {
+	out := make([]Member, 0, len(m.members))
+	for _, vm := range slices.Sorted(maps.Keys(m.members)) {
+		out = append(out, *m.members[vm])
+	}
+	return out
+}
+
+// Alive is false for VMs that are dead or unknown.
+func (m *Membership) Alive(vm domain.VM) bool {
+	known := m.members[vm]
+	return known != nil && known.State != Dead
+}
+
+// NextWake returns the time of the next Tick.
+func (m *Membership) NextWake() time.Time { return m.nextTick }
+
+// UpdateList takes the platform's lagging list. It adds unknown VMs, marks
+// leaving ones, and lets dead VMs that are no longer listed be forgotten. It
+// never revives a VM that the probes found dead.
+func (m *Membership) UpdateList(now time.Time, list []Member) Effects {
+	clear(m.listed)
+	for _, entry := range list {
+		m.listed[entry.VM] = true
+		known := m.members[entry.VM]
+		switch {
+		case known == nil:
+			entry.State = min(entry.State, Leaving)
+			m.adopt(now, entry)
+		case entry.State == Leaving && known.State == Alive && entry.VM == m.self:
+			m.announce(now, func(self *Member) { self.State = Leaving })
+		case entry.State == Leaving && known.State == Alive:
+			leaving := *known
+			leaving.State = Leaving
+			m.adopt(now, leaving)
+		}
+	}
+	for vm, known := range m.members {
+		if known.State == Dead && !m.listed[vm] {
+			delete(m.members, vm)
+			delete(m.heard, vm)
+		}
+	}
+	m.ring = nil
+	return m.take()
+}
+
+// Leave announces a planned stop.
+func (m *Membership) Leave(now time.Time) Effects {
+	m.announce(now, func(self *Member) { self.State = Leaving })
+	return m.take()
+}
+
+// SetReady announces whether this VM can hold shards and take calls.
+func (m *Membership) SetReady(now time.Time, ready bool) Effects {
+	if m.members[m.self].Ready != ready {
+		m.announce(now, func(self *Member) { self.Ready = ready })
+	}
+	return m.take()
+}
+
+// announce changes this VM's own entry at a new incarnation.
+func (m *Membership) announce(now time.Time, change func(*Member)) {
+	self := *m.members[m.self]
+	change(&self)
+	self.Incarnation++
+	m.adopt(now, self)
+}
+
+// overrides reports whether news replaces what is known.
+func overrides(news, known Member) bool {
+	if news.Incarnation != known.Incarnation {
+		return news.Incarnation > known.Incarnation
+	}
+	return news.State > known.State
+}
+
+// merge takes an update from another VM. A claim that this VM is suspect or dead
+// is refuted with a higher incarnation.
+func (m *Membership) merge(now time.Time, news Member) {
+	known := m.members[news.VM]
+	if known == nil {
+		if news.State != Dead {
+			m.adopt(now, news)
+		}
+		return
+	}
+	if !overrides(news, *known) {
+		return
+	}
+	if news.VM == m.self {
+		m.announce(now, func(self *Member) { self.Incarnation = news.Incarnation })
+		return
+	}
+	m.adopt(now, news)
+}
+
+// adopt stores a change, reports it and starts to spread it.
+func (m *Membership) adopt(now time.Time, news Member) {
+	before := m.members[news.VM]
+	m.members[news.VM] = &news
+	m.since[news.VM] = now
+	m.out.Changes = append(m.out.Changes, news)
+	m.spread(news)
+	if before == nil || before.State == Dead || news.State == Dead {
+		delete(m.probes, news.VM)
+		m.ring = nil
+	}
+	if before != nil && urgent(*before, news) && !now.Before(m.nextGossip) {
+		m.nextGossip = now.Add(gossipInterval)
+		m.gossip()
+	}
+}
+
+// urgent reports whether a change must reach all members at once. Learning the
+// first facts about a VM from the platform's list is not urgent.
+func urgent(before, news Member) bool {
+	changed := news.State != before.State || news.Ready != before.Ready
+	return changed && (news.State >= Suspect || before.Incarnation > 0)
+}
+
+// spread queues an update for the next messages and drops what it replaces.
+func (m *Membership) spread(news Member) {
+	m.updates = slices.DeleteFunc(m.updates, func(u *update) bool { return u.member.VM == news.VM })
+	limit := spreadFactor
+	for n := len(m.members); n > 1; n /= 2 {
+		limit += spreadFactor
+	}
+	if news.State >= Suspect {
+		limit *= urgentFactor
+	}
+	m.queue(&update{news, limit})
+}
+
+// queue keeps the updates ordered by the messages they still go into, so that
+// fresh and urgent ones travel first.
+func (m *Membership) queue(u *update) {
+	at, _ := slices.BinarySearchFunc(m.updates, u.left-1, func(other *update, left int) int { return left - other.left })
+	m.updates = slices.Insert(m.updates, at, u)
+}
+
+// gossip sends the newest updates to a few members at once, so that a change
+// reaches all within a few hops rather than a few intervals.
+func (m *Membership) gossip() {
+	for range spreadFanout {
+		if vm := m.random(); vm != "" {
+			m.ping(vm, false)
+		}
+	}
+}
+
+// piggyback returns the updates for a message to a VM: what it must refute, then
+// the updates that are due in most further messages.
+func (m *Membership) piggyback(to domain.VM) []Member {
+	var out []Member
+	if known := m.members[to]; known != nil && (known.State == Suspect || known.State == Dead) {
+		out = append(out, *known)
+	}
+	count := min(len(m.updates), m.config.MaxUpdates-len(out))
+	sent := m.updates[:count]
+	m.updates = slices.Clone(m.updates[count:])
+	for _, u := range sent {
+		out = append(out, u.member)
+		u.left--
+		if u.left > 0 {
+			m.queue(u)
+		}
+	}
+	return out
+}
+
+// ringOrder returns the members that are not dead, ordered by a hash, so that
+// neighbours in a rack are not neighbours on the ring.
+func (m *Membership) ringOrder() []domain.VM {
+	if m.ring != nil {
+		return m.ring
+	}
+	weights := make(map[domain.VM]uint64, len(m.members))
+	for vm, member := range m.members {
+		if member.State != Dead {
+			weights[vm] = domain.Hash64("ring", string(vm))
+			m.ring = append(m.ring, vm)
+		}
+	}
+	slices.SortFunc(m.ring, func(a, b domain.VM) int {
+		return cmp.Or(cmp.Compare(weights[a], weights[b]), cmp.Compare(a, b))
+	})
+	m.position = slices.Index(m.ring, m.self)
+	return m.ring
+}
+
+// monitored returns the ring successors that this VM probes.
+func (m *Membership) monitored() []domain.VM {
+	ring := m.ringOrder()
+	var out []domain.VM
+	for i := 1; i <= m.config.Monitors && i < len(ring); i++ {
+		out = append(out, ring[(m.position+i)%len(ring)])
+	}
+	return out
+}
+
+// random returns a member other than this VM that is not dead, or "".
+func (m *Membership) random() domain.VM {
+	ring := m.ringOrder()
+	if len(ring) < 2 {
+		return ""
+	}
+	return ring[(m.position+1+m.config.Rand.IntN(len(ring)-1))%len(ring)]
+}
+
+func (m *Membership) take() Effects {
+	out := m.out
+	m.out = Effects{}
+	return out
+}
--- /dev/null
+++ b/core/membership/membership_test.go
@@ -0,0 +1,248 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/adapter/codec"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+const delay = 2 * time.Millisecond
+
+type packet struct {
+	at       time.Time
+	from, to domain.VM
+	body     domain.Message
+}
+
+// cluster runs members over a network that loses messages, with a manual clock.
+type cluster struct {
+	rng      *rand.Rand
+	now      time.Time
+	nodes    map[domain.VM]*Membership
+	order    []domain.VM
+	down     map[domain.VM]bool
+	silent   func(from, to domain.VM, m domain.Message) bool
+	packets  []packet
+	loss     float64
+	deaths   map[domain.VM]int // by dead VM, over all live members
+	replaced map[domain.VM]int
+	sent     func(from domain.VM, m domain.Message)
+}
+
+func newCluster(n int, loss float64) *cluster {
+	c := &cluster{
+		rng: rand.New(rand.NewPCG(7, uint64(n))), now: time.Unix(1000, 0), nodes: map[domain.VM]*Membership{},
+		down: map[domain.VM]bool{}, loss: loss, deaths: map[domain.VM]int{}, replaced: map[domain.VM]int{},
+	}
+	var list []Member
+	for i := range n {
+		vm := domain.VM(fmt.Sprintf("vm-%03d", i))
+		c.order = append(c.order, vm)
+		list = append(list, Member{VM: vm, DataCentre: domain.DataCentre(fmt.Sprintf("dc-%d", i%22)), Region: "r-1"})
+	}
+	for i, vm := range c.order {
+		self := list[i]
+		self.Incarnation, self.Ready = 1, true
+		c.nodes[vm] = New(Config{Rand: rand.New(rand.NewPCG(uint64(i), 3))}, self, c.now)
+		c.effects(vm, c.nodes[vm].UpdateList(c.now, list))
+	}
+	return c
+}
+
+func (c *cluster) effects(vm domain.VM, e Effects) {
+	for _, change := range e.Changes {
+		if change.State == Dead {
+			c.deaths[change.VM]++
+		}
+	}
+	for _, r := range e.ReplaceConnections {
+		c.replaced[r]++
+	}
+	for _, s := range e.Sends {
+		if c.sent != nil {
+			c.sent(vm, s.Body)
+		}
+		lost := c.rng.Float64() < c.loss || c.silent != nil && c.silent(vm, s.To, s.Body)
+		if !lost {
+			c.packets = append(c.packets, packet{c.now.Add(delay), vm, s.To, s.Body})
+		}
+	}
+}
+
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(delay)
+		due := c.packets
+		c.packets = nil
+		for _, p := range due {
+			if !c.down[p.to] {
+				c.effects(p.to, c.nodes[p.to].Step(c.now, p.from, p.body))
+			}
+		}
+		for _, vm := range c.order {
+			if m := c.nodes[vm]; !c.down[vm] && !c.now.Before(m.NextWake()) {
+				c.effects(vm, m.Tick(c.now))
+			}
+		}
+	}
+}
+
+// Guards against a dead VM that is found late, and against live VMs that are
+// declared dead with it.
+func TestDeadVMIsFoundInTime(t *testing.T) {
+	for _, n := range []int{2, 3, 6, 24, 96} {
+		for victim := range 3 {
+			c := newCluster(n, 0)
+			c.run(5 * time.Second)
+			must.MapEmpty(t, c.deaths)
+			vm := c.order[victim%n]
+			c.down[vm] = true
+			c.run(1500 * time.Millisecond)
+			must.Eq(t, map[domain.VM]int{vm: n - 1}, c.deaths, must.Sprintf("%d members", n))
+		}
+	}
+}
+
+// Guards against a silent connection that is kept, or that gets its peer
+// declared dead.
+func TestSilentConnection(t *testing.T) {
+	c := newCluster(6, 0)
+	c.run(3 * time.Second)
+	target := c.nodes[c.order[0]].monitored()[0]
+	c.silent = func(from, to domain.VM, m domain.Message) bool {
+		ping, ok := m.(*Ping)
+		return from == c.order[0] && to == target && !(ok && ping.Fresh)
+	}
+	c.run(5 * time.Second)
+	must.MapEmpty(t, c.deaths)
+	must.Positive(t, c.replaced[target])
+	must.MapLen(t, 1, c.replaced)
+}
+
+// Guards against false deaths on a network that loses a fifth of the messages.
+func TestNoFalseDeathUnderLoss(t *testing.T) {
+	c := newCluster(24, 0.2)
+	c.run(3 * time.Minute)
+	must.MapEmpty(t, c.deaths)
+}
+
+// Guards against a suspicion that a live VM cannot refute, and against a side
+// of a partition that stays dead for the other.
+func TestRefutation(t *testing.T) {
+	c := newCluster(8, 0)
+	c.run(2 * time.Second)
+	first, victim := c.nodes[c.order[0]], c.order[3]
+	claim := *first.members[victim]
+	claim.State = Suspect
+	c.effects(c.order[0], first.Step(c.now, c.order[1], &Ack{Updates: []Member{claim}}))
+	c.run(time.Second)
+	for _, m := range c.nodes {
+		must.Eq(t, Alive, m.members[victim].State)
+		must.Greater(t, claim.Incarnation, m.members[victim].Incarnation)
+	}
+	c.silent = func(from, to domain.VM, _ domain.Message) bool { return (from == victim) != (to == victim) }
+	c.run(5 * time.Second)
+	must.False(t, first.Alive(victim))
+	c.silent = nil
+	c.run(30 * time.Second)
+	for vm, m := range c.nodes {
+		for _, other := range c.order {
+			must.True(t, m.Alive(other), must.Sprintf("%s sees %s", vm, other))
+		}
+	}
+}
+
+// Guards against a planned stop or a ready flag that others do not see, and a
+// lagging list that revives a dead VM.
+func TestLeaveReadyAndList(t *testing.T) {
+	c := newCluster(6, 0)
+	c.run(2 * time.Second)
+	leaving, unready, dead := c.order[1], c.order[2], c.order[3]
+	c.effects(leaving, c.nodes[leaving].Leave(c.now))
+	c.effects(unready, c.nodes[unready].SetReady(c.now, false))
+	c.down[dead] = true
+	c.run(3 * time.Second)
+	m := c.nodes[c.order[0]]
+	must.Eq(t, Leaving, m.members[leaving].State)
+	must.False(t, m.members[unready].Ready)
+	must.False(t, m.Alive(dead))
+	m.UpdateList(c.now, []Member{{VM: dead}})
+	must.False(t, m.Alive(dead))
+	m.UpdateList(c.now, []Member{{VM: unready, State: Leaving}})
+	must.Eq(t, Leaving, m.members[unready].State)
+	must.Nil(t, m.members[dead])
+}
+
+// Guards against probe traffic that grows with the fleet beyond 9 KB/s a node,
+// both while all VMs start and later.
+func TestCostAt360(t *testing.T) {
+	c := newCluster(360, 0)
+	bytes, messages := measure(t, c)
+	c.report(t, "start", bytes, messages)
+	c.run(10 * time.Second)
+	c.report(t, "after 15 s", bytes, messages)
+	c.down[c.order[9]] = true
+	c.report(t, "one death", bytes, messages)
+	must.Eq(t, map[domain.VM]int{c.order[9]: 359}, c.deaths)
+}
+
+func (c *cluster) report(t *testing.T, name string, bytes, messages map[domain.VM]int) {
+	t.Helper()
+	const seconds = 5
+	clear(bytes)
+	clear(messages)
+	c.run(seconds * time.Second)
+	worst := 0
+	for _, b := range bytes {
+		worst = max(worst, b/seconds)
+	}
+	n := seconds * len(c.order)
+	t.Logf("%s: each member sends %.1f messages/s and %d bytes/s; the busiest %d bytes/s",
+		name, float64(sum(messages))/float64(n), sum(bytes)/n, worst)
+	must.Less(t, 6000, worst)
+}
+
+func measure(t testing.TB, c *cluster) (bytes, messages map[domain.VM]int) {
+	encoder, err := codec.New(Messages(), nil)
+	must.NoError(t, err)
+	bytes, messages = map[domain.VM]int{}, map[domain.VM]int{}
+	c.sent = func(from domain.VM, m domain.Message) {
+		data, err := encoder.EncodeMessage(m)
+		must.NoError(t, err)
+		bytes[from] += len(data)
+		messages[from]++
+	}
+	return bytes, messages
+}
+
+func sum(m map[domain.VM]int) int {
+	total := 0
+	for _, n := range m {
+		total += n
+	}
+	return total
+}
+
+// BenchmarkSecond measures one second of all members; the reported metrics are
+// for each member.
+func BenchmarkSecond(b *testing.B) {
+	for _, n := range []int{6, 24, 96, 360} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newCluster(n, 0)
+			c.run(10 * time.Second)
+			messages := 0
+			c.sent = func(domain.VM, domain.Message) { messages++ }
+			for b.Loop() {
+				c.run(time.Second)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*n), "µs/member-second")
+			b.ReportMetric(float64(messages)/float64(b.N*n), "messages/member-second")
+		})
+	}
+}
--- /dev/null
+++ b/core/membership/probe.go
@@ -0,0 +1,245 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// silentProbes is the number of unanswered probes in a row after which the
+// connection counts as silent, if the member is alive on another path.
+const silentProbes = 3
+
+// replaceAgain is the number of further unanswered probes, about one second,
+// after which a connection that stays silent is reported again.
+const replaceAgain = 10
+
+// randomEvery is the number of intervals between two probes of random members,
+// which carry updates across the ring; deadEvery of these go to a dead member,
+// so that two sides find each other after a partition.
+const (
+	randomEvery = 2
+	deadEvery   = 4
+)
+
+// probe is the state of the probes of one member.
+type probe struct {
+	// firstUnanswered is the time of the oldest direct probe without an answer,
+	// or zero.
+	firstUnanswered time.Time
+	unanswered      int
+	// doubted is when the doubt began, or zero.
+	doubted   time.Time
+	nextRetry time.Time
+	// replaceAt is the number of unanswered probes at which the connection is
+	// reported next.
+	replaceAt int
+}
+
+// Tick sends the probes that are due and draws conclusions from missing answers.
+// Call it at or after NextWake.
+func (m *Membership) Tick(now time.Time) Effects {
+	if !now.Before(m.nextPing) {
+		m.nextPing = m.nextPing.Add(m.config.Interval)
+		if m.nextPing.Before(now) {
+			m.nextPing = now.Add(m.config.Interval)
+		}
+		m.pingAll(now)
+	}
+	m.nextTick = m.nextPing
+	for _, vm := range slices.Sorted(maps.Keys(m.probes)) {
+		if p := m.probes[vm]; p != nil {
+			m.judge(now, vm, p)
+		}
+	}
+	return m.take()
+}
+
+func (m *Membership) pingAll(now time.Time) {
+	watched := m.monitored()
+	for vm, member := range m.members {
+		if member.State == Suspect && now.Sub(m.since[vm]) > 2*m.config.Dead {
+			watched = append(watched, vm) // its monitor may be dead
+		}
+	}
+	for vm, p := range m.probes {
+		if !slices.Contains(watched, vm) && p.doubted.IsZero() {
+			delete(m.probes, vm)
+		}
+	}
+	slices.Sort(watched)
+	for _, vm := range slices.Compact(watched) {
+		m.probeDirect(now, vm)
+	}
+	m.refresh++
+	if m.refresh%randomEvery == 0 {
+		m.pingRandom()
+	}
+}
+
+func (m *Membership) probeDirect(now time.Time, vm domain.VM) {
+	p := m.probes[vm]
+	if p == nil {
+		p = &probe{}
+		m.probes[vm] = p
+	}
+	if p.firstUnanswered.IsZero() {
+		p.firstUnanswered = now
+	}
+	p.unanswered++
+	m.ping(vm, false)
+}
+
+// pingRandom probes a member off the ring's path and adds one entry of the
+// table, in turn, so that tables converge without a full exchange.
+func (m *Membership) pingRandom() {
+	turn := m.refresh / randomEvery
+	to := m.random()
+	dead := m.deadMembers()
+	if len(dead) > 0 && (turn%deadEvery == 0 || to == "") {
+		to = dead[m.config.Rand.IntN(len(dead))]
+	}
+	if to == "" {
+		return
+	}
+	m.sequence++
+	updates := append(m.piggyback(to), *m.members[m.self])
+	if len(updates) < m.config.MaxUpdates {
+		names := slices.Sorted(maps.Keys(m.members))
+		updates = append(updates, *m.members[names[turn%len(names)]])
+	}
+	m.send(to, &Ping{Sequence: m.sequence, Updates: updates})
+}
+
+func (m *Membership) deadMembers() []domain.VM {
+	var out []domain.VM
+	for vm, member := range m.members {
+		if member.State == Dead {
+			out = append(out, vm)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// judge doubts, suspects and gives up a member that does not answer.
+func (m *Membership) judge(now time.Time, vm domain.VM, p *probe) {
+	if p.firstUnanswered.IsZero() {
+		return
+	}
+	if due := p.firstUnanswered.Add(m.config.Timeout); p.doubted.IsZero() && now.Before(due) {
+		m.wake(due)
+		return
+	}
+	if p.doubted.IsZero() {
+		p.doubted, p.nextRetry = now, now
+	}
+	if !now.Before(p.nextRetry) {
+		p.nextRetry = now.Add(m.config.Retry)
+		m.retry(now, vm)
+	}
+	m.wake(p.nextRetry)
+	start := p.doubted
+	if heard := m.heard[vm]; heard.After(start) {
+		start = heard
+	}
+	silence := now.Sub(start)
+	switch {
+	case silence >= m.config.Dead:
+		m.declare(now, vm, Dead)
+	case silence >= m.config.Suspect:
+		m.declare(now, vm, Suspect)
+	}
+}
+
+// retry probes on the existing connection, on a new one and through others.
+func (m *Membership) retry(now time.Time, vm domain.VM) {
+	m.probeDirect(now, vm)
+	m.ping(vm, true)
+	asked := map[domain.VM]bool{vm: true}
+	for range m.config.Helpers {
+		helper := m.random()
+		if helper == "" || asked[helper] {
+			continue
+		}
+		asked[helper] = true
+		m.sequence++
+		m.send(helper, &PingRequest{Sequence: m.sequence, Target: vm, Updates: m.piggyback(helper)})
+	}
+}
+
+func (m *Membership) declare(now time.Time, vm domain.VM, state State) {
+	known := *m.members[vm]
+	if known.State >= state {
+		return
+	}
+	known.State = state
+	m.adopt(now, known)
+}
+
+// Step handles a message from another VM.
+func (m *Membership) Step(now time.Time, from domain.VM, msg domain.Message) Effects {
+	m.heard[from] = now
+	switch msg := msg.(type) {
+	case *Ping:
+		m.mergeAll(now, msg.Updates)
+		m.acknowledge(from, msg)
+	case *PingRequest:
+		m.mergeAll(now, msg.Updates)
+		m.send(msg.Target, &Ping{Sequence: msg.Sequence, OnBehalf: from, Updates: m.piggyback(msg.Target)})
+	case *Ack:
+		m.mergeAll(now, msg.Updates)
+		m.acknowledged(now, from, msg)
+	}
+	return m.take()
+}
+
+// acknowledge answers a ping with this VM's own entry in front, because a monitor
+// must know the current incarnation before it can declare the VM dead.
+func (m *Membership) acknowledge(to domain.VM, p *Ping) {
+	updates := append([]Member{*m.members[m.self]}, m.piggyback(to)...)
+	m.send(to, &Ack{p.Sequence, m.self, p.OnBehalf, p.Fresh, updates})
+}
+
+func (m *Membership) mergeAll(now time.Time, updates []Member) {
+	for _, u := range updates {
+		m.merge(now, u)
+	}
+}
+
+func (m *Membership) acknowledged(now time.Time, from domain.VM, a *Ack) {
+	if a.OnBehalf != "" && a.OnBehalf != m.self {
+		m.send(a.OnBehalf, &Ack{a.Sequence, a.Target, a.OnBehalf, false, m.piggyback(a.OnBehalf)})
+		return
+	}
+	m.heard[a.Target] = now
+	p := m.probes[a.Target]
+	if p == nil {
+		return
+	}
+	if !a.Fresh && a.Target == from {
+		*p = probe{}
+		return
+	}
+	if p.unanswered >= max(p.replaceAt, silentProbes) {
+		p.replaceAt = p.unanswered + replaceAgain
+		m.out.ReplaceConnections = append(m.out.ReplaceConnections, a.Target)
+	}
+}
+
+func (m *Membership) ping(vm domain.VM, fresh bool) {
+	m.sequence++
+	m.send(vm, &Ping{Sequence: m.sequence, Fresh: fresh, Updates: m.piggyback(vm)})
+}
+
+func (m *Membership) send(to domain.VM, body domain.Message) {
+	m.out.Sends = append(m.out.Sends, domain.Send{To: to, Body: body})
+}
+
+func (m *Membership) wake(at time.Time) {
+	if at.Before(m.nextTick) {
+		m.nextTick = at
+	}
+}
