--- a/core/shard/lease.go
+++ b/core/shard/lease.go
@@ -20,7 +20,6 @@
 
 // leaseHold is the owner's side of one lease.
 type leaseHold struct {
-	from  domain.VM
 	until time.Time
 	// after is the sequence that a grant must exceed to count.
 	after uint64
--- a/core/shard/manager.go
+++ b/core/shard/manager.go
@@ -137,7 +137,6 @@
 		s := m.replica(a.Shard)
 		if first {
 			s.floor = a.Epoch
-			s.fresh = a.Epoch == 1 && a.Owner == m.config.Self && s.log.last().Index == 0
 		}
 		if a.Epoch > s.assignment.Epoch {
 			s.assign(now, a)
--- a/core/shard/propose.go
+++ b/core/shard/propose.go
@@ -14,7 +14,7 @@
 	switch {
 	case a.Epoch > s.floor && s.complete:
 		return // waits for promises to end
-	case s.complete, s.fresh && a.Epoch == 1:
+	case s.complete:
 	case a.Backup != "":
 		a.Owner, a.Backup, a.Learner = a.Backup, "", s.m.config.Self
 	default:
--- a/core/shard/replica.go
+++ b/core/shard/replica.go
@@ -31,7 +31,6 @@
 	// floor is the epoch of the first configuration of this process, which an
 	// earlier process may have used. The VM leads only at a higher one.
 	floor domain.Epoch
-	fresh bool
 
 	// Owner. A leading replica replicates; it is active, and known to the user,
 	// once the inherited records are committed and a lease is held.
@@ -76,9 +75,8 @@
 	if s.leading {
 		s.accepted = a.Epoch
 	}
-	created := a.Epoch == 1 && s.floor == 0
-	if created || s.fresh && a.Epoch == 2 && a.Backup == "" {
-		s.markComplete()
+	if a.Epoch == 1 && s.floor == 0 {
+		s.markComplete() // the shard was created while this process ran
 	}
 }
 
--- a/core/shard/replicate.go
+++ b/core/shard/replicate.go
@@ -195,7 +195,7 @@
 	}
 	confirm := !p.complete && !r.Complete && !p.known
 	p.complete = r.Complete
-	if p.copy != nil && r.NextPart > p.copy.part && r.Copy == p.copy.base {
+	if p.copy != nil && r.NextPart != p.copy.part && r.Copy == p.copy.base {
 		s.copied(from, p, r.NextPart)
 	}
 	if r.Rejected {
@@ -210,6 +210,8 @@
 	}
 }
 
+// copied continues with the part that the receiver names. That can be an earlier
+// one, because a receiver starts again at a new epoch.
 func (s *replica) copied(vm domain.VM, p *peer, next uint32) {
 	p.copy.part = next
 	if int(next)*s.m.config.Batch < len(p.copy.records) {
