State what callers of the grantor and of Effects must do

Cause: a command that was approved but never proposed would block leases, and a leading VM must receive its own lease request. Change: doc comments. Conclusion: no change in behaviour.

--- a/core/shard/leader.go
+++ b/core/shard/leader.go
@@ -81,8 +81,9 @@
 
 // MayPropose reports whether the leader may put an assignment into the log now.
 // It must be asked for every AssignShard, also for those of owners. A change of
-// the owner waits until the promise to the old one has ended; after a true
-// result no lease is granted at the old epoch.
+// the owner waits until the promise to the old one has ended. After a true result
+// the caller must propose the command, because no lease is granted at the old
+// epoch any more.
 func (g *LeaderGrantor) MayPropose(now time.Time, c *config.AssignShard, leading bool) bool {
 	if !leading || !g.elected || g.view == nil {
 		return false
--- a/core/shard/manager.go
+++ b/core/shard/manager.go
@@ -57,7 +57,8 @@
 	Record   domain.Record
 }
 
-// Effects are the results of one step, in order.
+// Effects are the results of one step, in order. A send to the VM itself, such as
+// a lease request when it leads the configuration, must be delivered to it.
 type Effects struct {
 	Sends                  []domain.Send
 	Writes                 []Write
