schedule: queue calls in front of targets and share their windows

Cause: engines admit everything, know no priority, and lose the prefix caches of paused programs when their memory fills.

Change: Scheduler queues calls by weighted fair queueing between accounts and least attained service inside them, chooses targets by expected cache, queue, load and region price, and adapts windows. WindowManager leases a target's permits to several VMs.

--- /dev/null
+++ b/core/schedule/dispatch.go
@@ -0,0 +1,190 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// maxAside bounds the calls of a pool that Dispatch passes over because no free
+// target suits them.
+const maxAside = 8
+
+// Dispatch runs the timers and returns the calls that start now. The result is
+// valid until the next Dispatch.
+func (s *Scheduler) Dispatch(now time.Time) []Placement {
+	s.runTimers(now)
+	for len(s.dirty) > 0 {
+		p := s.dirty[len(s.dirty)-1]
+		s.dirty = s.dirty[:len(s.dirty)-1]
+		p.dirty = false
+		s.dispatchPool(now, p)
+	}
+	if len(s.leased) > 0 {
+		s.sendPermitRequests(now)
+	}
+	out := s.placed
+	s.placed, s.spare = s.spare[:0], out
+	return out
+}
+
+func (s *Scheduler) runTimers(now time.Time) {
+	for {
+		c, ok := s.timers.top()
+		if !ok || c.due.After(now) {
+			return
+		}
+		s.timers.remove(c)
+		switch {
+		case c.state == stateRunning:
+		case c.state == stateDelayed:
+			c.deadline = now.Add(s.config.QueueTimeout)
+			s.queue(c)
+		case c.state == stateParked && now.Before(c.deadline):
+			s.unpark(now, c)
+		default:
+			s.expire(now, c)
+		}
+	}
+}
+
+func (s *Scheduler) expire(now time.Time, c *call) {
+	s.Cancel(now, c.ID)
+	refusal := newQueueTimeout(c)
+	s.expired = append(s.expired, Expiry{c.ID, refusal})
+}
+
+// dispatchPool starts calls in the order of virtual time while places are free.
+func (s *Scheduler) dispatchPool(now time.Time, p *pool) {
+	for len(s.aside) < maxAside {
+		f, ok := p.ready.top()
+		if !ok {
+			break
+		}
+		if !p.hasFree(now) {
+			s.askPool(now, p)
+			break
+		}
+		c, _ := f.calls.top()
+		if !s.start(now, c) {
+			f.remove(c)
+			s.aside = append(s.aside, c)
+		}
+	}
+	for _, c := range s.aside {
+		c.flow.push(c)
+	}
+	s.aside = s.aside[:0]
+}
+
+// hasFree says whether a target has a place. Targets whose permits have expired
+// leave the index here.
+func (p *pool) hasFree(now time.Time) bool {
+	for d := range p.open {
+		for sl, ok := p.open[d].top(); ok; sl, ok = p.open[d].top() {
+			if sl.target.free(now) > 0 {
+				return true
+			}
+			sl.target.update(now)
+		}
+	}
+	return false
+}
+
+// start places or parks a call. It returns false when no target suits it now.
+func (s *Scheduler) start(now time.Time, c *call) bool {
+	if c.Suspect {
+		return s.reserve(now, c)
+	}
+	best, free := s.choose(now, c)
+	switch {
+	case best.target != nil && best.wait > 0 && mayPark(now, best.target):
+		s.park(now, c, best, free)
+	case free.target != nil:
+		c.flow.start(c, s.charge(c, free.cached))
+		s.place(now, c, free)
+	default:
+		return false
+	}
+	return true
+}
+
+// park lets a call wait at a full target, until the time at which the best free
+// target would have been as fast.
+func (s *Scheduler) park(now time.Time, c *call, best, free choice) {
+	c.flow.start(c, s.charge(c, best.cached))
+	c.state, c.target = stateParked, best.target
+	until := c.deadline
+	if free.target != nil {
+		gain := free.seconds - (best.seconds - best.wait)
+		if at := now.Add(time.Duration(gain * float64(time.Second))); at.Before(until) {
+			until = at
+		}
+	}
+	s.setTimer(c, until)
+	best.target.parked = append(best.target.parked, c)
+	best.target.update(now)
+}
+
+// unpark returns a call to the queue and refunds its charge.
+func (s *Scheduler) unpark(now time.Time, c *call) {
+	t := c.target
+	t.parked = slices.DeleteFunc(t.parked, func(o *call) bool { return o == c })
+	s.release(c)
+	c.flow.pay(-c.charge)
+	s.queue(c)
+	s.freed(now, t)
+}
+
+func (s *Scheduler) unparkAll(now time.Time, t *target) {
+	for len(t.parked) > 0 {
+		s.unpark(now, t.parked[0])
+	}
+}
+
+// place starts a call that was charged.
+func (s *Scheduler) place(now time.Time, c *call, to choice) {
+	t := to.target
+	c.state, c.target, c.cached = stateRunning, t, to.cached
+	c.startedAt, c.first = now, time.Time{}
+	c.attempt++
+	s.timers.remove(c)
+	t.running++
+	t.tokens += c.Prompt
+	t.update(now)
+	if t.info.Manager != "" {
+		t.lease.usedAt = now
+		if t.free(now) <= 0 {
+			s.askPermits(now, t)
+		}
+	}
+	if p := s.programs[c.Program]; p != nil && p.exported {
+		p.exported = false
+		s.order(OrderImport, t, p)
+	}
+	s.placed = append(s.placed, Placement{Call: c.ID, Target: t.info.Name, Attempt: c.attempt, Cached: to.cached})
+}
+
+// vacate frees the place of a running call.
+func (s *Scheduler) vacate(now time.Time, c *call) {
+	t := c.target
+	t.running--
+	t.tokens -= c.Prompt
+	s.release(c)
+	s.freed(now, t)
+}
+
+// freed gives free places to parked calls first, then to the pools.
+func (s *Scheduler) freed(now time.Time, t *target) {
+	for len(t.parked) > 0 && t.capacity(now) > t.running && t.hasMemory(now) {
+		c := t.parked[0]
+		t.parked = t.parked[1:]
+		s.place(now, c, choice{target: t, cached: s.cache.expected(now, c.Program, t, c.Prompt)})
+	}
+	s.startReserved(now, t)
+	t.update(now)
+	for _, sl := range t.slots {
+		if sl.pool.queued > 0 {
+			s.touch(sl.pool)
+		}
+	}
+}
--- /dev/null
+++ b/core/schedule/engine_test.go
@@ -0,0 +1,108 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// The fake engine: steps slow down as the batch fills, prefill takes time from
+// generation, and running calls and cached prefixes share the memory.
+const (
+	engineStep    = 10 * time.Millisecond
+	enginePrefill = 8_000.0 // tokens a second
+	engineMemory  = 120_000 // tokens
+	engineBase    = 0.012   // seconds between tokens for a batch of 0
+	engineEach    = 0.0008  // additional seconds for each call in the batch
+)
+
+type engineCall struct {
+	id                domain.CallID
+	program           domain.ProgramID
+	prompt, generated domain.Tokens
+	cached            domain.Tokens
+	prefillLeft, done float64
+	first             bool
+}
+
+type fakeEngine struct {
+	waiting, running []*engineCall
+	prefixes         map[domain.ProgramID]domain.Tokens
+	lru              []domain.ProgramID
+	batch, used      domain.Tokens // running tokens; with cached prefixes
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{prefixes: map[domain.ProgramID]domain.Tokens{}}
+}
+
+func (e *fakeEngine) add(c *engineCall) { e.waiting = append(e.waiting, c) }
+
+func (e *fakeEngine) evict(p domain.ProgramID) {
+	e.used -= e.prefixes[p]
+	delete(e.prefixes, p)
+	e.lru = slices.DeleteFunc(e.lru, func(o domain.ProgramID) bool { return o == p })
+}
+
+// admit moves waiting calls into the batch while memory lasts.
+func (e *fakeEngine) admit() {
+	for len(e.waiting) > 0 {
+		c := e.waiting[0]
+		need := c.prompt + c.generated
+		if e.batch+need > engineMemory && len(e.running) > 0 {
+			return
+		}
+		c.cached = min(e.prefixes[c.program], c.prompt)
+		e.evict(c.program)
+		e.batch += need
+		e.used += need
+		for e.used > engineMemory && len(e.lru) > 0 {
+			e.evict(e.lru[0])
+		}
+		c.prefillLeft = float64(c.prompt - c.cached)
+		e.running = append(e.running, c)
+		e.waiting = e.waiting[1:]
+	}
+}
+
+// step advances the engine and returns the calls with a first token and those
+// that are complete.
+func (e *fakeEngine) step() (first, finished []*engineCall) {
+	e.admit()
+	share := 1.0
+	for _, c := range e.running {
+		if c.prefillLeft > 0 {
+			share = 0.5
+		}
+	}
+	budget := enginePrefill * engineStep.Seconds()
+	if share < 1 && slices.ContainsFunc(e.running, func(c *engineCall) bool { return c.prefillLeft <= 0 }) {
+		budget /= 2
+	}
+	tokens := share * engineStep.Seconds() / (engineBase + engineEach*float64(len(e.running)))
+	for _, c := range e.running {
+		if c.prefillLeft > 0 {
+			n := min(budget, c.prefillLeft)
+			c.prefillLeft -= n
+			budget -= n
+			continue
+		}
+		c.done += tokens
+		if !c.first && c.done >= 1 {
+			c.first = true
+			first = append(first, c)
+		}
+	}
+	e.running = slices.DeleteFunc(e.running, func(c *engineCall) bool {
+		if c.done < float64(c.generated) {
+			return false
+		}
+		finished = append(finished, c)
+		e.batch -= c.prompt + c.generated
+		e.prefixes[c.program] = c.prompt + c.generated
+		e.lru = append(e.lru, c.program)
+		return true
+	})
+	return first, finished
+}
--- /dev/null
+++ b/core/schedule/heap.go
@@ -0,0 +1,58 @@
+package schedule
+
+import "container/heap"
+
+// indexed is a priority queue whose items know their position.
+type indexed[T any] struct {
+	items []T
+	less  func(a, b T) bool
+	// position returns where the item keeps its index; -1 is outside.
+	position func(T) *int
+}
+
+func (h *indexed[T]) Len() int           { return len(h.items) }
+func (h *indexed[T]) Less(i, j int) bool { return h.less(h.items[i], h.items[j]) }
+func (h *indexed[T]) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	*h.position(h.items[i]), *h.position(h.items[j]) = i, j
+}
+
+// Push implements heap.Interface.
+func (h *indexed[T]) Push(x any) {
+	item := x.(T)
+	*h.position(item) = len(h.items)
+	h.items = append(h.items, item)
+}
+
+// Pop implements heap.Interface.
+func (h *indexed[T]) Pop() any {
+	last := len(h.items) - 1
+	item := h.items[last]
+	var zero T
+	h.items[last] = zero
+	h.items = h.items[:last]
+	*h.position(item) = -1
+	return item
+}
+
+func (h *indexed[T]) top() (item T, ok bool) {
+	if len(h.items) == 0 {
+		return item, false
+	}
+	return h.items[0], true
+}
+
+// set adds an item or restores the order after its key has changed.
+func (h *indexed[T]) set(item T) {
+	if i := *h.position(item); i >= 0 {
+		heap.Fix(h, i)
+	} else {
+		heap.Push(h, item)
+	}
+}
+
+func (h *indexed[T]) remove(item T) {
+	if i := *h.position(item); i >= 0 {
+		heap.Remove(h, i)
+	}
+}
--- /dev/null
+++ b/core/schedule/retry.go
@@ -0,0 +1,88 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Limits of retries.
+const (
+	maxAttempts = 4
+	// A retry costs one unit of the account's budget. Calls that finish and time
+	// add to it, so that retries stay a small part of the traffic.
+	retryBurst     = 10.0
+	retryPerCall   = 0.1
+	retryPerSecond = 0.1
+	retryBase      = 100 * time.Millisecond
+	retryMost      = 5 * time.Second
+)
+
+// retryBudget bounds the retries of an account.
+type retryBudget struct {
+	level float64
+	at    time.Time
+}
+
+func (b *retryBudget) refill(now time.Time) {
+	b.level = min(b.level+retryPerSecond*max(now.Sub(b.at).Seconds(), 0), retryBurst)
+	b.at = now
+}
+
+func (b *retryBudget) finished() { b.level = min(b.level+retryPerCall, retryBurst) }
+
+func (b *retryBudget) take(now time.Time) bool {
+	b.refill(now)
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// Failed ends an attempt of a call. It returns nil when the call is queued for
+// a retry, and otherwise the refusal that ends it.
+func (s *Scheduler) Failed(now time.Time, id domain.CallID, kind FailureKind) *domain.Refusal {
+	c := s.calls[id]
+	if c == nil || c.state != stateRunning {
+		return nil
+	}
+	t := c.target
+	c.reached = c.reached || kind != FailureNotRun
+	c.flow.pay(-c.charge)
+	if kind == FailureCrash {
+		s.cache.clear(t, now)
+	}
+	s.vacate(now, c)
+	if !c.Repeatable {
+		s.forget(c)
+		return domain.Unknown(domain.ReasonTargetFailed, "the target failed and the call must not run twice; check its effect before sending it again")
+	}
+	if c.attempt >= maxAttempts || !c.flow.account.retries.take(now) {
+		s.forget(c)
+		refusal := domain.NotRun(domain.ReasonTargetFailed, "the targets failed and the retry budget is used up; send the call again later")
+		if c.reached {
+			refusal.Outcome = domain.OutcomeUnknown
+		}
+		return refusal.After(retryMost)
+	}
+	c.failed = append(c.failed, t)
+	c.state = stateDelayed
+	s.setTimer(c, now.Add(s.retryDelay(c.attempt)))
+	return nil
+}
+
+// retryDelay doubles with each attempt and is jittered by half each way, so
+// that calls that failed together do not come back together.
+func (s *Scheduler) retryDelay(attempt int) time.Duration {
+	d := min(retryBase<<(attempt-1), retryMost)
+	return time.Duration(float64(d) * (0.5 + s.config.Rand.Float64()))
+}
+
+func newQueueTimeout(c *call) *domain.Refusal {
+	refusal := domain.NotRun(domain.ReasonQueueTimeout, "no target became free in time; retry later or ask the operator for more targets").After(retryMost)
+	if c.reached {
+		refusal.Outcome = domain.OutcomeUnknown
+	}
+	return refusal
+}
--- /dev/null
+++ b/core/schedule/scheduler.go
@@ -0,0 +1,358 @@
+package schedule
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Scheduler holds the queued calls of one VM and starts them on targets.
+type Scheduler struct {
+	config   Config
+	accounts map[domain.Account]*account
+	pools    map[PoolID]*pool
+	targets  map[domain.Target]*target
+	ordered  int // number of the next target
+	calls    map[domain.CallID]*call
+	programs map[domain.ProgramID]*program
+	cache    directory
+	timers   indexed[*call]
+	dirty    []*pool         // pools to look at in the next Dispatch
+	leased   map[int]*target // targets whose permits are renewed, by order
+	aside    []*call
+	placed   []Placement
+	spare    []Placement // the result of the last Dispatch, to be reused
+	expired  []Expiry
+	orders   []Order
+	sends    []domain.Send
+}
+
+// Expiry ends a call that waited too long.
+type Expiry struct {
+	Call    domain.CallID
+	Refusal *domain.Refusal
+}
+
+// New returns a scheduler without accounts and targets.
+func New(c Config, _ time.Time) *Scheduler {
+	if c.MaxAge == 0 {
+		c.MaxAge = DefaultMaxAge
+	}
+	if c.QueueTimeout == 0 {
+		c.QueueTimeout = DefaultQueueTimeout
+	}
+	if c.RegionPrice == 0 {
+		c.RegionPrice = DefaultRegionPrice
+	}
+	return &Scheduler{
+		config: c, accounts: map[domain.Account]*account{}, pools: map[PoolID]*pool{},
+		targets: map[domain.Target]*target{}, calls: map[domain.CallID]*call{},
+		programs: map[domain.ProgramID]*program{}, cache: newDirectory(), leased: map[int]*target{},
+		timers: indexed[*call]{
+			less:     func(a, b *call) bool { return a.due.Before(b.due) },
+			position: func(c *call) *int { return &c.timerIndex },
+		},
+	}
+}
+
+// SetOrder changes the order inside accounts for calls that are queued later.
+func (s *Scheduler) SetOrder(order config.QueueOrder) { s.config.Order = order }
+
+// SetAccounts sets the weights. Accounts that are not listed have weight 1.
+func (s *Scheduler) SetAccounts(infos []AccountInfo) {
+	for _, info := range infos {
+		s.account(info.Name).weight = float64(max(info.Weight, 1))
+	}
+}
+
+func (s *Scheduler) account(name domain.Account) *account {
+	a := s.accounts[name]
+	if a == nil {
+		a = &account{name: name, weight: 1, retries: retryBudget{level: retryBurst}}
+		s.accounts[name] = a
+	}
+	return a
+}
+
+func (s *Scheduler) pool(id PoolID) *pool {
+	p := s.pools[id]
+	if p == nil {
+		p = newPool(id)
+		s.pools[id] = p
+	}
+	return p
+}
+
+// SetTargets replaces the list of targets. Targets that are no longer listed
+// are treated as leaving until their calls have ended.
+func (s *Scheduler) SetTargets(now time.Time, infos []TargetInfo) {
+	listed := map[domain.Target]bool{}
+	for _, info := range infos {
+		listed[info.Name] = true
+		s.setTarget(now, info)
+	}
+	for name, t := range s.targets {
+		if !listed[name] {
+			info := t.info
+			info.Leaving = true
+			s.setTarget(now, info)
+			s.dropEmpty(t)
+		}
+	}
+}
+
+func (s *Scheduler) setTarget(now time.Time, info TargetInfo) {
+	t := s.targets[info.Name]
+	if t == nil {
+		t = &target{order: s.ordered, prefill: defaultPrefill, callTime: defaultCall, prefixes: prefixes{recent: list.New()}, paused: newPausedSet()}
+		t.window = newWindow(info.MaxBatch, isService(info))
+		s.ordered++
+		s.targets[info.Name] = t
+	}
+	for _, sl := range t.slots {
+		sl.pool.open[t.distance].remove(sl)
+	}
+	if t.info.Manager != info.Manager {
+		t.lease = lease{}
+	}
+	rewired := !slices.Equal(t.info.Pools, info.Pools)
+	t.info = info
+	t.window.limit(info.MaxBatch)
+	t.distance = s.distance(info)
+	if rewired {
+		s.wire(t)
+	}
+	if info.Leaving {
+		s.unparkAll(now, t)
+		s.startReserved(now, t)
+	} else if info.Manager != "" {
+		s.askPermits(now, t)
+	}
+	s.freed(now, t)
+}
+
+// wire puts the target into the pools it serves.
+func (s *Scheduler) wire(t *target) {
+	for _, sl := range t.slots {
+		sl.pool.slots = slices.DeleteFunc(sl.pool.slots, func(o *slot) bool { return o == sl })
+	}
+	t.slots = nil
+	for _, id := range t.info.Pools {
+		sl := &slot{target: t, pool: s.pool(id), index: -1}
+		t.slots = append(t.slots, sl)
+		sl.pool.slots = append(sl.pool.slots, sl)
+	}
+}
+
+// dropEmpty forgets an unlisted target that has no calls.
+func (s *Scheduler) dropEmpty(t *target) {
+	if t.running > 0 || len(t.parked) > 0 || t.reserved != nil {
+		return
+	}
+	for e := t.prefixes.recent.Front(); e != nil; e = t.prefixes.recent.Front() {
+		s.cache.drop(e.Value.(*cached))
+	}
+	for p, ok := t.paused.soon.top(); ok; p, ok = t.paused.soon.top() {
+		t.paused.remove(p)
+		p.target = nil
+	}
+	t.info.Pools = nil
+	s.wire(t)
+	delete(s.leased, t.order)
+	delete(s.targets, t.info.Name)
+}
+
+func (s *Scheduler) distance(info TargetInfo) distance {
+	switch {
+	case info.DataCentre == s.config.DataCentre:
+		return sameDataCentre
+	case info.Region == s.config.Region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// Enqueue queues a call. A second call with the same id is ignored.
+func (s *Scheduler) Enqueue(now time.Time, in Call) {
+	if s.calls[in.ID] != nil {
+		return
+	}
+	p := s.pool(in.Pool)
+	c := &call{Call: in, flow: p.flow(s.account(in.Program.Account)), queuedAt: now, deadline: now.Add(s.config.QueueTimeout), queueIndex: -1, timerIndex: -1}
+	s.calls[in.ID] = c
+	prog := s.program(c)
+	s.resume(now, prog)
+	c.key = orderKey(s.config.Order, &c.Call, now, prog.attained, s.config.MaxAge)
+	s.queue(c)
+}
+
+func (s *Scheduler) program(c *call) *program {
+	p := s.programs[c.Program]
+	if p == nil {
+		p = &program{id: c.Program, account: c.flow.account, lateIndex: -1, soonIndex: -1}
+		s.programs[c.Program] = p
+	}
+	return p
+}
+
+func (s *Scheduler) queue(c *call) {
+	c.target = nil
+	c.flow.push(c)
+	s.setTimer(c, c.deadline)
+	s.touch(c.flow.pool)
+}
+
+func (s *Scheduler) touch(p *pool) {
+	if !p.dirty {
+		p.dirty = true
+		s.dirty = append(s.dirty, p)
+	}
+}
+
+func (s *Scheduler) setTimer(c *call, at time.Time) {
+	c.due = at
+	s.timers.set(c)
+}
+
+// Cancel forgets a call in any state. A running call frees its place.
+func (s *Scheduler) Cancel(now time.Time, id domain.CallID) {
+	c := s.calls[id]
+	if c == nil {
+		return
+	}
+	switch c.state {
+	case stateQueued:
+		c.flow.remove(c)
+	case stateParked:
+		s.unpark(now, c)
+		c.flow.remove(c)
+	case stateRunning:
+		s.vacate(now, c)
+	}
+	s.forget(c)
+}
+
+func (s *Scheduler) forget(c *call) {
+	s.timers.remove(c)
+	delete(s.calls, c.ID)
+}
+
+// Expired returns the calls that have waited too long since the last call.
+func (s *Scheduler) Expired() []Expiry {
+	out := s.expired
+	s.expired = nil
+	return out
+}
+
+// Sends returns the messages to window managers since the last call.
+func (s *Scheduler) Sends() []domain.Send {
+	out := s.sends
+	s.sends = nil
+	return out
+}
+
+// NextWake returns the time at which Dispatch should run without other input,
+// or zero.
+func (s *Scheduler) NextWake() time.Time {
+	var wake time.Time
+	if c, ok := s.timers.top(); ok {
+		wake = c.due
+	}
+	for _, t := range s.leased {
+		at := t.lease.sentAt.Add(permitRenew)
+		if t.lease.waiting || t.lease.urgent {
+			at = t.lease.sentAt.Add(permitRetry)
+		}
+		if wake.IsZero() || at.Before(wake) {
+			wake = at
+		}
+	}
+	return wake
+}
+
+// FirstToken records that a call's answer has begun.
+func (s *Scheduler) FirstToken(now time.Time, id domain.CallID) {
+	if c := s.calls[id]; c != nil && c.state == stateRunning && c.first.IsZero() {
+		c.first = now
+	}
+}
+
+// Finished ends a call and charges its real usage.
+func (s *Scheduler) Finished(now time.Time, id domain.CallID, u Usage) {
+	c := s.calls[id]
+	if c == nil || c.state != stateRunning {
+		return
+	}
+	t, real := c.target, s.realCharge(c, u)
+	c.flow.pay(real - c.charge)
+	c.flow.generated += smoothing * (float64(u.Generated) - c.flow.generated)
+	c.flow.account.retries.finished()
+	prog := s.program(c)
+	prog.attained += real
+	s.measure(now, c, u)
+	s.cache.put(now, c.Program, t, u.Prompt+u.Generated)
+	s.vacate(now, c)
+	s.forget(c)
+	s.pause(now, prog, t, u.Prompt+u.Generated)
+}
+
+func (s *Scheduler) realCharge(c *call, u Usage) float64 {
+	if c.Pool.Service != "" {
+		return 1
+	}
+	return float64(max(u.Prompt-u.Cached, 0) + u.Generated)
+}
+
+// charge estimates what a call will use.
+func (s *Scheduler) charge(c *call, cached domain.Tokens) float64 {
+	if c.Pool.Service != "" {
+		return 1
+	}
+	generated := c.flow.generated
+	if c.MaxGenerated > 0 {
+		generated = min(generated, float64(c.MaxGenerated))
+	}
+	return float64(c.Prompt-cached) + generated
+}
+
+func (s *Scheduler) measure(now time.Time, c *call, u Usage) {
+	t := c.target
+	t.callTime += smoothing * (now.Sub(c.startedAt).Seconds() - t.callTime)
+	if c.first.IsZero() || u.Generated < 2 {
+		return
+	}
+	uncached := max(u.Prompt-u.Cached, 0)
+	took := c.first.Sub(c.startedAt)
+	sample := Sample{Calls: 1, Between: now.Sub(c.first) / time.Duration(u.Generated-1)}
+	sample.FirstSlow = took.Seconds() / (firstOverhead + t.prefillTime(uncached))
+	t.measurePrefill(uncached, took)
+	if t.info.Manager == "" {
+		t.window.observe(now, sample, t.running)
+		return
+	}
+	l := &t.lease.sample
+	n := float64(l.Calls)
+	l.Between = time.Duration((n*float64(l.Between) + float64(sample.Between)) / (n + 1))
+	l.FirstSlow = (n*l.FirstSlow + sample.FirstSlow) / (n + 1)
+	l.Calls++
+	t.window.between = l.Between.Seconds()
+}
+
+// Load applies a load report of a target. Reports without a Manager adapt the
+// window; with one, the manager gets them on its own VM.
+func (s *Scheduler) Load(now time.Time, r LoadReport) {
+	if t := s.targets[r.Target]; t != nil && t.info.Manager == "" {
+		t.window.report(now, r)
+		s.freed(now, t)
+	}
+}
+
+// CacheEvent corrects the cache directory.
+func (s *Scheduler) CacheEvent(_ time.Time, e CacheEvent) {
+	if t := s.targets[e.Target]; t != nil {
+		s.cache.event(t, e)
+	}
+}
