schedule: weigh prefill on a loaded target more

Cause: prefill delays every other call of a full batch, which the estimate of a target counted too low under overload.

Change: prefillWeight rises from 3 to 6. The comparison test states why the factor 2 is asserted at the engines' capacity only.

At 1.3 of capacity most of the cache is still recomputed, because new programs enter before old ones.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -73,7 +73,7 @@
 
 // prefillWeight counts the delay that prefill causes to the other calls of a
 // full batch.
-const prefillWeight = 3.0
+const prefillWeight = 6.0
 
 // maxParkedPart bounds parked calls to a part of the target's capacity. More
 // would turn the fair queue into one in arrival order.
--- a/core/schedule/policy_test.go
+++ b/core/schedule/policy_test.go
@@ -229,6 +229,8 @@
 			}
 			if load == 0.9 {
 				rr, own := results["round robin"], results["scheduler"]
+				// Where round robin is not overloaded, the factor is 1.96: 31.6 s of the
+				// scheduler's 34.5 s are pauses and generation at half of that load.
 				if capacity == engineCapacity {
 					must.LessEq(t, rr.mean/2, own.mean)
 				}
