--- a/core/shard/manager.go
+++ b/core/shard/manager.go
@@ -57,7 +57,8 @@
 	Record   domain.Record
 }
 
-// Effects are the results of one step, in order.
+// Effects are the results of one step, in order. A send to the VM itself, such as
+// a lease request when it leads the configuration, must be delivered to it.
 type Effects struct {
 	Sends                  []domain.Send
 	Writes                 []Write
@@ -137,7 +138,6 @@
 		s := m.replica(a.Shard)
 		if first {
 			s.floor = a.Epoch
-			s.fresh = a.Epoch == 1 && a.Owner == m.config.Self && s.log.last().Index == 0
 		}
 		if a.Epoch > s.assignment.Epoch {
 			s.assign(now, a)
