--- a/adapter/history/store.go
+++ b/adapter/history/store.go
@@ -31,12 +31,12 @@
 // Memory keeps turns in memory, for VMs without a disk.
 type Memory struct {
 	mu    sync.RWMutex
-	turns map[domain.ProgramID]map[domain.CallID][]byte
+	turns map[domain.ProgramID]map[[sha256.Size]byte][]byte
 }
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{turns: map[domain.ProgramID]map[domain.CallID][]byte{}}
+	return &Memory{turns: map[domain.ProgramID]map[[sha256.Size]byte][]byte{}}
 }
 
 // Put implements port.HistoryStore.
@@ -46,19 +46,19 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	calls, ok := m.turns[ref.Program]
+	stored, ok := m.turns[ref.Program]
 	if !ok {
-		calls = map[domain.CallID][]byte{}
-		m.turns[ref.Program] = calls
+		stored = map[[sha256.Size]byte][]byte{}
+		m.turns[ref.Program] = stored
 	}
-	calls[ref.Call] = data
+	stored[ref.SHA256] = data
 	return nil
 }
 
 // Get implements port.HistoryStore.
 func (m *Memory) Get(_ context.Context, ref port.HistoryRef) ([]byte, error) {
 	m.mu.RLock()
-	data, ok := m.turns[ref.Program][ref.Call]
+	data, ok := m.turns[ref.Program][ref.SHA256]
 	m.mu.RUnlock()
 	if !ok {
 		return nil, port.ErrHistoryMissing
@@ -69,6 +69,14 @@
 	return data, nil
 }
 
+// Has implements port.HistoryStore.
+func (m *Memory) Has(ref port.HistoryRef) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	_, ok := m.turns[ref.Program][ref.SHA256]
+	return ok
+}
+
 // Delete implements port.HistoryStore.
 func (m *Memory) Delete(_ context.Context, program domain.ProgramID) error {
 	m.mu.Lock()
@@ -97,7 +105,7 @@
 }
 
 func (f *Files) file(ref port.HistoryRef) string {
-	return filepath.Join(f.folder(ref.Program), fmt.Sprintf("%x", sha256.Sum256([]byte(ref.Call))))
+	return filepath.Join(f.folder(ref.Program), fmt.Sprintf("%x", ref.SHA256))
 }
 
 // Put implements port.HistoryStore. The bytes and the folder entry are synced.
@@ -111,7 +119,7 @@
 		return fmt.Errorf("history: make folder: %w", err)
 	}
 	if err := writeSynced(folder, f.file(ref), data); err != nil {
-		return fmt.Errorf("history: store call %s: %w", ref.Call, err)
+		return fmt.Errorf("history: store %x: %w", ref.SHA256[:4], err)
 	}
 	for _, parent := range append(created, folder) {
 		if err := syncFolder(parent); err != nil {
@@ -167,7 +175,7 @@
 		return nil, port.ErrHistoryMissing
 	}
 	if err != nil {
-		return nil, fmt.Errorf("history: read call %s: %w", ref.Call, err)
+		return nil, fmt.Errorf("history: read %x: %w", ref.SHA256[:4], err)
 	}
 	if err := verify(ref, data); err != nil {
 		return nil, err
@@ -175,6 +183,12 @@
 	return data, nil
 }
 
+// Has implements port.HistoryStore.
+func (f *Files) Has(ref port.HistoryRef) bool {
+	info, err := os.Stat(f.file(ref))
+	return err == nil && info.Size() == ref.Length
+}
+
 // Delete implements port.HistoryStore.
 func (f *Files) Delete(_ context.Context, program domain.ProgramID) error {
 	if err := os.RemoveAll(f.folder(program)); err != nil {
--- a/adapter/history/store_test.go
+++ b/adapter/history/store_test.go
@@ -13,10 +13,9 @@
 	"github.com/mangoknot/mangoknot/port"
 )
 
-func refOf(account domain.Account, call domain.CallID, data string) port.HistoryRef {
+func refOf(account domain.Account, data string) port.HistoryRef {
 	return port.HistoryRef{
 		Program: domain.ProgramID{Account: account, Name: "p"},
-		Call:    call,
 		Length:  int64(len(data)),
 		SHA256:  sha256.Sum256([]byte(data)),
 	}
@@ -29,15 +28,16 @@
 	for name, store := range map[string]port.HistoryStore{"memory": NewMemory(), "files": files} {
 		t.Run(name, func(t *testing.T) {
 			ctx := context.Background()
-			first, second := refOf("a", "c", "one"), refOf("b", "c", "two")
+			first, second := refOf("a", "one"), refOf("b", "two")
 			must.NoError(t, store.Put(ctx, first, []byte("one")))
 			must.NoError(t, store.Put(ctx, first, []byte("one")))
 			must.NoError(t, store.Put(ctx, second, []byte("two")))
 			got, err := store.Get(ctx, first)
 			must.NoError(t, err)
 			must.Eq(t, "one", string(got))
-			_, err = store.Get(ctx, refOf("a", "c", "two"))
-			must.True(t, isCorrupt(err))
+			_, err = store.Get(ctx, refOf("a", "two"))
+			must.ErrorIs(t, err, port.ErrHistoryMissing)
+			must.True(t, isCorrupt(store.Put(ctx, first, []byte("onE"))))
 			must.NoError(t, store.Delete(ctx, first.Program))
 			_, err = store.Get(ctx, first)
 			must.ErrorIs(t, err, port.ErrHistoryMissing)
@@ -52,7 +52,7 @@
 func TestDamagedFileIsNamed(t *testing.T) {
 	store, err := Open(t.TempDir())
 	must.NoError(t, err)
-	ref := refOf("a", "c", "whole answer")
+	ref := refOf("a", "whole answer")
 	must.NoError(t, store.Put(context.Background(), ref, []byte("whole answer")))
 	must.NoError(t, os.WriteFile(store.file(ref), []byte("whole answeR"), 0o600))
 	_, err = store.Get(context.Background(), ref)
--- a/adapter/httpapi/message.go
+++ b/adapter/httpapi/message.go
@@ -21,6 +21,8 @@
 	Usage  json.RawMessage `json:"usage,omitempty"`
 	Model  string          `json:"model"`
 	ID     string          `json:"id"`
+	// Service is set on the turn of a plain service, which adds no message.
+	Service json.RawMessage `json:"service,omitempty"`
 }
 
 // conversation joins stored turns, oldest first, into one list of messages.
@@ -31,6 +33,9 @@
 		if err := json.Unmarshal(data, &t); err != nil {
 			return nil, fmt.Errorf("httpapi: stored turn %d is not readable: %w", i, err)
 		}
+		if t.Service != nil {
+			continue
+		}
 		if t.Whole {
 			out = nil
 		}
--- a/adapter/httpapi/request.go
+++ b/adapter/httpapi/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"unicode/utf8"
 
@@ -94,6 +95,8 @@
 	return out, nil
 }
 
+// programNameOf checks a program name. Slashes separate a sub-agent's name from
+// its parent's.
 func programNameOf(header, name string) (domain.ProgramName, error) {
 	if len(name) > maxProgramNameBytes {
 		return "", badRequest("the header %s has %d bytes; use at most %d", header, len(name), maxProgramNameBytes)
@@ -102,10 +105,13 @@
 		return "", badRequest("the header %s is not valid UTF-8", header)
 	}
 	for _, r := range name {
-		if r <= ' ' || r == '/' || r == 0x7f {
-			return "", badRequest("the header %s holds a space, slash or control character; leave it out", header)
+		if r <= ' ' || r == 0x7f {
+			return "", badRequest("the header %s holds a space or control character; leave it out", header)
 		}
 	}
+	if name != "" && slices.Contains(strings.Split(name, "/"), "") {
+		return "", badRequest("the header %s holds an empty part between slashes; name sub-agents parent/child", header)
+	}
 	return domain.ProgramName(name), nil
 }
 
--- a/adapter/httpapi/services.go
+++ b/adapter/httpapi/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/textproto"
@@ -17,7 +18,7 @@
 var forwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "If-Match", "If-None-Match", "Range"}
 
 // returnedHeaders lists the answer headers that a caller receives.
-var returnedHeaders = []string{"Content-Type", "Content-Language", "Content-Disposition", "Etag", "Last-Modified", "Location", "Cache-Control", "Content-Range"}
+var returnedHeaders = []string{"Content-Type", "Content-Language", "Content-Disposition", "Etag", "Last-Modified", "Location", "Cache-Control", "Content-Range", replayHeader}
 
 func pick(from http.Header, names []string) http.Header {
 	out := http.Header{}
@@ -40,20 +41,20 @@
 	a.keyed(a.keyedService)(w, r)
 }
 
-func (a *API) plainRequest(w http.ResponseWriter, r *http.Request) (port.PlainRequest, error) {
+func (a *API) plainRequest(w http.ResponseWriter, r *http.Request) (port.ServiceRequest, error) {
 	body, err := a.readBody(w, r)
 	if err != nil {
-		return port.PlainRequest{}, err
+		return port.ServiceRequest{}, err
 	}
 	path := r.PathValue("path")
 	if slices.Contains(strings.Split(path, "/"), "..") {
-		return port.PlainRequest{}, badRequest("the path holds a .. segment; leave it out")
+		return port.ServiceRequest{}, badRequest("the path holds a .. segment; leave it out")
 	}
-	return port.PlainRequest{
+	return port.ServiceRequest{
 		Method: r.Method,
 		Path:   path,
 		Query:  r.URL.RawQuery,
-		Header: pick(r.Header, forwardedHeaders),
+		Header: port.Header(pick(r.Header, forwardedHeaders)),
 		Body:   body,
 	}, nil
 }
@@ -92,7 +93,7 @@
 		IdempotencyKey: headers.idempotency,
 		Fingerprint:    plainFingerprint(r.PathValue("route"), request),
 	}
-	answer, program, err := a.node.Plain(r.Context(), spec, request)
+	answer, program, err := a.node.Service(r.Context(), spec, request, serviceExchange{})
 	if err != nil {
 		a.refuse(w, identity, err)
 		return
@@ -101,9 +102,44 @@
 	writePlain(w, answer)
 }
 
-func plainFingerprint(route string, r port.PlainRequest) [32]byte {
+// storedAnswer is the stored form of a plain service's answer. It is a turn
+// without messages in the program's history.
+type storedAnswer struct {
+	Service *serviceAnswer `json:"service"`
+}
+
+type serviceAnswer struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header"`
+	Body   []byte      `json:"body"`
+}
+
+// serviceExchange implements port.ServiceExchange.
+type serviceExchange struct{}
+
+// Stored implements port.ServiceExchange.
+func (serviceExchange) Stored(answer *port.ServiceAnswer) ([]byte, error) {
+	header := pick(http.Header(answer.Header), returnedHeaders)
+	return json.Marshal(storedAnswer{Service: &serviceAnswer{Status: answer.Status, Header: header, Body: answer.Body}})
+}
+
+// Replay implements port.ServiceExchange.
+func (serviceExchange) Replay(stored []byte) (*port.ServiceAnswer, error) {
+	var answer storedAnswer
+	if err := json.Unmarshal(stored, &answer); err != nil || answer.Service == nil {
+		return nil, fmt.Errorf("httpapi: the stored answer is not readable: %w", err)
+	}
+	header := answer.Service.Header
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(replayHeader, "true")
+	return &port.ServiceAnswer{Status: answer.Service.Status, Header: port.Header(header), Body: answer.Service.Body}, nil
+}
+
+func plainFingerprint(route string, r port.ServiceRequest) [32]byte {
 	h := sha256.New()
-	for _, part := range []string{route, r.Method, r.Path, r.Query, r.Header.Get("Content-Type")} {
+	for _, part := range []string{route, r.Method, r.Path, r.Query, http.Header(r.Header).Get("Content-Type")} {
 		fmt.Fprintf(h, "%d:%s", len(part), part)
 	}
 	h.Write(r.Body)
@@ -112,13 +148,13 @@
 	return sum
 }
 
-func writePlain(w http.ResponseWriter, answer *port.PlainAnswer) {
+func writePlain(w http.ResponseWriter, answer *port.ServiceAnswer) {
 	if answer.Status < 100 || answer.Status > 999 {
 		writeRefusal(w, domain.Unknown(domain.ReasonTargetFailed, "the service answered with the invalid status %d", answer.Status))
 		return
 	}
 	header := w.Header()
-	for name, values := range pick(answer.Header, returnedHeaders) {
+	for name, values := range pick(http.Header(answer.Header), returnedHeaders) {
 		header[name] = values
 	}
 	w.WriteHeader(answer.Status)
--- a/adapter/metrics/metrics.go
+++ b/adapter/metrics/metrics.go
@@ -32,6 +32,7 @@
 	tokens      *prometheus.CounterVec
 	charged     *prometheus.CounterVec
 	step        prometheus.Histogram
+	cut         prometheus.Counter
 }
 
 var _ port.Metrics = (*Metrics)(nil)
@@ -68,7 +69,10 @@
 			Buckets: []float64{1e-6, 1e-5, 1e-4, 1e-3, 1e-2, 1e-1},
 		}),
 	}
-	m.registry.MustRegister(m.refused, m.retried, m.dropped, m.firstToken, m.callLatency, m.programs, m.tokens, m.charged, m.step,
+	m.cut = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "mangoknot_calls_cut_total", Help: "Calls cut because the deadline of a planned stop had passed.",
+	})
+	m.registry.MustRegister(m.cut, m.refused, m.retried, m.dropped, m.firstToken, m.callLatency, m.programs, m.tokens, m.charged, m.step,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -114,3 +118,6 @@
 
 // ControlStep implements port.Metrics.
 func (m *Metrics) ControlStep(d time.Duration) { m.step.Observe(d.Seconds()) }
+
+// CallsCut counts the calls that a planned stop has cut at its deadline.
+func (m *Metrics) CallsCut(calls int64) { m.cut.Add(float64(calls)) }
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	data := []byte("turn")
-	ref := port.HistoryRef{Program: domain.ProgramID{Account: "a", Name: "p"}, Call: "c", Length: 4, SHA256: sha256.Sum256(data)}
+	ref := port.HistoryRef{Program: domain.ProgramID{Account: "a", Name: "p"}, Length: 4, SHA256: sha256.Sum256(data)}
 	_, err := client.Get(ctx, "b", ref)
 	must.ErrorIs(t, err, port.ErrHistoryMissing)
 	must.NoError(t, client.Put(ctx, "b", ref, data))
--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -41,6 +41,9 @@
 		return remove(s.VMs, c.Name, "VM")
 	case *SetHomes:
 		return s.setHomes(c.DataCentres)
+	case *SetVoters:
+		s.Voters = slices.Clone(c.Voters)
+		return nil
 	case *AssignShard:
 		return s.assignShard(c)
 	default:
--- a/core/config/command.go
+++ b/core/config/command.go
@@ -155,6 +155,16 @@
 // Object implements Command.
 func (*SetHomes) Object() string { return "homes" }
 
+// SetVoters records which VMs agree on configuration, so that other VMs can
+// follow them.
+type SetVoters struct{ Voters []domain.VM }
+
+// RecordName implements domain.Record.
+func (*SetVoters) RecordName() string { return "config.SetVoters" }
+
+// Object implements Command.
+func (*SetVoters) Object() string { return "voters" }
+
 // AssignShard replaces the holders of a shard. It applies only when the
 // shard's epoch is still PreviousEpoch, and the new epoch must be higher.
 type AssignShard struct {
@@ -173,6 +183,6 @@
 	return []domain.Record{
 		&Change{}, &PutAccount{}, &PutKey{}, &WithdrawKey{}, &SetPreset{}, &PutPreset{}, &PutModel{},
 		&PutRoute{}, &RemoveRoute{}, &PutTarget{}, &RemoveTarget{}, &SetTargetLeaving{}, &PutVM{}, &RemoveVM{},
-		&SetHomes{}, &AssignShard{}, &Snapshot{},
+		&SetHomes{}, &SetVoters{}, &AssignShard{}, &Snapshot{},
 	}
 }
--- a/core/config/spec.go
+++ b/core/config/spec.go
@@ -162,6 +162,9 @@
 	PeerAddress string
 	// HasDisk says that the VM keeps records on a disk.
 	HasDisk bool
+	// Incarnation identifies the process that registered. A VM that has applied
+	// its own registration has every change that was accepted before its start.
+	Incarnation uint64
 }
 
 // Assignment names the VMs that hold a shard.
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -58,6 +58,7 @@
 	Targets        map[domain.Target]TargetSpec
 	VMs            map[domain.VM]VMSpec
 	Homes          []domain.DataCentre
+	Voters         []domain.VM
 	Assignments    map[domain.ShardID]Assignment
 	ObjectVersions map[string]uint64
 	Operations     map[domain.OperationID]Result
@@ -90,7 +91,7 @@
 // Snapshot returns a copy of the whole state.
 func (s *State) Snapshot() *Snapshot { return cloneSnapshot(&s.data) }
 
-// Version returns the version, which grows by one with each applied change.
+// Version returns the version, which is the log index of the last change.
 func (s *State) Version() uint64 { return s.data.Version }
 
 // AppliedIndex returns the log index of the last entry seen.
@@ -111,6 +112,11 @@
 	return result
 }
 
+// Skip notes a log entry that carries no change.
+func (s *State) Skip(index uint64) {
+	s.data.AppliedIndex = max(s.data.AppliedIndex, index)
+}
+
 func (s *State) execute(c *Change) Result {
 	object := c.Command.Object()
 	if last := s.data.ObjectVersions[object]; c.Base != 0 && last > c.Base {
@@ -120,7 +126,7 @@
 	if err := s.data.apply(c.Command); err != nil {
 		return s.rejected(Invalid, err.Error())
 	}
-	s.data.Version++
+	s.data.Version = s.data.AppliedIndex
 	s.data.ObjectVersions[object] = s.data.Version
 	s.view = nil
 	return Result{Version: s.data.Version}
@@ -163,6 +169,7 @@
 	c.ObjectVersions = cloneMap(s.ObjectVersions)
 	c.Operations = cloneMap(s.Operations)
 	c.Homes = slices.Clone(s.Homes)
+	c.Voters = slices.Clone(s.Voters)
 	c.OperationOrder = slices.Clone(s.OperationOrder)
 	return &c
 }
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -27,7 +27,16 @@
 	vms          map[domain.VM]*VMSpec
 	assignments  map[domain.ShardID]Assignment
 	homes        []domain.DataCentre
-	dataCentres  []domain.DataCentre
+	voters       []domain.VM
+	// The lists below are sorted by name.
+	accountList []*AccountSpec
+	modelList   []*ModelSpec
+	routeList   []*RouteSpec
+	targetList  []*TargetSpec
+	vmList      []*VMSpec
+	// assignmentList is sorted by shard.
+	assignmentList []Assignment
+	dataCentres    []domain.DataCentre
 }
 
 func newView(s *Snapshot) *View {
@@ -44,6 +53,7 @@
 		vms:          pointers(s.VMs),
 		assignments:  maps.Clone(s.Assignments),
 		homes:        slices.Clone(s.Homes),
+		voters:       slices.Clone(s.Voters),
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Keys)) {
 		key := s.Keys[id]
@@ -51,6 +61,9 @@
 		v.keys = append(v.keys, key)
 	}
 	v.dataCentres = dataCentresOf(s)
+	v.accountList, v.modelList, v.routeList = sortedValues(v.accounts), sortedValues(v.models), sortedValues(v.routes)
+	v.targetList, v.vmList = sortedValues(v.targets), sortedValues(v.vms)
+	v.assignmentList = sortedAssignments(v.assignments)
 	return v
 }
 
@@ -83,7 +96,7 @@
 func (v *View) Account(name domain.Account) *AccountSpec { return v.accounts[name] }
 
 // Accounts returns all client accounts in the order of their names.
-func (v *View) Accounts() []*AccountSpec { return sortedValues(v.accounts) }
+func (v *View) Accounts() []*AccountSpec { return v.accountList }
 
 // KeyByHash returns the key with the hash, or nil.
 func (v *View) KeyByHash(hash KeyHash) *KeySpec { return v.keysByHash[hash] }
@@ -104,33 +117,35 @@
 func (v *View) Model(name domain.ModelName) *ModelSpec { return v.models[name] }
 
 // Models returns all models in the order of their names.
-func (v *View) Models() []*ModelSpec { return sortedValues(v.models) }
+func (v *View) Models() []*ModelSpec { return v.modelList }
 
 // Route returns a plain service, or nil.
 func (v *View) Route(name string) *RouteSpec { return v.routes[name] }
 
 // Routes returns all plain services in the order of their names.
-func (v *View) Routes() []*RouteSpec { return sortedValues(v.routes) }
+func (v *View) Routes() []*RouteSpec { return v.routeList }
 
 // Target returns a target, or nil.
 func (v *View) Target(name domain.Target) *TargetSpec { return v.targets[name] }
 
 // Targets returns all targets in the order of their names.
-func (v *View) Targets() []*TargetSpec { return sortedValues(v.targets) }
+func (v *View) Targets() []*TargetSpec { return v.targetList }
 
 // VM returns a VM of the system, or nil.
 func (v *View) VM(name domain.VM) *VMSpec { return v.vms[name] }
 
 // VMs returns all VMs of the system in the order of their names.
-func (v *View) VMs() []*VMSpec { return sortedValues(v.vms) }
+func (v *View) VMs() []*VMSpec { return v.vmList }
 
 // Assignment returns the holders of a shard; its epoch is 0 before the first
 // assignment.
 func (v *View) Assignment(id domain.ShardID) Assignment { return v.assignments[id] }
 
 // Assignments returns all assignments in the order of their shards.
-func (v *View) Assignments() []Assignment {
-	out := slices.Collect(maps.Values(v.assignments))
+func (v *View) Assignments() []Assignment { return v.assignmentList }
+
+func sortedAssignments(m map[domain.ShardID]Assignment) []Assignment {
+	out := slices.Collect(maps.Values(m))
 	slices.SortFunc(out, func(a, b Assignment) int {
 		if a.Shard.Less(b.Shard) {
 			return -1
@@ -144,6 +159,9 @@
 // It is empty until the first leader has fixed the list.
 func (v *View) Homes() []domain.DataCentre { return v.homes }
 
+// Voters returns the VMs that agree on configuration, as last recorded.
+func (v *View) Voters() []domain.VM { return v.voters }
+
 // DataCentres returns the homes and the data centres of all VMs, sorted.
 func (v *View) DataCentres() []domain.DataCentre { return v.dataCentres }
 
--- /dev/null
+++ b/core/controller/agreement.go
@@ -0,0 +1,265 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/raft"
+	"github.com/mangoknot/mangoknot/core/relay"
+	"github.com/mangoknot/mangoknot/core/shard"
+)
+
+const (
+	// compactAfter is the number of log entries after which a voter replaces
+	// them by a snapshot.
+	compactAfter = 1024
+	// proposeAgain spaces repeated proposals of the system's own commands.
+	proposeAgain = time.Second
+)
+
+// leads says whether this VM is the leader and no other leader can exist now.
+func (c *Controller) leads() bool { return c.raft != nil && c.raft.LeaderLease(c.now) }
+
+// drainRaft carries out what agreement has decided.
+func (c *Controller) drainRaft() {
+	if c.raft == nil {
+		return
+	}
+	for {
+		r := c.raft.Ready()
+		if r.Snapshot == nil && len(r.Records) == 0 && len(r.Now) == 0 && len(r.AfterSync) == 0 && len(r.Committed) == 0 {
+			break
+		}
+		c.readyRaft(r)
+	}
+	c.leaderChanged()
+}
+
+func (c *Controller) readyRaft(r raft.Ready) {
+	if r.Snapshot != nil {
+		c.installSnapshot(r.Snapshot)
+	}
+	if len(r.Records) > 0 {
+		c.out.Writes = append(c.out.Writes, Write{Stream: StreamRaft, Token: uint64(r.Token), Replace: r.Replace, Records: r.Records})
+	}
+	c.sendAll(r.Now)
+	if len(r.AfterSync) > 0 {
+		c.callers.afterSync = append(c.callers.afterSync, pendingSends{uint64(r.Token), r.AfterSync})
+	}
+	if len(r.Committed) > 0 {
+		c.committed(r.Committed)
+	}
+}
+
+// pendingSends are messages that wait for a write of the log.
+type pendingSends struct {
+	token uint64
+	sends []domain.Send
+}
+
+func (c *Controller) raftPersisted(token uint64, err error) {
+	if err != nil {
+		c.raft.PersistFailed(err)
+		c.log("raft", "the disk failed, so this voter stopped voting; repair the disk, remove the voter and add it again", "error", err.Error())
+		return
+	}
+	waiting := c.callers.afterSync
+	for len(waiting) > 0 && waiting[0].token <= token {
+		c.sendAll(waiting[0].sends)
+		waiting = waiting[1:]
+	}
+	c.callers.afterSync = waiting
+	c.raft.Persisted(c.now, raft.PersistToken(token))
+}
+
+func (c *Controller) installSnapshot(s *raft.Snapshot) {
+	snapshot, ok := s.Data.(*config.Snapshot)
+	if !ok || uint64(s.Index) <= c.state.AppliedIndex() {
+		return
+	}
+	c.state = config.Restore(snapshot)
+	c.relay.Restored(s.Index)
+	c.configured()
+}
+
+// committed applies entries of the log and passes them to the followers.
+func (c *Controller) committed(entries []raft.Entry) {
+	fan := make([]relay.Entry, 0, len(entries))
+	for _, e := range entries {
+		change, _ := e.Data.(*config.Change)
+		fan = append(fan, relay.Entry{Index: e.Index, Term: e.Term, Change: change})
+		if e.Term == c.raft.Status().Term {
+			c.termApplied(e.Term)
+		}
+	}
+	c.applyEntries(fan)
+	c.applyRelay(c.relay.Committed(c.now, fan))
+	c.compactLog()
+}
+
+// termApplied starts the leader's duties once an entry of its term is applied.
+func (c *Controller) termApplied(term raft.Term) {
+	if c.raft.Status().Role == raft.Leader && c.elected != term {
+		c.elected = term
+		c.grantor.Elected(c.now)
+		c.log("raft", "this VM leads the configuration", "term", uint64(term))
+	}
+}
+
+func (c *Controller) applyEntries(entries []relay.Entry) {
+	for _, e := range entries {
+		if e.Change == nil {
+			c.state.Skip(uint64(e.Index))
+			continue
+		}
+		result := c.state.Apply(uint64(e.Index), e.Change)
+		if result.Rejection != config.Applied {
+			c.log("config", "a change was not applied", "object", e.Change.Command.Object(), "reason", result.Message)
+		}
+		c.applyRelay(c.relay.Answer(c.now, e.Change.Operation, result))
+	}
+	c.configured()
+}
+
+func (c *Controller) compactLog() {
+	status := c.raft.Status()
+	if status.Commit-status.Snapshot >= compactAfter {
+		c.raft.Compact(raft.Index(c.state.AppliedIndex()), c.state.Snapshot())
+	}
+}
+
+// leaderChanged tells the other parts who leads, as far as agreement knows.
+func (c *Controller) leaderChanged() {
+	status := c.raft.Status()
+	if !slices.Contains(status.Members.Voters, c.config.VM) {
+		return
+	}
+	if status.Leader != "" {
+		c.heardLead = c.now
+	}
+	if status.Leader != c.relay.Leader() {
+		c.applyRelay(c.relay.SetLeader(c.now, status.Leader))
+		c.observe()
+	}
+}
+
+// leader returns the configuration leader as this VM knows it.
+func (c *Controller) leader() domain.VM { return c.relay.Leader() }
+
+// applyRelay carries out the effects of the fan-out.
+func (c *Controller) applyRelay(e relay.Effects) {
+	c.sendAll(e.Sends)
+	if e.Install != nil {
+		c.state = config.Restore(e.Install.State)
+		c.configured()
+	}
+	if len(e.Apply) > 0 {
+		c.applyEntries(e.Apply)
+	}
+	for _, p := range e.Proposals {
+		c.proposeToLog(p)
+	}
+	for _, a := range e.Answers {
+		c.changeAnswered(a)
+	}
+	if len(e.Withdrawn) > 0 {
+		c.keysWithdrawn(e.Withdrawn)
+	}
+	if e.NeedSnapshot {
+		c.applyRelay(c.relay.ProvideSnapshot(c.now, c.state.Snapshot()))
+	}
+}
+
+// proposeToLog puts a forwarded change into the log. An assignment needs the
+// consent of the lease grantor, because a lease may still promise the old one.
+func (c *Controller) proposeToLog(p relay.Proposal) {
+	if assign, ok := p.Change.Command.(*config.AssignShard); ok && !c.grantor.MayPropose(c.now, assign, c.leads()) {
+		c.relay.Refused(p.Change.Operation)
+		return
+	}
+	if c.raft == nil {
+		c.relay.Refused(p.Change.Operation)
+		return
+	}
+	if _, err := c.raft.Propose(c.now, p.Change); err != nil {
+		c.relay.Refused(p.Change.Operation)
+	}
+}
+
+// propose sends one of the system's own commands to the leader. The operation
+// id contains what makes the command unique, so that repeats have no effect.
+func (c *Controller) propose(operation string, command config.Command) {
+	if at, ok := c.proposed[operation]; ok && c.now.Sub(at) < proposeAgain {
+		return
+	}
+	c.proposed[operation] = c.now
+	e, err := c.relay.Propose(c.now, &config.Change{Operation: domain.OperationID(operation), Operator: string(c.config.VM), Command: command})
+	if err != nil {
+		c.log("relay", "a change of the system could not be proposed", "error", err.Error())
+	}
+	c.applyRelay(e)
+}
+
+// maxProposed bounds the remembered proposals; old ones have been answered.
+const maxProposed = 4096
+
+func (c *Controller) forgetProposed() {
+	if len(c.proposed) < maxProposed {
+		return
+	}
+	for operation, at := range c.proposed {
+		if c.now.Sub(at) >= proposeAgain {
+			delete(c.proposed, operation)
+		}
+	}
+}
+
+// assignmentOperation names an assignment by what it changes.
+func assignmentOperation(a *config.AssignShard, from domain.VM, attempt time.Time) string {
+	next := a.Assignment
+	return fmt.Sprintf("assign-%s-%d-%s-%s-%s-%s-%d", next.Shard, next.Epoch, next.Owner, next.Backup, next.Learner, from, attempt.UnixNano())
+}
+
+// lead does the duties of the configuration leader.
+func (c *Controller) lead() {
+	if !c.leads() || c.raft.Status().Term != c.elected {
+		return
+	}
+	view := c.state.View()
+	if homes := c.chooseHomes(view); len(homes) > 0 {
+		c.propose("homes", &config.SetHomes{DataCentres: homes})
+	}
+	if voters := c.raft.Status().Members.Voters; !sameVMs(voters, view.Voters()) {
+		c.propose(fmt.Sprintf("voters-%v-%d", voters, view.Version()), &config.SetVoters{Voters: slices.Sorted(slices.Values(voters))})
+	}
+	for _, assign := range (shard.Planner{}).Plan(view, c.candidates) {
+		if c.grantor.MayPropose(c.now, assign, true) {
+			c.propose(assignmentOperation(assign, c.config.VM, time.Time{}), assign)
+		}
+	}
+}
+
+func sameVMs(a, b []domain.VM) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// chooseHomes returns the list to fix, once: the setting, or the data centres
+// of all VMs after every voter has registered, so that a slow data centre is
+// not left out.
+func (c *Controller) chooseHomes(view *config.View) []domain.DataCentre {
+	if len(view.Homes()) > 0 {
+		return nil
+	}
+	if len(c.config.Homes) > 0 {
+		return c.config.Homes
+	}
+	for _, voter := range c.raft.Status().Members.Voters {
+		if view.VM(voter) == nil {
+			return nil
+		}
+	}
+	return view.DataCentres()
+}
--- /dev/null
+++ b/core/controller/calls.go
@@ -0,0 +1,332 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/entry"
+	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/core/schedule"
+	"github.com/mangoknot/mangoknot/core/share"
+)
+
+// programReplyLimit bounds the wait for an owner's answer about a program.
+const programReplyLimit = 8 * time.Second
+
+// programRetry repeats a question to the owner of a program.
+const programRetry = 500 * time.Millisecond
+
+// caller is the entry side of one call: its ticket and its key.
+type caller struct {
+	ticket Ticket
+	key    config.KeyID
+	begin  program.BeginCall
+	// admitting says that the call waits for a request token.
+	admitting bool
+}
+
+// programQuestion is a question of a caller about a program.
+type programQuestion struct {
+	ticket  Ticket
+	program domain.ProgramID
+	message domain.Message
+	since   time.Time
+	sentAt  time.Time
+}
+
+// callers holds what the entry side keeps for traffic operations.
+type callers struct {
+	calls     map[domain.CallID]*caller
+	tickets   map[share.Ticket]domain.CallID
+	questions map[domain.CallID]*programQuestion
+	next      uint64
+	afterSync []pendingSends
+}
+
+func newCallers() callers {
+	return callers{
+		calls:     map[domain.CallID]*caller{},
+		tickets:   map[share.Ticket]domain.CallID{},
+		questions: map[domain.CallID]*programQuestion{},
+	}
+}
+
+// beginCall admits a call by the account's rate, then asks the owner.
+func (c *Controller) beginCall(in BeginCall) {
+	if refusal := c.entryRefusal(in); refusal != nil {
+		c.reply(in.Ticket, refusal, true)
+		return
+	}
+	id := in.Begin.Call
+	c.callers.calls[id] = &caller{ticket: in.Ticket, key: in.Key, begin: in.Begin, admitting: true}
+	decision, sends := c.admission.Admit(c.now, in.Begin.Program.Account, share.Ticket(in.Ticket))
+	c.sendAll(sends)
+	switch decision {
+	case share.Admitted:
+		c.admitted(id)
+	case share.Refused:
+		delete(c.callers.calls, id)
+		c.reply(in.Ticket, c.admission.Refusal(in.Begin.Program.Account), true)
+	default:
+		c.callers.tickets[share.Ticket(in.Ticket)] = id
+	}
+}
+
+// entryRefusal checks what may have changed since the traffic side looked.
+func (c *Controller) entryRefusal(in BeginCall) *domain.Refusal {
+	switch {
+	case !c.traffic.Serving:
+		return domain.NotRun(domain.ReasonOverloaded, "the VM is starting; send the request again").After(time.Second)
+	case c.traffic.Isolated:
+		return domain.NotRun(domain.ReasonIsolated, "the VM is cut off from the other VMs and cannot check keys; send the request again to another VM").After(time.Second)
+	case c.traffic.Withdrawn[in.Key]:
+		return keyWithdrawn()
+	default:
+		return nil
+	}
+}
+
+func keyWithdrawn() *domain.Refusal {
+	return domain.NotRun(domain.ReasonKeyWithdrawn, "the key was withdrawn; ask the operator for a new one")
+}
+
+func (c *Controller) admitted(id domain.CallID) {
+	caller := c.callers.calls[id]
+	caller.admitting = false
+	c.applyEntry(c.calls.Begin(c.now, caller.begin))
+}
+
+// applyAdmission carries out the outcomes of requests that waited for tokens.
+func (c *Controller) applyAdmission(e share.Effects) {
+	c.sendAll(e.Sends)
+	for _, outcome := range e.Outcomes {
+		id, ok := c.callers.tickets[outcome.Ticket]
+		delete(c.callers.tickets, outcome.Ticket)
+		if !ok || c.callers.calls[id] == nil {
+			continue
+		}
+		if outcome.Refusal == nil {
+			c.admitted(id)
+			continue
+		}
+		c.reply(c.callers.calls[id].ticket, outcome.Refusal, true)
+		delete(c.callers.calls, id)
+	}
+}
+
+func (c *Controller) callerGone(id domain.CallID) {
+	caller := c.callers.calls[id]
+	if caller == nil {
+		return
+	}
+	if caller.admitting {
+		c.endAdmitting(id, domain.NotRun(domain.ReasonCallerGone, "the caller closed its connection"))
+		return
+	}
+	c.applyEntry(c.calls.Gone(id))
+}
+
+// endAdmitting ends a call that waits for a request token.
+func (c *Controller) endAdmitting(id domain.CallID, refusal *domain.Refusal) {
+	caller := c.callers.calls[id]
+	c.admission.Cancel(caller.begin.Program.Account, share.Ticket(caller.ticket))
+	delete(c.callers.tickets, share.Ticket(caller.ticket))
+	delete(c.callers.calls, id)
+	c.reply(caller.ticket, refusal, true)
+}
+
+// applyEntry passes the events of calls to their traffic operations.
+func (c *Controller) applyEntry(e entry.Effects) {
+	c.sendAll(e.Sends)
+	for _, event := range e.Events {
+		caller := c.callers.calls[event.Call]
+		if caller == nil {
+			continue
+		}
+		last := event.Committed != nil || event.Refused != nil
+		if last {
+			delete(c.callers.calls, event.Call)
+		}
+		c.reply(caller.ticket, event, last)
+	}
+}
+
+// cancelKey ends every call that came with a key.
+func (c *Controller) cancelKey(key config.KeyID) {
+	for id, caller := range c.callers.calls {
+		switch {
+		case caller.key != key:
+		case caller.admitting:
+			c.endAdmitting(id, keyWithdrawn())
+		default:
+			c.applyEntry(c.calls.Cancel(id, keyWithdrawn()))
+		}
+	}
+}
+
+// enqueue hands a call that has its budget to the scheduler. A suspect takes
+// the place of its earlier entry.
+func (c *Controller) enqueue(r program.Ready) {
+	id, err := c.state.View().ShardOfProgram(r.Program)
+	if err != nil {
+		return
+	}
+	c.running[r.Call] = id
+	if r.Alone {
+		c.scheduler.Cancel(c.now, r.Call)
+	}
+	call := schedule.Call{
+		ID: r.Call, Program: r.Program, ProgramStarted: r.Arrived,
+		Pool:   schedule.PoolID{Model: r.Model, Service: r.Route},
+		Prompt: r.Prompt, PromptBytes: int64(r.Prompt) * promptBytesPerToken, MaxGenerated: r.TokenLimit,
+		Repeatable: true, Suspect: r.Alone,
+	}
+	c.scheduler.Enqueue(c.now, call)
+}
+
+// promptBytesPerToken estimates the bytes that a prompt takes on a link.
+const promptBytesPerToken = 4
+
+// dispatch starts the calls that the scheduler has places for.
+func (c *Controller) dispatch() {
+	placed := c.scheduler.Dispatch(c.now)
+	for _, p := range append([]schedule.Placement(nil), placed...) {
+		c.place(p)
+	}
+	for _, expired := range c.scheduler.Expired() {
+		if owned := c.owned(c.running[expired.Call]); owned != nil {
+			id := c.running[expired.Call]
+			delete(c.running, expired.Call)
+			c.applyStore(id, owned.store.Refuse(c.now, expired.Call, expired.Refusal))
+		}
+	}
+	c.sendAll(c.scheduler.Sends())
+	c.scheduler.Orders()
+}
+
+// place records the scheduler's choice; the call starts when the record is
+// committed.
+func (c *Controller) place(p schedule.Placement) {
+	id := c.running[p.Call]
+	owned := c.owned(id)
+	if owned == nil {
+		c.scheduler.Cancel(c.now, p.Call)
+		delete(c.running, p.Call)
+		return
+	}
+	effects, err := owned.store.Place(c.now, p.Call, p.Target, c.scheduler.Alone(p.Call))
+	if err != nil {
+		c.scheduler.Cancel(c.now, p.Call)
+	}
+	c.applyStore(id, effects)
+}
+
+// callFinished tells the scheduler about a served call before its owner's
+// store settles it.
+func (c *Controller) callFinished(m *program.FinishCall) {
+	if _, ok := c.running[m.Call]; !ok {
+		return
+	}
+	c.scheduler.FirstTokenAfter(m.Call, m.FirstToken)
+	c.scheduler.Finished(c.now, m.Call, schedule.Usage{Prompt: m.Usage.Prompt, Cached: m.Usage.Cached, Generated: m.Usage.Generated})
+	delete(c.running, m.Call)
+}
+
+// stepFail passes a failed attempt to the scheduler, which paces retries within
+// the account's retry budget, and to the owner's store, which knows whether the
+// call may run again.
+func (c *Controller) stepFail(id domain.ShardID, m *program.FailCall) {
+	owned := c.owned(id)
+	if owned == nil {
+		return
+	}
+	fail := *m
+	fail.Crash = c.crashNumber(m.Target)
+	refusal := c.scheduler.Failed(c.now, m.Call, failureKind(m.Kind))
+	effects := owned.store.Step(c.now, &fail)
+	retry := false
+	for _, r := range effects.Ready {
+		retry = retry || r.Call == m.Call
+	}
+	if !retry {
+		c.scheduler.Cancel(c.now, m.Call)
+		delete(c.running, m.Call)
+	}
+	c.applyStore(id, effects)
+	if retry && refusal != nil && c.stores[id] == owned {
+		c.scheduler.Cancel(c.now, m.Call)
+		delete(c.running, m.Call)
+		c.applyStore(id, owned.store.Refuse(c.now, m.Call, refusal))
+		return
+	}
+	if retry {
+		c.out.Retried = append(c.out.Retried, string(m.Kind))
+	}
+}
+
+func failureKind(kind program.FailKind) schedule.FailureKind {
+	switch kind {
+	case program.FailCrashed:
+		return schedule.FailureCrash
+	case program.FailRefused, program.FailNotSent:
+		return schedule.FailureNotRun
+	default:
+		return schedule.FailureError
+	}
+}
+
+func (c *Controller) endProgram(in EndProgram) {
+	id := c.newQuestionID()
+	c.askOwner(id, in.Ticket, in.Program, &program.EndProgram{Request: id, From: c.config.VM, Program: in.Program})
+}
+
+func (c *Controller) getProgram(in GetProgram) {
+	id := c.newQuestionID()
+	c.askOwner(id, in.Ticket, in.Program, &program.GetProgram{Request: id, From: c.config.VM, Program: in.Program})
+}
+
+func (c *Controller) newQuestionID() domain.CallID {
+	c.callers.next++
+	return domain.CallID(questionPrefix + string(c.config.VM) + "-" + formatUint(c.config.Incarnation) + "-" + formatUint(c.callers.next))
+}
+
+const questionPrefix = "question-"
+
+func (c *Controller) askOwner(id domain.CallID, t Ticket, p domain.ProgramID, m domain.Message) {
+	q := &programQuestion{ticket: t, program: p, message: m, since: c.now}
+	c.callers.questions[id] = q
+	c.sendQuestion(q)
+}
+
+func (c *Controller) sendQuestion(q *programQuestion) {
+	owner, _ := directory{c}.Owner(q.program)
+	q.sentAt = c.now
+	c.send(domain.Send{To: owner, Body: q.message})
+}
+
+func (c *Controller) programReply(m domain.Message) {
+	var id domain.CallID
+	switch m := m.(type) {
+	case *program.EndProgramReply:
+		id = m.Request
+	case *program.GetProgramReply:
+		id = m.Request
+	}
+	if q := c.callers.questions[id]; q != nil {
+		delete(c.callers.questions, id)
+		c.reply(q.ticket, m, true)
+	}
+}
+
+func (c *Controller) tickQuestions() {
+	for id, q := range c.callers.questions {
+		switch {
+		case c.now.Sub(q.since) >= programReplyLimit:
+			delete(c.callers.questions, id)
+			c.reply(q.ticket, domain.NotRun(domain.ReasonUnreachable, "the owner of program %s cannot be reached; send the request again", q.program.Name).After(time.Second), true)
+		case c.now.Sub(q.sentAt) >= programRetry:
+			c.sendQuestion(q)
+		}
+	}
+}
--- /dev/null
+++ b/core/controller/controller_test.go
@@ -0,0 +1,51 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a single VM that never gets its own shards, on which --dev
+// depends.
+func TestSingleVMServes(t *testing.T) {
+	w := newWorld(t, 1, 1, 1)
+	w.setUp()
+	turn, err := w.finish("a1", w.call("a1", chat("p")), 10*time.Second)
+	must.NoError(t, err, must.Sprint(w.log))
+	must.Eq(t, 1, turn)
+}
+
+// Guards against calls that only work at the owner of their program.
+func TestAnyVMServesAnyProgram(t *testing.T) {
+	w := newWorld(t, 2, 3, 2)
+	w.setUp()
+	for i, name := range w.names {
+		turn, err := w.finish(name, w.call(name, chat("p")), 10*time.Second)
+		must.NoError(t, err, must.Sprint(w.log))
+		must.Eq(t, i+1, turn)
+	}
+}
+
+// Guards against a program that stays without an owner after its owner's death,
+// and against a lost or repeated turn.
+func TestHistorySurvivesOwnerLoss(t *testing.T) {
+	w := newWorld(t, 3, 3, 2)
+	w.setUp()
+	for i := range 3 {
+		turn, err := w.finish("a1", w.call("a1", chat("p@b")), 10*time.Second)
+		must.NoError(t, err)
+		must.Eq(t, i+1, turn)
+	}
+	shard, err := w.vms["a1"].view.ShardOfProgram(chat("p@b").Program)
+	must.NoError(t, err)
+	owner := w.vms["a1"].view.Assignment(shard).Owner
+	w.vms[owner].kill()
+	died := w.now
+	turn, err := w.finish("a1", w.call("a1", chat("p@b")), 10*time.Second)
+	must.NoError(t, err, must.Sprint(w.log))
+	must.Eq(t, 4, turn)
+	t.Logf("the next turn was served %v after the owner's death", w.now.Sub(died))
+	must.Less(t, 3*time.Second, w.now.Sub(died))
+}
--- /dev/null
+++ b/core/controller/fleet.go
@@ -0,0 +1,232 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/membership"
+	"github.com/mangoknot/mangoknot/core/relay"
+	"github.com/mangoknot/mangoknot/core/shard"
+)
+
+const (
+	// startGrace is the time after a start in which VMs that have not been heard
+	// yet count as alive, so that a restart of all VMs moves no shard.
+	startGrace = 5 * time.Second
+	// cutOffLimit is the time without the leader after which a data centre
+	// counts as cut off.
+	cutOffLimit = 5 * time.Second
+)
+
+// current says whether the VM has applied its own registration, and with it
+// every change that was accepted before its process started.
+func (c *Controller) current() bool {
+	spec := c.state.View().VM(c.config.VM)
+	return spec != nil && spec.Incarnation == c.config.Incarnation
+}
+
+// register proposes this process, until the registration is applied.
+func (c *Controller) register() {
+	if c.current() || c.draining {
+		return
+	}
+	c.propose(fmt.Sprintf("register-%s-%d", c.config.VM, c.config.Incarnation), &config.PutVM{VM: config.VMSpec{
+		Name: c.config.VM, DataCentre: c.config.DataCentre, Region: c.config.Region,
+		PeerAddress: c.config.PeerAddress, HasDisk: c.config.HasDisk, Incarnation: c.config.Incarnation,
+	}})
+}
+
+// vmList takes the platform's list.
+func (c *Controller) vmList(list []membership.Member) {
+	clear(c.platform)
+	for _, m := range list {
+		c.platform[m.VM] = m
+	}
+	c.listChanged()
+}
+
+// listChanged gives membership every VM that settings, configuration or the
+// platform name.
+func (c *Controller) listChanged() {
+	all := map[domain.VM]membership.Member{}
+	for vm := range c.config.Seeds {
+		all[vm] = membership.Member{VM: vm}
+	}
+	for _, spec := range c.state.View().VMs() {
+		all[spec.Name] = membership.Member{VM: spec.Name, DataCentre: spec.DataCentre, Region: spec.Region}
+	}
+	for vm, m := range c.platform {
+		known := all[vm]
+		if known.DataCentre == "" {
+			known.DataCentre, known.Region = m.DataCentre, m.Region
+		}
+		known.VM, known.State = vm, m.State
+		all[vm] = known
+	}
+	list := make([]membership.Member, 0, len(all))
+	for _, vm := range slices.Sorted(maps.Keys(all)) {
+		list = append(list, all[vm])
+	}
+	c.applyMembership(c.members.UpdateList(c.now, list))
+	c.membersChanged()
+}
+
+func (c *Controller) addresses() map[domain.VM]string {
+	out := maps.Clone(c.config.Seeds)
+	if out == nil {
+		out = map[domain.VM]string{}
+	}
+	for _, spec := range c.state.View().VMs() {
+		out[spec.Name] = spec.PeerAddress
+	}
+	return out
+}
+
+// applyMembership carries out the effects of failure detection.
+func (c *Controller) applyMembership(e membership.Effects) {
+	c.sendAll(e.Sends)
+	c.out.ReplaceConnections = append(c.out.ReplaceConnections, e.ReplaceConnections...)
+	for _, m := range e.Changes {
+		c.memberChanged(m)
+	}
+	if len(e.Changes) > 0 {
+		c.membersChanged()
+	}
+}
+
+func (c *Controller) memberChanged(m membership.Member) {
+	if m.VM == c.config.VM {
+		return
+	}
+	c.log("membership", "a VM changed its state", "vm", m.VM, "state", m.State.String())
+	if m.State != membership.Dead {
+		return
+	}
+	for _, id := range c.ownedIDs() {
+		c.applyStore(id, c.stores[id].store.VMDead(c.now, m.VM))
+	}
+}
+
+// membersChanged passes the live VMs on to the other parts.
+func (c *Controller) membersChanged() {
+	c.candidates = c.listCandidates()
+	c.applyRelay(c.relay.SetNodes(c.now, c.relayNodes()))
+	c.observe()
+	c.applyEntry(c.calls.Moved(c.now))
+}
+
+// listCandidates returns the VMs as the planner sees them. A registered VM that
+// was never heard counts as alive during the grace time and as dead afterwards.
+func (c *Controller) listCandidates() []shard.Candidate {
+	var out []shard.Candidate
+	known := map[domain.VM]bool{}
+	grace := c.now.Sub(c.started) < startGrace
+	for _, m := range c.members.Members() {
+		known[m.VM] = true
+		alive := m.State != membership.Dead
+		eligible := m.Ready && m.State == membership.Alive
+		out = append(out, shard.Candidate{VM: m.VM, DataCentre: m.DataCentre, Alive: alive || grace, Eligible: eligible})
+	}
+	for _, spec := range c.state.View().VMs() {
+		if !known[spec.Name] {
+			out = append(out, shard.Candidate{VM: spec.Name, DataCentre: spec.DataCentre, Alive: grace})
+		}
+	}
+	return out
+}
+
+func (c *Controller) relayNodes() []relay.Node {
+	voters := c.state.View().Voters()
+	if len(voters) == 0 {
+		voters = c.seedVoters()
+	}
+	var out []relay.Node
+	for _, m := range c.members.Members() {
+		if m.State == membership.Dead {
+			continue
+		}
+		out = append(out, relay.Node{VM: m.VM, DataCentre: m.DataCentre, Region: m.Region, Voter: slices.Contains(voters, m.VM)})
+	}
+	return out
+}
+
+// seedVoters returns the voters of the first start. A VM that joins later takes
+// its seeds for voters until it knows the configuration.
+func (c *Controller) seedVoters() []domain.VM {
+	if len(c.config.Voters) > 0 {
+		return c.config.Voters
+	}
+	return slices.Sorted(maps.Keys(c.config.Seeds))
+}
+
+func (c *Controller) observe() {
+	c.applyShards(c.shards.Observe(c.now, c.candidates, c.leader()))
+}
+
+// alive says whether a VM may answer.
+func (c *Controller) alive(vm domain.VM) bool { return vm == c.config.VM || c.members.Alive(vm) }
+
+// configured brings every part up to the configuration in force.
+func (c *Controller) configured() {
+	view := c.state.View()
+	c.out.View = view
+	c.grantor.Configure(view)
+	if c.current() {
+		c.applyShards(c.shards.Configure(c.now, view))
+	}
+	c.mergeWithdrawn(view)
+	c.listChanged()
+	for _, id := range c.ownedIDs() {
+		c.applyStore(id, c.stores[id].store.Configure(c.now, view))
+	}
+	c.configureShares(view)
+	c.configureScheduler(view)
+	c.applyEntry(c.calls.Moved(c.now))
+	c.ready()
+}
+
+// ready announces that the VM can hold shards and take calls.
+func (c *Controller) ready() {
+	c.applyMembership(c.members.SetReady(c.now, c.current() && !c.draining))
+}
+
+// isolated says whether the VM hears from no other VM although others are
+// registered in its data centre. Such a VM cannot tell a withdrawn key from a
+// valid one, and its leases have ended.
+func (c *Controller) isolated() bool {
+	view := c.state.View()
+	peers := 0
+	for _, spec := range view.VMs() {
+		if spec.Name == c.config.VM {
+			continue
+		}
+		if c.members.Alive(spec.Name) {
+			return false
+		}
+		if spec.DataCentre == c.config.DataCentre {
+			peers++
+		}
+	}
+	return peers > 0 && c.now.Sub(c.started) >= startGrace
+}
+
+// cutOff says whether the data centre has been without the leader for long.
+func (c *Controller) cutOff() bool { return c.now.Sub(c.heardLead) >= cutOffLimit }
+
+// directory finds owners for the entry side.
+type directory struct{ c *Controller }
+
+// Owner implements entry.Directory.
+func (d directory) Owner(id domain.ProgramID) (domain.VM, bool) {
+	view := d.c.state.View()
+	shardID, err := view.ShardOfProgram(id)
+	if err != nil {
+		return "", false
+	}
+	owner := view.Assignment(shardID).Owner
+	return owner, owner != "" && d.c.alive(owner)
+}
--- /dev/null
+++ b/core/controller/operators.go
@@ -0,0 +1,99 @@
+package controller
+
+import (
+	"maps"
+	"strconv"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/relay"
+)
+
+func formatUint(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// change proposes an operator's change.
+func (c *Controller) change(in Change) {
+	operation := in.Change.Operation
+	change := in.Change
+	e, err := c.relay.Propose(c.now, &change)
+	if err != nil {
+		c.reply(in.Ticket, ChangeReply{Refusal: domain.NotRun(domain.ReasonOverloaded, "%v", err)}, true)
+		return
+	}
+	c.changes[operation] = append(c.changes[operation], in.Ticket)
+	c.applyRelay(e)
+}
+
+// changeAnswered passes the outcome of a change to the operator who asked.
+func (c *Controller) changeAnswered(a relay.Answer) {
+	tickets := c.changes[a.Operation]
+	delete(c.changes, a.Operation)
+	for _, t := range tickets {
+		c.reply(t, changeReplyOf(a), true)
+	}
+}
+
+func changeReplyOf(a relay.Answer) ChangeReply {
+	if a.Err != nil {
+		return ChangeReply{Refusal: domain.Unknown(domain.ReasonNoLeader, "%v", a.Err)}
+	}
+	if refusal, ok := domain.AsRefusal(a.Result.Err()); ok {
+		return ChangeReply{Refusal: refusal}
+	}
+	return ChangeReply{Version: a.Result.Version}
+}
+
+// withdrawKey refuses a key on this VM at once and spreads the withdrawal. It
+// needs no majority; the log follows when it can.
+func (c *Controller) withdrawKey(in WithdrawKey) {
+	known := false
+	for _, key := range c.state.View().Keys() {
+		known = known || key.ID == in.Key
+	}
+	if !known {
+		c.reply(in.Ticket, ChangeReply{Refusal: domain.NotRun(domain.ReasonBadRequest, "key %q does not exist; list the keys to find its id", in.Key)}, true)
+		return
+	}
+	c.applyRelay(c.relay.Withdraw(c.now, in.Key))
+	c.proposeWithdrawals()
+	c.reply(in.Ticket, ChangeReply{}, true)
+}
+
+// keysWithdrawn takes over keys that are new in the withdrawn set.
+func (c *Controller) keysWithdrawn(keys []config.KeyID) {
+	withdrawn := maps.Clone(c.traffic.Withdrawn)
+	records := make([]domain.Record, 0, len(keys))
+	for _, key := range keys {
+		withdrawn[key] = true
+		records = append(records, &WithdrawnKey{Key: key})
+		c.log("config", "a key was withdrawn", "key", key)
+	}
+	c.traffic.Withdrawn = withdrawn
+	c.publish()
+	c.out.Writes = append(c.out.Writes, Write{Stream: StreamKeys, Records: records})
+	for _, key := range keys {
+		c.cancelKey(key)
+	}
+}
+
+// proposeWithdrawals proposes every withdrawal that the log does not have yet.
+func (c *Controller) proposeWithdrawals() {
+	for _, key := range c.state.View().Keys() {
+		if !key.Withdrawn && c.traffic.Withdrawn[key.ID] {
+			c.propose("withdraw-"+string(key.ID), &config.WithdrawKey{ID: key.ID})
+		}
+	}
+}
+
+// mergeWithdrawn adds the withdrawals of the log to the set.
+func (c *Controller) mergeWithdrawn(view *config.View) {
+	var keys []config.KeyID
+	for _, key := range view.Keys() {
+		if key.Withdrawn && !c.traffic.Withdrawn[key.ID] {
+			keys = append(keys, key.ID)
+		}
+	}
+	if len(keys) > 0 {
+		c.applyRelay(c.relay.Withdraw(c.now, keys...))
+	}
+}
--- /dev/null
+++ b/core/controller/queries.go
@@ -0,0 +1,325 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/ledger"
+	"github.com/mangoknot/mangoknot/core/membership"
+	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/core/raft"
+)
+
+// queryLimit bounds the wait for the answers of other VMs.
+const queryLimit = 2 * time.Second
+
+// QuestionKind selects a report.
+type QuestionKind int
+
+// The reports.
+const (
+	QuestionStatus QuestionKind = iota
+	QuestionInForce
+	QuestionSpend
+	QuestionForecast
+	QuestionPrograms
+)
+
+// Question asks for a report.
+type Question struct {
+	Kind    QuestionKind
+	Version uint64
+	Preset  config.PresetName
+	Account domain.Account
+}
+
+// Spend is the money side of one account in the shards of one VM.
+type Spend struct {
+	Account  domain.Account
+	Charged  domain.Micros
+	Reserved domain.Micros
+	Unknown  int
+}
+
+// AccountForecast is a root's forecast for one account.
+type AccountForecast struct {
+	Account  domain.Account
+	Forecast ledger.Forecast
+}
+
+// ProgramSummary describes one program for operators.
+type ProgramSummary struct {
+	Owner   domain.VM
+	Shard   domain.ShardID
+	Summary program.Summary
+}
+
+// VMStatus is what this VM knows of another one.
+type VMStatus struct {
+	Member  membership.Member
+	Version uint64
+	Shards  int
+}
+
+// Status is this VM's view of the system.
+type Status struct {
+	Leader              domain.VM
+	Term                uint64
+	Voters              []domain.VM
+	VMs                 []VMStatus
+	UnassignedShards    int
+	ShardsWithoutBackup int
+	CallsInFlight       int
+}
+
+// Answer is the reply to a question. Only the fields of its kind are set.
+type Answer struct {
+	Status   Status
+	InForce  []domain.VM
+	NotYet   []domain.VM
+	Spend    []Spend
+	Forecast []AccountForecast
+	Programs []ProgramSummary
+	// Missing lists VMs that did not answer in time.
+	Missing []domain.VM
+}
+
+// QueryMessage carries a question to another VM.
+type QueryMessage struct {
+	Request  uint64
+	Question Question
+}
+
+// MessageName implements domain.Message.
+func (*QueryMessage) MessageName() string { return "controller.QueryMessage" }
+
+// QueryAnswer answers a QueryMessage.
+type QueryAnswer struct {
+	Request uint64
+	Answer  Answer
+}
+
+// MessageName implements domain.Message.
+func (*QueryAnswer) MessageName() string { return "controller.QueryAnswer" }
+
+type query struct {
+	ticket   Ticket
+	since    time.Time
+	missing  map[domain.VM]bool
+	combined Answer
+}
+
+type queries struct {
+	next uint64
+	open map[uint64]*query
+}
+
+func newQueries() queries { return queries{open: map[uint64]*query{}} }
+
+// ask answers a question from this VM and, where the answer is spread, from the
+// others.
+func (c *Controller) ask(in Ask) {
+	q := &query{ticket: in.Ticket, since: c.now, missing: map[domain.VM]bool{}}
+	var others []domain.VM
+	switch in.Question.Kind {
+	case QuestionStatus:
+		q.combined.Status = c.status()
+	case QuestionInForce:
+		// The leader hears of all VMs.
+		if leader := c.leader(); leader != "" && leader != c.config.VM {
+			others = []domain.VM{leader}
+		}
+		q.combined.InForce, q.combined.NotYet = c.inForce(in.Question.Version)
+	default:
+		q.combined = c.localAnswer(in.Question)
+		others = c.otherVMs()
+	}
+	c.queries.next++
+	c.queries.open[c.queries.next] = q
+	for _, vm := range others {
+		q.missing[vm] = true
+		c.send(domain.Send{To: vm, Body: &QueryMessage{Request: c.queries.next, Question: in.Question}})
+	}
+	c.finishQuery(c.queries.next)
+}
+
+func (c *Controller) otherVMs() []domain.VM {
+	var out []domain.VM
+	for _, spec := range c.state.View().VMs() {
+		if spec.Name != c.config.VM && c.members.Alive(spec.Name) {
+			out = append(out, spec.Name)
+		}
+	}
+	return out
+}
+
+func (c *Controller) answerQuery(from domain.VM, m *QueryMessage) {
+	c.send(domain.Send{To: from, Body: &QueryAnswer{Request: m.Request, Answer: c.localAnswer(m.Question)}})
+}
+
+func (c *Controller) collectAnswer(from domain.VM, m *QueryAnswer) {
+	q := c.queries.open[m.Request]
+	if q == nil || !q.missing[from] {
+		return
+	}
+	delete(q.missing, from)
+	q.combined.add(&m.Answer)
+	c.finishQuery(m.Request)
+}
+
+// add merges the answer of another VM. What the leader says about versions
+// replaces the own view.
+func (a *Answer) add(other *Answer) {
+	a.Spend = append(a.Spend, other.Spend...)
+	a.Forecast = append(a.Forecast, other.Forecast...)
+	a.Programs = append(a.Programs, other.Programs...)
+	if len(other.InForce)+len(other.NotYet) > 0 {
+		a.InForce, a.NotYet = other.InForce, other.NotYet
+	}
+}
+
+func (c *Controller) finishQuery(id uint64) {
+	q := c.queries.open[id]
+	if len(q.missing) > 0 && c.now.Sub(q.since) < queryLimit {
+		return
+	}
+	delete(c.queries.open, id)
+	for vm := range q.missing {
+		q.combined.Missing = append(q.combined.Missing, vm)
+	}
+	slices.Sort(q.combined.Missing)
+	q.combined.Spend = sumSpend(q.combined.Spend)
+	slices.SortFunc(q.combined.Forecast, func(a, b AccountForecast) int { return cmp.Compare(a.Account, b.Account) })
+	c.reply(q.ticket, q.combined, true)
+}
+
+func (c *Controller) tickQueries() {
+	for id := range c.queries.open {
+		c.finishQuery(id)
+	}
+}
+
+// sumSpend adds the shares of all VMs for each account.
+func sumSpend(parts []Spend) []Spend {
+	totals := map[domain.Account]Spend{}
+	for _, p := range parts {
+		t := totals[p.Account]
+		t.Account = p.Account
+		t.Charged += p.Charged
+		t.Reserved += p.Reserved
+		t.Unknown += p.Unknown
+		totals[p.Account] = t
+	}
+	out := make([]Spend, 0, len(totals))
+	for _, t := range totals {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b Spend) int { return cmp.Compare(a.Account, b.Account) })
+	return out
+}
+
+// localAnswer answers from the shards of this VM.
+func (c *Controller) localAnswer(q Question) Answer {
+	switch q.Kind {
+	case QuestionInForce:
+		yes, no := c.inForce(q.Version)
+		return Answer{InForce: yes, NotYet: no}
+	case QuestionSpend:
+		return Answer{Spend: c.localSpend()}
+	case QuestionForecast:
+		return Answer{Forecast: c.localForecast(q.Preset)}
+	case QuestionPrograms:
+		return Answer{Programs: c.localPrograms(q.Account)}
+	default:
+		return Answer{Status: c.status()}
+	}
+}
+
+// inForce adds the registered VMs that are not live to those that have not
+// applied the version.
+func (c *Controller) inForce(version uint64) (yes, no []domain.VM) {
+	yes, no = c.relay.InForce(raft.Index(version))
+	for _, spec := range c.state.View().VMs() {
+		if !slices.Contains(yes, spec.Name) && !slices.Contains(no, spec.Name) {
+			no = append(no, spec.Name)
+		}
+	}
+	return yes, no
+}
+
+func (c *Controller) localSpend() []Spend {
+	month := ledger.MonthOf(c.now)
+	var out []Spend
+	for _, account := range c.state.View().Accounts() {
+		total := Spend{Account: account.Name}
+		for _, owned := range c.stores {
+			total.Charged += owned.store.Ledger().Charged(account.Name, month)
+			total.Reserved += owned.store.Ledger().Reserved(account.Name, month)
+			total.Unknown += owned.store.UnknownOutcomes(account.Name)
+		}
+		out = append(out, total)
+	}
+	return out
+}
+
+func (c *Controller) localForecast(name config.PresetName) []AccountForecast {
+	view := c.state.View()
+	preset, ok := view.PresetNamed(name)
+	if !ok {
+		return nil
+	}
+	var out []AccountForecast
+	for _, account := range view.Accounts() {
+		root, err := ledger.RootShard(view, account.Name)
+		if err != nil || c.stores[root] == nil {
+			continue
+		}
+		if f, ok := c.stores[root].store.Ledger().Forecast(c.now, account.Name, &preset); ok {
+			out = append(out, AccountForecast{Account: account.Name, Forecast: f})
+		}
+	}
+	return out
+}
+
+// maxListedPrograms bounds the programs that one VM lists.
+const maxListedPrograms = 1000
+
+func (c *Controller) localPrograms(account domain.Account) []ProgramSummary {
+	var out []ProgramSummary
+	for _, id := range c.ownedIDs() {
+		for _, summary := range c.stores[id].store.Programs(account, maxListedPrograms-len(out)) {
+			out = append(out, ProgramSummary{Owner: c.config.VM, Shard: id, Summary: summary})
+		}
+	}
+	return out
+}
+
+func (c *Controller) status() Status {
+	view := c.state.View()
+	s := Status{Leader: c.leader(), Voters: view.Voters(), CallsInFlight: c.calls.Len()}
+	if c.raft != nil {
+		s.Term = uint64(c.raft.Status().Term)
+	}
+	shards := map[domain.VM]int{}
+	for _, dc := range view.DataCentres() {
+		for n := range config.ShardsPerDataCentre {
+			a := view.Assignment(domain.ShardID{DataCentre: dc, Number: n})
+			shards[a.Owner]++
+			if a.Owner != "" && a.Backup == "" {
+				s.ShardsWithoutBackup++
+			}
+		}
+	}
+	s.UnassignedShards = shards[""]
+	versions := map[domain.VM]uint64{}
+	for _, v := range c.relay.Versions() {
+		versions[v.VM] = uint64(v.Applied)
+	}
+	for _, m := range c.members.Members() {
+		s.VMs = append(s.VMs, VMStatus{Member: m, Version: versions[m.VM], Shards: shards[m.VM]})
+	}
+	return s
+}
--- a/core/domain/identifiers.go
+++ b/core/domain/identifiers.go
@@ -64,6 +64,31 @@
 // String prints the identifier as account/name.
 func (p ProgramID) String() string { return string(p.Account) + "/" + string(p.Name) }
 
+// childSeparator joins a sub-agent's name to its parent's, so that the name
+// itself says in which shard the family of programs lives.
+const childSeparator = "/"
+
+// Root returns the name of the topmost parent, which is the name itself for a
+// program that is not a sub-agent.
+func (n ProgramName) Root() ProgramName {
+	root, _, _ := strings.Cut(string(n), childSeparator)
+	return ProgramName(root)
+}
+
+// Parent returns the name of the program that started this one, or "".
+func (n ProgramName) Parent() ProgramName {
+	parent, _, ok := cutLast(string(n), childSeparator)
+	if !ok {
+		return ""
+	}
+	return ProgramName(parent)
+}
+
+// Child returns the name of a sub-agent of the program.
+func (n ProgramName) Child(name ProgramName) ProgramName {
+	return n + childSeparator + name
+}
+
 // ShardID identifies one shard of a data centre.
 type ShardID struct {
 	DataCentre DataCentre
@@ -89,18 +114,20 @@
 
 // HomeDataCentre returns the data centre that owns a program. A name that ends
 // in @<data centre> is homed there, if that data centre is known; other names
-// are spread by a hash over the fixed, sorted list of homes. The result never
+// are spread by a hash over the fixed, sorted list of homes. Sub-agents follow
+// their topmost parent. The result never
 // depends on which VMs are alive, so two sides of a partition agree.
 func HomeDataCentre(id ProgramID, homes, known []DataCentre) (DataCentre, error) {
 	if len(homes) == 0 {
 		return "", ErrNoDataCentre
 	}
-	if _, suffix, ok := cutLast(string(id.Name), homeSeparator); ok {
+	root := string(id.Name.Root())
+	if _, suffix, ok := cutLast(root, homeSeparator); ok {
 		if dc := DataCentre(suffix); slices.Contains(known, dc) {
 			return dc, nil
 		}
 	}
-	return homes[Hash64("home", string(id.Account), string(id.Name))%uint64(len(homes))], nil
+	return homes[Hash64("home", string(id.Account), root)%uint64(len(homes))], nil
 }
 
 // NameWithHome returns a program name that is homed in the data centre.
@@ -108,9 +135,10 @@
 	return ProgramName(base + homeSeparator + string(dc))
 }
 
-// ShardOf returns the shard of the data centre that holds a program.
+// ShardOf returns the shard of the data centre that holds a program. A program
+// and its sub-agents share a shard, because they share a budget.
 func ShardOf(id ProgramID, dc DataCentre, shards uint32) ShardID {
-	return ShardID{dc, uint32(Hash64("shard", string(id.Account), string(id.Name)) % uint64(shards))}
+	return ShardID{dc, uint32(Hash64("shard", string(id.Account), string(id.Name.Root())) % uint64(shards))}
 }
 
 // AccountShard returns the shard of the data centre that holds the account's
--- a/core/program/apply.go
+++ b/core/program/apply.go
@@ -112,6 +112,7 @@
 	}
 	c := p.active
 	p.turns = append(p.turns, r.Turn)
+	p.conversation = r.Conversation
 	p.used = r.At.UnixNano()
 	if p.last == c.Fingerprint {
 		p.repeats++
@@ -187,6 +188,7 @@
 	p := s.newProgram(&BeginCall{Program: r.Program, Parent: r.Parent})
 	p.started, p.used, p.reason = r.Started.UnixNano(), r.Used.UnixNano(), r.Reason
 	p.turns, p.targets = slices.Clone(r.Turns), slices.Clone(r.Targets)
+	p.conversation = r.Conversation
 	p.spent, p.reserved, p.cap = r.Spent, r.Reserved, r.Cap
 	p.last, p.repeats = r.Last, int32(r.Repeats)
 	for i, t := range p.targets {
--- a/core/program/begin.go
+++ b/core/program/begin.go
@@ -306,6 +306,7 @@
 func (s *Store) sendStart(c *call, e *Effects) {
 	m := &StartCall{
 		Call: c.Call, Program: c.Program, Epoch: s.epoch, Target: c.target, Attempt: c.attempt, TokenLimit: c.TokenLimit,
+		Conversation: c.program.conversation,
 	}
 	if c.NewMessagesOnly {
 		m.History = slices.Clone(c.program.turns)
--- a/core/program/finish.go
+++ b/core/program/finish.go
@@ -49,7 +49,7 @@
 	p := c.program
 	s.leave(c)
 	s.emit(e, &CallFinished{
-		Program: p.id, Call: c.Call, Attempt: c.attempt, Turn: m.Turn, Answer: m.Answer,
+		Program: p.id, Call: c.Call, Attempt: c.attempt, Turn: m.Turn, Answer: m.Answer, Conversation: m.Conversation,
 		Charge: ledger.Settle(c.reservation, s.cost(c, m.Usage)), At: now,
 	})
 	s.replyDone(c.Entry, s.done[c.Call], nil, e)
--- a/core/program/messages.go
+++ b/core/program/messages.go
@@ -14,8 +14,13 @@
 type HistoryRef struct {
 	SHA256 [32]byte
 	Length uint32
-	// Roles counts the system, user, assistant and tool messages.
-	Roles [4]uint16
+}
+
+// Conversation identifies the messages of a program after its last turn, so
+// that the entry VM can store a turn as the messages that it adds.
+type Conversation struct {
+	Digest   [32]byte
+	Messages uint32
 }
 
 // Answer names the bytes of a stored whole answer together with its program.
@@ -59,6 +64,8 @@
 	TokenLimit domain.Tokens
 	// History lists the turns that go before new messages.
 	History []HistoryRef
+	// Conversation is that of the program's last turn.
+	Conversation Conversation
 }
 
 // FinishCall reports a complete answer whose bytes are stored.
@@ -71,6 +78,11 @@
 	Turn    HistoryRef
 	// Answer is set for calls with an idempotency key.
 	Answer *Answer
+	// Conversation is that after the turn.
+	Conversation Conversation
+	// FirstToken is the time from the start of the attempt to the first part of
+	// the answer, for the scheduler.
+	FirstToken time.Duration
 }
 
 // FailKind says why a started call has no answer.
--- a/core/program/records.go
+++ b/core/program/records.go
@@ -27,8 +27,10 @@
 	Attempt uint32
 	Turn    HistoryRef
 	Answer  *Answer
-	Charge  ledger.Charge
-	At      time.Time
+	// Conversation is that after the turn.
+	Conversation Conversation
+	Charge       ledger.Charge
+	At           time.Time
 }
 
 // CallFailed records that a started call has no answer. It is not charged.
@@ -65,6 +67,7 @@
 	Started, Used, Ended time.Time
 	Reason               domain.Reason
 	Turns                []HistoryRef
+	Conversation         Conversation
 	Targets              []domain.Target
 	Spent, Reserved, Cap domain.Micros
 	Last                 Fingerprint
--- /dev/null
+++ b/core/program/report.go
@@ -0,0 +1,45 @@
+package program
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Summary describes a program for operators.
+type Summary struct {
+	Program domain.ProgramID
+	Started time.Time
+	// Ended is the reason of the end, empty while the program is open.
+	Ended domain.Reason
+	Turns int
+	Spent domain.Micros
+}
+
+// Programs returns up to limit started programs of an account in the order of
+// their names; an empty account selects all.
+func (s *Store) Programs(account domain.Account, limit int) []Summary {
+	var out []Summary
+	for _, id := range slices.SortedFunc(maps.Keys(s.programs), compareIDs) {
+		p := s.programs[id]
+		if len(out) >= limit || p.started == 0 || account != "" && id.Account != account {
+			continue
+		}
+		out = append(out, Summary{Program: id, Started: timeOf(p.started), Ended: p.reason, Turns: len(p.turns), Spent: p.spent})
+	}
+	return out
+}
+
+// UnknownOutcomes counts the run-once calls of an account that may have run
+// and have no answer. They are not charged.
+func (s *Store) UnknownOutcomes(account domain.Account) int {
+	count := 0
+	for _, k := range s.keys {
+		if k.Program.Account == account && k.State == keyUnknown {
+			count++
+		}
+	}
+	return count
+}
--- a/core/program/snapshot.go
+++ b/core/program/snapshot.go
@@ -54,7 +54,7 @@
 func (p *program) state() *ProgramState {
 	r := &ProgramState{
 		Program: p.id, Parent: p.parent, Started: timeOf(p.started), Used: timeOf(p.used), Reason: p.reason,
-		Turns: slices.Clone(p.turns), Targets: slices.Clone(p.targets),
+		Turns: slices.Clone(p.turns), Conversation: p.conversation, Targets: slices.Clone(p.targets),
 		Spent: p.spent, Reserved: p.reserved, Cap: p.cap, Last: p.last, Repeats: int(p.repeats),
 	}
 	if p.ended != 0 {
--- a/core/program/store.go
+++ b/core/program/store.go
@@ -111,6 +111,7 @@
 	used, ended    int64
 	reason         domain.Reason
 	turns          []HistoryRef
+	conversation   Conversation
 	targets        []domain.Target
 	spent          domain.Micros
 	reserved, held domain.Micros
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// Leader returns the configuration leader as this VM knows it, or "".
+func (r *Relay) Leader() domain.VM { return r.leader }
+
+// Connected says whether a VM that is not a voter has heard from its parent
+// lately.
+func (r *Relay) Connected(now time.Time) bool {
+	return r.parent != "" && now.Sub(r.parentHeard) <= parentTimeout
+}
+
 // Applied returns the index up to which this VM has the configuration.
 func (r *Relay) Applied() raft.Index { return r.applied }
 
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -11,6 +11,9 @@
 // Timing of permit requests.
 const (
 	permitRetry = 300 * time.Millisecond
+	// permitSpacing bounds the rate of urgent requests while a pool has no free
+	// place. It is above a round trip inside a data centre.
+	permitSpacing = 20 * time.Millisecond
 	// permitIdle returns the permits of a target that was not used.
 	permitIdle = 5 * time.Second
 	// askWidth is the number of targets asked when a pool has no free place.
@@ -51,13 +54,24 @@
 	}
 }
 
+// nextRequest returns the time of the next request for permits.
+func (l *lease) nextRequest() time.Time {
+	switch {
+	case l.waiting:
+		return l.sentAt.Add(permitRetry)
+	case l.urgent:
+		return l.sentAt.Add(permitSpacing)
+	default:
+		return l.sentAt.Add(permitRenew)
+	}
+}
+
 // sendPermitRequests renews what is due.
 func (s *Scheduler) sendPermitRequests(now time.Time) {
 	for _, order := range slices.Sorted(maps.Keys(s.leased)) {
 		t := s.leased[order]
 		l := &t.lease
-		since := now.Sub(l.sentAt)
-		if l.waiting && since < permitRetry || !l.urgent && since < permitRenew {
+		if now.Before(l.nextRequest()) {
 			continue
 		}
 		idle := t.running+len(t.parked) == 0 && t.reserved == nil && now.Sub(l.usedAt) >= permitIdle
--- /dev/null
+++ b/core/schedule/report.go
@@ -0,0 +1,21 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Alone says whether a running call has its target to itself.
+func (s *Scheduler) Alone(id domain.CallID) bool {
+	c := s.calls[id]
+	return c != nil && c.target != nil && c.target.reserved == c
+}
+
+// FirstTokenAfter records the time from the start of a call to the first part
+// of its answer, as the entry VM measured it.
+func (s *Scheduler) FirstTokenAfter(id domain.CallID, d time.Duration) {
+	if c := s.calls[id]; c != nil && c.state == stateRunning && d > 0 {
+		c.first = c.startedAt.Add(d)
+	}
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -262,10 +262,7 @@
 		wake = c.due
 	}
 	for _, t := range s.leased {
-		at := t.lease.sentAt.Add(permitRenew)
-		if t.lease.waiting || t.lease.urgent {
-			at = t.lease.sentAt.Add(permitRetry)
-		}
+		at := t.lease.nextRequest()
 		if wake.IsZero() || at.Before(wake) {
 			wake = at
 		}
--- a/core/shard/manager.go
+++ b/core/shard/manager.go
@@ -12,8 +12,11 @@
 
 // Defaults of the settings.
 const (
-	DefaultTerm   = 2 * time.Second
-	DefaultRenew  = 500 * time.Millisecond
+	// DefaultTerm is a third of the 3 s within which the next turn of a program
+	// is served after its owner's death. A new configuration leader waits for one
+	// term after its election, which itself takes more than a second.
+	DefaultTerm   = time.Second
+	DefaultRenew  = 250 * time.Millisecond
 	DefaultResend = 200 * time.Millisecond
 	DefaultBatch  = 256
 	// DriftPercent bounds the difference between the clock rates of two VMs.
--- a/internal/cli/accounts.go
+++ b/internal/cli/accounts.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/hex"
 	"fmt"
 
 	"github.com/mangoknot/mangoknot/adapter/operatorapi"
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/internal/keys"
 )
 
 type accountCommand struct {
@@ -139,23 +138,12 @@
 	Change  operatorapi.ChangeAnswer `json:"change"`
 }
 
-// keyBytes is the number of random bytes of a key.
-const keyBytes = 32
-
-// NewKey returns a random key.
-func NewKey() string {
-	var raw [keyBytes]byte
-	// The standard library ends the process when the random source fails.
-	_, _ = rand.Read(raw[:])
-	return "mk_" + base64.RawURLEncoding.EncodeToString(raw[:])
-}
-
 func (c *keyCreate) run(ctx context.Context, s *session) error {
 	state, err := s.client.State(ctx)
 	if err != nil {
 		return err
 	}
-	key := NewKey()
+	key := keys.New()
 	id := config.KeyID(c.ID)
 	if id == "" {
 		id = config.KeyID(c.Account + "-" + string(operatorapi.NewOperation())[:8])
@@ -225,7 +213,7 @@
 }
 
 func (c *operatorNew) run(_ context.Context, s *session) error {
-	token := NewKey()
+	token := keys.New()
 	out := NewOperator{Name: c.Name, Token: token, Line: operatorLine(c.Name, token)}
 	return s.print(out, []string{"TOKEN (SHOWN ONCE)", "LINE FOR THE OPERATORS FILE"}, [][]string{{out.Token, out.Line}})
 }
--- /dev/null
+++ b/internal/daemon/actors.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+)
+
+type tlsConfig = tls.Config
+
+// stopLimit bounds the end of the other actors after the first one has ended.
+const stopLimit = 5 * time.Second
+
+// AddActors adds the parts of the VM to a group. Each actor blocks until its
+// part ends, and the interrupt functions end them.
+func (d *Daemon) AddActors(group *run.Group) {
+	control, stopControl := context.WithCancel(context.Background())
+	group.Add(func() error {
+		defer d.Close()
+		return d.Node.Run(control)
+	}, func(error) { stopControl() })
+	group.Add(func() error { return d.grpc.Serve(d.peerListener) }, func(error) { d.grpc.Stop() })
+	group.Add(func() error { return serveHTTP(d.callers, d.callerListener) }, func(error) { stopHTTP(d.callers) })
+	group.Add(func() error { return serveHTTP(d.operators, d.operatorListener) }, func(error) { stopHTTP(d.operators) })
+	drain, stopDrain := context.WithCancel(context.Background())
+	group.Add(func() error { return d.plannedStop(drain) }, func(error) { stopDrain() })
+	if d.list != nil {
+		watch, stopWatch := context.WithCancel(context.Background())
+		group.Add(func() error { return d.list.Watch(watch, d.Node.UpdateVMList) }, func(error) { stopWatch() })
+	}
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	var err error
+	if server.TLSConfig != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func stopHTTP(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
+// plannedStop waits for the order to drain and carries it out: the VM is
+// unready at once, hands its shards over, goes on as an entry VM until the
+// balancer has noticed, and ends when the last call has.
+func (d *Daemon) plannedStop(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.Node.Draining():
+	}
+	d.log.Info("the planned stop has begun")
+	limited, cancel := context.WithTimeout(ctx, d.settings.DrainDeadline)
+	defer cancel()
+	noticed := time.NewTimer(d.settings.UnreadyDelay)
+	defer noticed.Stop()
+	if err := d.Node.HandOver(limited); err != nil {
+		d.log.Info("the shards were not handed over in time; their backups take over when the leases have ended", "error", err.Error())
+	}
+	select {
+	case <-limited.Done():
+	case <-noticed.C:
+	}
+	if err := d.callers.Shutdown(limited); err != nil {
+		cut := d.Node.InFlight()
+		d.Metrics.CallsCut(cut)
+		d.log.Info("the drain deadline has passed; the calls that still run are cut", "calls", cut)
+	}
+	return ErrDrained
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,275 @@
+// Package daemon wires the adapters to a node. It is what cmd/mangoknotd runs
+// and what tests start in one process.
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/mangoknot/mangoknot/adapter/certs"
+	"github.com/mangoknot/mangoknot/adapter/codec"
+	"github.com/mangoknot/mangoknot/adapter/disk"
+	"github.com/mangoknot/mangoknot/adapter/history"
+	"github.com/mangoknot/mangoknot/adapter/httpapi"
+	"github.com/mangoknot/mangoknot/adapter/logging"
+	"github.com/mangoknot/mangoknot/adapter/metrics"
+	"github.com/mangoknot/mangoknot/adapter/operatorapi"
+	"github.com/mangoknot/mangoknot/adapter/peer"
+	"github.com/mangoknot/mangoknot/adapter/systemclock"
+	"github.com/mangoknot/mangoknot/adapter/target"
+	"github.com/mangoknot/mangoknot/adapter/vmlist"
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/controller"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/internal/settings"
+	"github.com/mangoknot/mangoknot/node"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Daemon is one VM with its adapters and listeners.
+type Daemon struct {
+	settings settings.Settings
+	log      logr.Logger
+	Node     *node.Node
+	Metrics  *metrics.Metrics
+
+	disk    *disk.Disk
+	client  *peer.Client
+	targets *target.Client
+	list    port.VMList
+	grpc    *grpc.Server
+
+	callers   *http.Server
+	operators *http.Server
+
+	callerListener   net.Listener
+	operatorListener net.Listener
+	peerListener     net.Listener
+}
+
+// New loads the durable state, opens the listeners and wires the parts. The
+// settings must have passed their check.
+func New(s settings.Settings, log logr.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, Metrics: metrics.New()}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	if err := d.wire(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{d.settings.Listen, &d.callerListener},
+		{d.settings.OperatorListen, &d.operatorListener},
+		{d.settings.PeerListen, &d.peerListener},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			d.closeListeners()
+			return fmt.Errorf("daemon: listen on %s (choose a free port of this VM): %w", l.address, err)
+		}
+		*l.listener = listener
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.callerListener, d.operatorListener, d.peerListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// CallerAddress returns the address for callers, for settings with port 0.
+func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
+
+// OperatorAddress returns the address for operators.
+func (d *Daemon) OperatorAddress() string { return d.operatorListener.Addr().String() }
+
+// PeerAddress returns the address for the other VMs.
+func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
+
+func (d *Daemon) wire() error {
+	c, err := codec.New(controller.Messages(), controller.Records())
+	if err != nil {
+		return err
+	}
+	security, err := d.security()
+	if err != nil {
+		return err
+	}
+	store, err := d.openStorage(c)
+	if err != nil {
+		return err
+	}
+	restored, err := load(d.disk)
+	if err != nil {
+		return err
+	}
+	part := func(name string) logr.Logger { return logging.Part(d.log, name) }
+	d.client = peer.NewClient(domain.VM(d.settings.VM), c, security.client, part("peer"), d.Metrics.MessageDropped)
+	lookup := func(name domain.Target) *config.TargetSpec { return d.Node.View().Target(name) }
+	d.targets = target.New(target.Settings{}, lookup, part("target"))
+	clock := systemclock.Clock{}
+	ctrl := controller.New(d.controllerConfig(clock), restored, clock.Now())
+	d.Node = node.New(node.Config{
+		VM: domain.VM(d.settings.VM), DataCentre: domain.DataCentre(d.settings.DataCentre), Region: domain.Region(d.settings.Region),
+		MaxAnswerBytes: httpapi.DefaultLimits().BodyBytes,
+	}, node.Ports{
+		Clock: clock, Disk: d.disk, Peers: d.client, Transfer: d.client, History: store,
+		Targets: d.targets, Orders: d.targets, Signals: d.targets, Metrics: d.Metrics,
+	}, ctrl, d.log)
+	d.grpc = peer.NewServer(c, d.Node, store, part("peer")).GRPC(grpc.Creds(security.server))
+	if d.settings.VMList != "" {
+		d.list = vmlist.File{Path: d.settings.VMList, Interval: d.settings.VMListInterval, Log: part("vmlist")}
+	}
+	return d.frontEnds(security, part)
+}
+
+func (d *Daemon) frontEnds(security security, part func(string) logr.Logger) error {
+	operators, err := d.loadOperators()
+	if err != nil {
+		return err
+	}
+	d.callers = httpapi.New(d.Node, httpapi.DefaultLimits(), part("callers")).Server(d.Metrics.Handler())
+	d.operators = operatorapi.New(d.Node, operators, part("operators")).Server()
+	d.operators.TLSConfig = security.operators
+	return nil
+}
+
+func (d *Daemon) loadOperators() (operatorapi.Operators, error) {
+	if d.settings.OperatorsFile == "" {
+		return operatorapi.Operators{}, nil
+	}
+	f, err := os.Open(d.settings.OperatorsFile)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: open the operators file (set --operators-file to a readable file): %w", err)
+	}
+	defer f.Close()
+	return operatorapi.ParseOperators(f)
+}
+
+func (d *Daemon) controllerConfig(clock port.Clock) controller.Config {
+	s := d.settings
+	// The settings were checked, so the lists parse.
+	voters, _ := settings.ParsePeers("voters", s.Voters)
+	seeds, _ := settings.ParsePeers("join", s.Join)
+	for vm, address := range voters {
+		seeds[vm] = address
+	}
+	var names []domain.VM
+	for vm := range voters {
+		names = append(names, vm)
+	}
+	address := s.PeerAddressOrListen()
+	if s.PeerAddress == "" {
+		address = d.PeerAddress()
+	}
+	return controller.Config{
+		VM:               domain.VM(s.VM),
+		DataCentre:       domain.DataCentre(s.DataCentre),
+		Region:           domain.Region(s.Region),
+		PeerAddress:      address,
+		HasDisk:          s.DataDir != "" || s.Dev,
+		Incarnation:      uint64(clock.Now().UnixNano()),
+		Voters:           names,
+		Seeds:            seeds,
+		Homes:            settings.ParseDataCentres(s.Homes),
+		RefuseWhenCutOff: s.CutOffKeys == "refuse",
+		Rand:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// openStorage opens the data folder, or memory on a VM without a disk.
+func (d *Daemon) openStorage(c *codec.Codec) (port.HistoryStore, error) {
+	if d.settings.DataDir == "" {
+		d.disk = disk.NewMemory(0)
+		return history.NewMemory(), nil
+	}
+	folder := filepath.Join(d.settings.DataDir, "records")
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, fmt.Errorf("daemon: make the data folder (set --data-dir to a writable folder): %w", err)
+	}
+	d.disk = disk.New(folder, c, 0)
+	return history.Open(filepath.Join(d.settings.DataDir, "history"))
+}
+
+// load reads the durable state of an earlier process.
+func load(store port.Disk) (controller.Restored, error) {
+	var out controller.Restored
+	err := store.Load(string(controller.StreamRaft), out.Raft.Apply)
+	if err != nil {
+		return out, fmt.Errorf("daemon: load the configuration log: %w", err)
+	}
+	err = store.Load(string(controller.StreamShards), func(r domain.Record) error {
+		out.Shards = append(out.Shards, r)
+		return nil
+	})
+	if err != nil {
+		return out, fmt.Errorf("daemon: load the shards: %w", err)
+	}
+	err = store.Load(string(controller.StreamKeys), func(r domain.Record) error {
+		if key, ok := r.(*controller.WithdrawnKey); ok {
+			out.Withdrawn = append(out.Withdrawn, key.Key)
+		}
+		return nil
+	})
+	if err != nil {
+		return out, fmt.Errorf("daemon: load the withdrawn keys: %w", err)
+	}
+	return out, nil
+}
+
+// security holds the transport credentials of the listeners and clients.
+type security struct {
+	client    credentials.TransportCredentials
+	server    credentials.TransportCredentials
+	operators *tlsConfig
+}
+
+func (d *Daemon) security() (security, error) {
+	s := d.settings
+	if s.Insecure || s.Dev {
+		return security{client: insecure.NewCredentials(), server: insecure.NewCredentials()}, nil
+	}
+	loader, err := certs.NewLoader(certs.Files{Certificate: s.TLSCert, Key: s.TLSKey, Authority: s.TLSCA}, time.Now)
+	if err != nil {
+		return security{}, err
+	}
+	return security{
+		client:    credentials.NewTLS(loader.Client()),
+		server:    credentials.NewTLS(loader.Server()),
+		operators: loader.Server(),
+	}, nil
+}
+
+// ErrDrained ends the process after a planned stop.
+var ErrDrained = errors.New("the planned stop is complete")
+
+// Close releases what the actors do not.
+func (d *Daemon) Close() {
+	d.client.Close()
+	d.targets.Close()
+	if err := d.disk.Close(); err != nil {
+		d.log.Error(err, "the disk was not closed cleanly")
+	}
+}
--- /dev/null
+++ b/node/call.go
@@ -0,0 +1,242 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/controller"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/entry"
+	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// attemptResult is how one attempt ended: with a finish or a failure.
+type attemptResult struct {
+	finish *program.FinishCall
+	timing timing
+	fail   program.FailKind
+	passed bool
+	// final is the error for the caller when the owner's refusal says less.
+	final error
+}
+
+// timing measures one attempt.
+type timing struct {
+	firstToken time.Duration
+	total      time.Duration
+}
+
+// runner runs the attempts of one call and answers the caller.
+type runner interface {
+	// attempt sends the call to the target and passes the answer on.
+	attempt(ctx context.Context, start *program.StartCall) attemptResult
+	// commit completes the answer after its turn is stored and charged.
+	commit() error
+	// replay answers with the stored bytes of an earlier call.
+	replay(stored []byte) error
+}
+
+// errCancelled is the cause of an attempt's end that the owner ordered.
+type errCancelled struct{ reason domain.Reason }
+
+func (e errCancelled) Error() string { return "the call was cancelled: " + string(e.reason) }
+
+// call is one caller's request on its way through the owner.
+type call struct {
+	node    *Node
+	begin   program.BeginCall
+	account domain.Account
+	request *request
+	started time.Time
+	timing  timing
+	// cancelled is the reason of a cancellation, which the caller is told
+	// instead of the owner's refusal.
+	cancelled domain.Reason
+	final     error
+	usage     domain.Usage
+}
+
+// beginOf builds the owner's request from the caller's.
+func (n *Node) beginOf(spec port.CallSpec) program.BeginCall {
+	name, single := entry.ProgramName(spec.Program, spec.Parent, spec.IdempotencyKey, randomText(), n.config.DataCentre)
+	begin := program.BeginCall{
+		Call:            n.newCallID(),
+		Program:         domain.ProgramID{Account: spec.Identity.Account, Name: name},
+		Parent:          name.Parent(),
+		Single:          single,
+		Model:           spec.Model,
+		Route:           spec.Route,
+		Fingerprint:     fingerprintOf(spec),
+		Key:             spec.IdempotencyKey,
+		PromptTokens:    spec.PromptTokens,
+		TokenLimit:      spec.MaxTokens,
+		NewMessagesOnly: spec.NewMessagesOnly,
+		Arrived:         n.ports.Clock.Now(),
+	}
+	if route := n.View().Route(spec.Route); spec.Route != "" && route != nil {
+		begin.RunOnce = !route.Repeatable
+	}
+	return begin
+}
+
+// fingerprintOf binds the request's fingerprint to the client account and to
+// what runs it.
+func fingerprintOf(spec port.CallSpec) program.Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{string(spec.Identity.Account), string(spec.Model), spec.Route} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(spec.Fingerprint[:])
+	var out program.Fingerprint
+	h.Sum(out[:0])
+	return out
+}
+
+// run brings a call to its end. It returns nil after the answer is committed.
+func (n *Node) run(ctx context.Context, spec port.CallSpec, begin program.BeginCall, r runner) error {
+	leave, err := n.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	c := &call{node: n, begin: begin, account: spec.Identity.Account, started: n.ports.Clock.Now()}
+	c.request, err = n.mailbox.ask(func(t controller.Ticket) controller.Input {
+		return controller.BeginCall{Ticket: t, Key: spec.Identity.Key, Begin: begin}
+	})
+	if err != nil {
+		return err
+	}
+	defer c.request.close()
+	return c.follow(ctx, r)
+}
+
+// follow handles the owner's orders until the call ends.
+func (c *call) follow(ctx context.Context, r runner) error {
+	for {
+		event, err := c.nextEvent(ctx)
+		if err != nil {
+			return err
+		}
+		switch {
+		case event.Start != nil:
+			c.report(c.runAttempt(ctx, r, event.Start))
+		case event.Committed != nil:
+			return c.committed(ctx, r, event.Committed)
+		case event.Refused != nil:
+			return c.refusal(event.Refused)
+		}
+	}
+}
+
+// nextEvent waits for an order. When the caller goes away, the owner is told
+// and its answer is awaited, so that the call is settled.
+func (c *call) nextEvent(ctx context.Context) (entry.Event, error) {
+	reply, err := c.request.next(ctx)
+	if err != nil && ctx.Err() != nil {
+		c.node.mailbox.deliver(controller.CallerGone{Call: c.begin.Call})
+		reply, err = c.request.next(context.WithoutCancel(ctx))
+	}
+	if err != nil {
+		return entry.Event{}, domain.Unknown(domain.ReasonStopping, "the VM stopped; send the request again with the same Idempotency-Key")
+	}
+	switch body := reply.Body.(type) {
+	case entry.Event:
+		return body, nil
+	case *domain.Refusal:
+		return entry.Event{}, body
+	default:
+		return entry.Event{}, errors.New("node: unexpected reply to a call")
+	}
+}
+
+// runAttempt runs one attempt and watches for orders to cancel it.
+func (c *call) runAttempt(ctx context.Context, r runner, start *program.StartCall) (attemptResult, *program.StartCall) {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ended := make(chan struct{})
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		c.watchCancel(cancel, ended)
+	}()
+	result := r.attempt(attemptCtx, start)
+	close(ended)
+	<-watched
+	if cause, ok := context.Cause(attemptCtx).(errCancelled); ok && result.finish == nil {
+		c.cancelled = cause.reason
+		result.fail = program.FailCancelled
+	}
+	return result, start
+}
+
+// watchCancel cancels the attempt when the owner or this VM orders it. Other
+// events cannot arrive while an attempt runs.
+func (c *call) watchCancel(cancel context.CancelCauseFunc, ended <-chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		case reply := <-c.request.replies:
+			if event, ok := reply.Body.(entry.Event); ok && event.Cancel != "" {
+				cancel(errCancelled{event.Cancel})
+			}
+		}
+	}
+}
+
+// report tells the owner how an attempt ended.
+func (c *call) report(result attemptResult, start *program.StartCall) {
+	c.timing, c.final = result.timing, result.final
+	if result.finish != nil {
+		finish := *result.finish
+		finish.Call, finish.Program, finish.Attempt = start.Call, start.Program, start.Attempt
+		finish.FirstToken = result.timing.firstToken
+		c.usage = domain.Usage{Prompt: finish.Usage.Prompt, Cached: finish.Usage.Cached, Generated: finish.Usage.Generated}
+		c.node.mailbox.deliver(controller.FinishCall{Finish: finish})
+		return
+	}
+	c.node.mailbox.deliver(controller.FailCall{Fail: program.FailCall{
+		Call: start.Call, Program: start.Program, Attempt: start.Attempt,
+		Kind: result.fail, Target: start.Target, Passed: result.passed,
+	}})
+}
+
+func (c *call) committed(ctx context.Context, r runner, m *program.CallCommitted) error {
+	if m.Stored != nil {
+		stored, err := c.node.fetch(ctx, port.HistoryRef{Program: c.begin.Program, Length: int64(m.Stored.Length), SHA256: m.Stored.SHA256})
+		if err != nil {
+			return err
+		}
+		return r.replay(stored)
+	}
+	if err := r.commit(); err != nil {
+		return err
+	}
+	total := c.node.ports.Clock.Now().Sub(c.started)
+	c.node.ports.Metrics.CallDone(c.account, c.timing.firstToken, total, c.usage, m.Charge)
+	return nil
+}
+
+// refusal returns what the caller is told about a call without an answer.
+func (c *call) refusal(r *domain.Refusal) error {
+	if c.cancelled != "" {
+		return cancelRefusal(c.cancelled)
+	}
+	if own, ok := domain.AsRefusal(c.final); ok {
+		own.Outcome = max(own.Outcome, r.Outcome)
+		return own
+	}
+	return r
+}
+
+// cancelRefusal explains a cancelled call. Part of it may have run.
+func cancelRefusal(reason domain.Reason) *domain.Refusal {
+	if reason == domain.ReasonKeyWithdrawn {
+		return domain.Unknown(reason, "the key was withdrawn while the call ran; ask the operator for a new one")
+	}
+	return domain.Unknown(reason, "the call was stopped while it ran (%s)", reason)
+}
--- /dev/null
+++ b/node/chat.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/ledger"
+	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Chat implements port.Frontend.
+func (n *Node) Chat(ctx context.Context, spec port.CallSpec, exchange port.ChatExchange) error {
+	begin := n.beginOf(spec)
+	exchange.Accepted(begin.Program, begin.Call)
+	return n.run(ctx, spec, begin, &chatRunner{node: n, exchange: exchange})
+}
+
+// chatRunner runs a call of a model engine.
+type chatRunner struct {
+	node     *Node
+	exchange port.ChatExchange
+}
+
+func (r *chatRunner) commit() error { return r.exchange.Commit() }
+
+func (r *chatRunner) replay(stored []byte) error { return r.exchange.Replay(stored) }
+
+func (r *chatRunner) attempt(ctx context.Context, start *program.StartCall) attemptResult {
+	began := r.node.ports.Clock.Now()
+	turns, err := r.node.fetchTurns(ctx, start.Program, start.History)
+	if err != nil {
+		return attemptResult{fail: program.FailNotSent, final: err}
+	}
+	body, err := r.exchange.Body(turns, start.TokenLimit)
+	if err != nil {
+		return attemptResult{fail: program.FailNotSent, final: domain.NotRun(domain.ReasonHistoryCorrupt, "the stored history is not readable; ask the operator to check the shard's copies")}
+	}
+	stream, err := r.node.ports.Targets.Call(ctx, port.TargetCall{
+		Target: start.Target, Program: start.Program, Call: start.Call, Body: body,
+	})
+	if err != nil {
+		return failed(ctx, err, false)
+	}
+	defer stream.Close()
+	result := r.pass(ctx, stream, began)
+	if result.fail != "" {
+		return result
+	}
+	usage, _ := stream.Usage()
+	return r.store(ctx, start, usage, result.timing)
+}
+
+// pass hands the events of the answer to the caller.
+func (r *chatRunner) pass(ctx context.Context, stream port.Stream, began time.Time) attemptResult {
+	var t timing
+	passed := false
+	for {
+		event, err := stream.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			t.total = r.node.ports.Clock.Now().Sub(began)
+			return attemptResult{timing: t}
+		case err != nil:
+			return failed(ctx, err, passed)
+		}
+		if !passed {
+			t.firstToken = r.node.ports.Clock.Now().Sub(began)
+		}
+		passed = true
+		if err := r.exchange.Event(event.Data); err != nil {
+			return attemptResult{fail: failKindOf(ctx, err), passed: true, final: err}
+		}
+	}
+}
+
+// store keeps the turn on the holders of the shard before the owner is told,
+// so that an acknowledged turn is on two VMs.
+func (r *chatRunner) store(ctx context.Context, start *program.StartCall, usage port.Usage, t timing) attemptResult {
+	data, after, err := r.exchange.Turn(port.Conversation{Digest: start.Conversation.Digest, Messages: int(start.Conversation.Messages)})
+	if err != nil {
+		return attemptResult{fail: program.FailTimedOut, passed: true, final: domain.Unknown(domain.ReasonTargetFailed, "the engine's answer is not whole; send the request again")}
+	}
+	ref := port.HistoryRef{Program: start.Program, Length: int64(len(data)), SHA256: sha256.Sum256(data)}
+	if err := r.node.storeOnHolders(ctx, ref, data); err != nil {
+		return attemptResult{fail: program.FailCancelled, passed: true, final: err}
+	}
+	return attemptResult{timing: t, finish: &program.FinishCall{
+		Usage:        ledger.Usage{Prompt: usage.Prompt, Cached: usage.Cached, Generated: usage.Generated},
+		Turn:         program.HistoryRef{SHA256: ref.SHA256, Length: uint32(ref.Length)},
+		Answer:       &program.Answer{SHA256: ref.SHA256, Length: uint32(ref.Length)},
+		Conversation: program.Conversation{Digest: after.Digest, Messages: uint32(after.Messages)},
+	}}
+}
+
+// failed maps a target's failure to the report for the owner.
+func failed(ctx context.Context, err error, passed bool) attemptResult {
+	result := attemptResult{fail: failKindOf(ctx, err), passed: passed}
+	var failure *port.Failure
+	if errors.As(err, &failure) && failure.Kind == port.FailureBadAnswer && failure.Status >= 400 && failure.Status < 500 {
+		result.final = domain.NotRun(domain.ReasonBadRequest, "the engine refused the request with status %d; check its fields", failure.Status)
+	}
+	return result
+}
+
+func failKindOf(ctx context.Context, err error) program.FailKind {
+	if ctx.Err() != nil {
+		if _, cancelled := context.Cause(ctx).(errCancelled); cancelled {
+			return program.FailCancelled
+		}
+		return program.FailCallerGone
+	}
+	if refusal, ok := domain.AsRefusal(err); ok && refusal.Reason == domain.ReasonCallerGone {
+		return program.FailCallerGone
+	}
+	var failure *port.Failure
+	if !errors.As(err, &failure) {
+		return program.FailTimedOut
+	}
+	switch failure.Kind {
+	case port.FailureRefused, port.FailureConnect:
+		return program.FailRefused
+	case port.FailureBadAnswer:
+		if failure.Status >= 400 {
+			return program.FailRefused
+		}
+		return program.FailTimedOut
+	case port.FailureCrashedEarly, port.FailureCrashed:
+		return program.FailCrashed
+	default:
+		return program.FailTimedOut
+	}
+}
--- /dev/null
+++ b/node/history.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	// storeLimit bounds the time to store a turn, retries included. It exceeds
+	// the time of a takeover.
+	storeLimit = 20 * time.Second
+	// storeTry bounds one transfer of a turn.
+	storeTry = 5 * time.Second
+	// storeRetryDelay spaces the attempts to store a turn, while the holders of
+	// the shard change.
+	storeRetryDelay = 200 * time.Millisecond
+	// parallelFetches bounds the turns that one call reads at the same time.
+	parallelFetches = 16
+)
+
+// holders returns the VMs that keep the program's history, the owner first.
+func (n *Node) holders(id domain.ProgramID) ([]domain.VM, error) {
+	view := n.View()
+	shard, err := view.ShardOfProgram(id)
+	if err != nil {
+		return nil, err
+	}
+	assignment := view.Assignment(shard)
+	var out []domain.VM
+	for _, vm := range []domain.VM{assignment.Owner, assignment.Backup} {
+		if vm != "" {
+			out = append(out, vm)
+		}
+	}
+	return out, nil
+}
+
+// storeOnHolders returns after every holder of the program has the bytes. It
+// follows changes of the holders, because a dead backup is replaced.
+func (n *Node) storeOnHolders(ctx context.Context, ref port.HistoryRef, data []byte) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeLimit)
+	defer cancel()
+	for {
+		err := n.storeOnce(ctx, ref, data)
+		if err == nil {
+			return nil
+		}
+		if !n.pause(ctx, storeRetryDelay) {
+			n.log.Info("a turn could not be stored on the holders of its shard", "program", ref.Program.String(), "error", err.Error())
+			return domain.Unknown(domain.ReasonStorageFailed, "the answer could not be stored on two VMs, so it is not part of the program and not charged; send the request again").After(time.Second)
+		}
+		n.ports.Metrics.Retried("store_turn")
+	}
+}
+
+// pause waits and reports whether the context is still open.
+func (n *Node) pause(ctx context.Context, d time.Duration) bool {
+	timer := n.ports.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C():
+		return true
+	}
+}
+
+func (n *Node) storeOnce(ctx context.Context, ref port.HistoryRef, data []byte) error {
+	holders, err := n.holders(ref.Program)
+	if err != nil {
+		return err
+	}
+	if len(holders) == 0 {
+		return errors.New("the program's shard has no owner")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTry)
+	defer cancel()
+	results := make(chan error, len(holders))
+	for _, vm := range holders {
+		go func() { results <- n.putOn(ctx, vm, ref, data) }()
+	}
+	var errs []error
+	for range holders {
+		errs = append(errs, <-results)
+	}
+	return errors.Join(errs...)
+}
+
+func (n *Node) putOn(ctx context.Context, vm domain.VM, ref port.HistoryRef, data []byte) error {
+	if vm == n.config.VM {
+		return n.ports.History.Put(ctx, ref, data)
+	}
+	return n.ports.Transfer.Put(ctx, vm, ref, data)
+}
+
+// fetch returns stored bytes from the first holder that has them whole.
+func (n *Node) fetch(ctx context.Context, ref port.HistoryRef) ([]byte, error) {
+	if data, err := n.ports.History.Get(ctx, ref); err == nil {
+		return data, nil
+	}
+	holders, err := n.holders(ref.Program)
+	if err != nil {
+		return nil, err
+	}
+	var errs []error
+	for _, vm := range holders {
+		if vm == n.config.VM {
+			continue
+		}
+		data, err := n.ports.Transfer.Get(ctx, vm, ref)
+		if err == nil {
+			return data, nil
+		}
+		errs = append(errs, err)
+	}
+	n.log.Info("history cannot be read from any holder", "program", ref.Program.String(), "error", errors.Join(errs...))
+	var corrupt *port.CorruptHistoryError
+	if errors.As(errors.Join(errs...), &corrupt) {
+		return nil, domain.NotRun(domain.ReasonHistoryCorrupt, "the stored history of program %s is damaged on every VM that was reached; ask the operator to check the disks", ref.Program.Name)
+	}
+	return nil, domain.NotRun(domain.ReasonUnreachable, "the history of program %s cannot be read now; send the request again", ref.Program.Name).After(time.Second)
+}
+
+// fetchTurns returns the stored turns in order.
+func (n *Node) fetchTurns(ctx context.Context, id domain.ProgramID, refs []program.HistoryRef) ([][]byte, error) {
+	turns := make([][]byte, len(refs))
+	errs := make([]error, len(refs))
+	slots := make(chan struct{}, parallelFetches)
+	var group sync.WaitGroup
+	for i, ref := range refs {
+		slots <- struct{}{}
+		group.Go(func() {
+			turns[i], errs[i] = n.fetch(ctx, port.HistoryRef{Program: id, Length: int64(ref.Length), SHA256: ref.SHA256})
+			<-slots
+		})
+	}
+	group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return turns, nil
+}
--- /dev/null
+++ b/node/jobs.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/controller"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/core/shard"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	// jobQueue bounds the background work that waits; what does not fit is
+	// repeated by the controller or harmless.
+	jobQueue = 4096
+	// writeQueue bounds the writes that wait for history bytes or the disk.
+	writeQueue = 16384
+	// releaseWorkers bounds the orders that run at the same time.
+	releaseWorkers = 8
+	// orderTimeout bounds one order to an engine.
+	orderTimeout = 5 * time.Second
+	// copyTimeout bounds the copy of one turn from another holder.
+	copyTimeout = 5 * time.Second
+)
+
+// errWriteQueue says that the disk is so slow that writes pile up.
+var errWriteQueue = errors.New("node: too many records wait for the disk; check its latency")
+
+// shardWrite is one write of shard records with its completion.
+type shardWrite struct {
+	write controller.Write
+	done  func(error)
+}
+
+// jobs runs work that no caller waits for on goroutines of its own.
+type jobs struct {
+	node     *Node
+	releases chan program.Release
+	writes   chan shardWrite
+}
+
+func newJobs(n *Node) *jobs {
+	return &jobs{
+		node:     n,
+		releases: make(chan program.Release, jobQueue),
+		writes:   make(chan shardWrite, writeQueue),
+	}
+}
+
+func (j *jobs) start(ctx context.Context) {
+	for range releaseWorkers {
+		go j.runReleases(ctx)
+	}
+	go j.runWrites(ctx)
+}
+
+// release queues an order; the controller repeats orders without confirmation.
+func (j *jobs) release(r program.Release) {
+	select {
+	case j.releases <- r:
+	default:
+	}
+}
+
+// persist queues a write of shard records.
+func (j *jobs) persist(w controller.Write, done func(error)) {
+	select {
+	case j.writes <- shardWrite{w, done}:
+	default:
+		done(errWriteQueue)
+	}
+}
+
+func (j *jobs) runReleases(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-j.releases:
+			j.order(ctx, r)
+		}
+	}
+}
+
+func (j *jobs) order(ctx context.Context, r program.Release) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	_, err := j.node.ports.Orders.Order(ctx, r.Target, port.Order{Kind: port.OrderRelease, Epoch: r.Epoch, Program: r.Program})
+	if err != nil {
+		j.node.ports.Metrics.Retried("release_order")
+	}
+	j.node.mailbox.offer(controller.ReleaseDone{Release: r, Err: err})
+}
+
+// runWrites completes writes in order. A record counts as durable only when
+// the history bytes it refers to are on this VM too, so a learner that is
+// promoted holds everything that it may have to serve.
+func (j *jobs) runWrites(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-j.writes:
+			for _, ref := range missingHistory(j.node.ports.History, w.write.Records) {
+				j.copyHistory(ctx, ref)
+			}
+			j.node.ports.Disk.Append(string(w.write.Stream), w.write.Records, w.done)
+		}
+	}
+}
+
+// copyHistory fetches bytes from the other holder. Bytes that no holder has
+// belong to a program that has ended meanwhile.
+func (j *jobs) copyHistory(ctx context.Context, ref port.HistoryRef) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	data, err := j.node.fetch(ctx, ref)
+	if err == nil {
+		err = j.node.ports.History.Put(ctx, ref, data)
+	}
+	if err != nil {
+		j.node.log.Info("a turn could not be copied from the other holder", "program", ref.Program.String(), "error", err.Error())
+	}
+}
+
+// missingHistory lists the bytes that the records refer to and that the store
+// does not have.
+func missingHistory(store port.HistoryStore, records []domain.Record) []port.HistoryRef {
+	var out []port.HistoryRef
+	add := func(id domain.ProgramID, sum [32]byte, length uint32) {
+		ref := port.HistoryRef{Program: id, SHA256: sum, Length: int64(length)}
+		if length > 0 && !store.Has(ref) {
+			out = append(out, ref)
+		}
+	}
+	for _, r := range records {
+		visitHistory(r, add)
+	}
+	return out
+}
+
+// visitHistory calls add for each reference in a record.
+func visitHistory(r domain.Record, add func(id domain.ProgramID, sum [32]byte, length uint32)) {
+	switch r := r.(type) {
+	case *shard.Stored:
+		visitHistory(r.Entry.Record, add)
+	case *shard.StoredSnapshot:
+		for _, inner := range r.Records {
+			visitHistory(inner, add)
+		}
+	case *program.CallFinished:
+		add(r.Program, r.Turn.SHA256, r.Turn.Length)
+		if r.Answer != nil {
+			add(r.Program, r.Answer.SHA256, r.Answer.Length)
+		}
+	case *program.ProgramState:
+		for _, turn := range r.Turns {
+			add(r.Program, turn.SHA256, turn.Length)
+		}
+	case *program.KeyState:
+		if r.Answer != nil {
+			add(r.Program, r.Answer.SHA256, r.Answer.Length)
+		}
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/controller"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Ports are the adapters that a node works with.
+type Ports struct {
+	Clock    port.Clock
+	Disk     port.Disk
+	Peers    port.Peers
+	Transfer port.HistoryTransfer
+	History  port.HistoryStore
+	Targets  port.Targets
+	Orders   port.EngineOrders
+	Signals  port.TargetSignals
+	Metrics  port.Metrics
+}
+
+// Config holds the settings of a node.
+type Config struct {
+	VM         domain.VM
+	DataCentre domain.DataCentre
+	Region     domain.Region
+	// MaxAnswerBytes bounds the answer of a plain service.
+	MaxAnswerBytes int64
+}
+
+// shared is what traffic goroutines read without asking the control goroutine.
+// Both pointers always hold a value.
+type shared struct {
+	view  atomic.Pointer[config.View]
+	state atomic.Pointer[controller.State]
+	jobs  *jobs
+}
+
+// Node is one VM of the system. Its control goroutine runs in Run; its other
+// methods are for traffic goroutines.
+type Node struct {
+	config  Config
+	ports   Ports
+	log     logr.Logger
+	mailbox *mailbox
+	shared  *shared
+	control *control
+	signals *signals
+	// incarnation and calls make call ids unique over restarts.
+	incarnation string
+	calls       atomic.Uint64
+	// inFlight counts traffic operations, for a planned stop.
+	inFlight atomic.Int64
+	draining drain
+	// openTurn spreads calls of open routes over their targets.
+	openTurn atomic.Uint64
+}
+
+var (
+	_ port.Frontend   = (*Node)(nil)
+	_ port.Operations = (*Node)(nil)
+)
+
+// New returns a node that runs the controller.
+func New(c Config, ports Ports, ctrl *controller.Controller, log logr.Logger) *Node {
+	n := &Node{
+		config:      c,
+		ports:       ports,
+		log:         log,
+		mailbox:     newMailbox(),
+		shared:      &shared{},
+		incarnation: randomText(),
+		draining:    drain{started: make(chan struct{})},
+	}
+	n.shared.view.Store(config.NewState().View())
+	n.shared.state.Store(&controller.State{})
+	n.shared.jobs = newJobs(n)
+	n.signals = newSignals(n)
+	n.control = &control{
+		core:        ctrl,
+		mailbox:     n.mailbox,
+		ports:       ports,
+		log:         log,
+		shared:      n.shared,
+		viewChanged: n.signals.update,
+		waiting:     map[controller.Ticket]chan controller.Reply{},
+	}
+	return n
+}
+
+// randomBytes is the size of the random part of call ids and program names.
+const randomBytes = 8
+
+func randomText() string {
+	var raw [randomBytes]byte
+	// The standard library ends the process when the random source fails.
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// Run runs the control goroutine until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.shared.jobs.start(ctx)
+	n.signals.start(ctx)
+	return n.control.run(ctx)
+}
+
+// View implements port.Frontend.
+func (n *Node) View() *config.View { return n.shared.view.Load() }
+
+// Ready implements port.Frontend.
+func (n *Node) Ready() bool { return n.shared.state.Load().Serving && !n.isDraining() }
+
+// Refused implements port.Frontend.
+func (n *Node) Refused(account domain.Account, r *domain.Refusal) {
+	n.ports.Metrics.Refused(account, r.Reason, r.Outcome)
+}
+
+// Identify implements port.Frontend. A key that was withdrawn on any side is
+// refused as soon as this VM has heard of it.
+func (n *Node) Identify(key string) (port.Identity, error) {
+	state := n.shared.state.Load()
+	if state.Isolated {
+		return port.Identity{}, domain.NotRun(domain.ReasonIsolated, "the VM is cut off from the other VMs and cannot check keys; send the request again to another VM").After(time.Second)
+	}
+	hash := config.KeyHash(sha256.Sum256([]byte(key)))
+	spec := n.View().KeyByHash(hash)
+	if spec == nil || subtle.ConstantTimeCompare(spec.Hash[:], hash[:]) != 1 {
+		return port.Identity{}, domain.NotRun(domain.ReasonKeyUnknown, "the key is not known; check it, or ask the operator for a new one")
+	}
+	if spec.Withdrawn || state.Withdrawn[spec.ID] {
+		return port.Identity{}, domain.NotRun(domain.ReasonKeyWithdrawn, "the key was withdrawn; ask the operator for a new one")
+	}
+	return port.Identity{Account: spec.Account, Key: spec.ID}, nil
+}
+
+func (n *Node) newCallID() domain.CallID {
+	return domain.CallID(fmt.Sprintf("%s-%s-%d", n.config.VM, n.incarnation, n.calls.Add(1)))
+}
+
+// enter counts a traffic operation and refuses it on a VM that does not serve
+// yet.
+func (n *Node) enter() (leave func(), err error) {
+	if !n.shared.state.Load().Serving {
+		return nil, domain.NotRun(domain.ReasonOverloaded, "the VM is starting; send the request again").After(time.Second)
+	}
+	n.inFlight.Add(1)
+	return func() { n.inFlight.Add(-1) }, nil
+}
+
+// InFlight returns the number of traffic operations.
+func (n *Node) InFlight() int64 { return n.inFlight.Load() }
--- /dev/null
+++ b/node/operations.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/controller"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// operationLimit bounds an operator's request or a caller's question.
+const operationLimit = 10 * time.Second
+
+// Change implements port.Operations.
+func (n *Node) Change(ctx context.Context, change config.Change) (port.InForce, error) {
+	ctx, cancel := context.WithTimeout(ctx, operationLimit)
+	defer cancel()
+	reply, err := askOnce[controller.ChangeReply](ctx, n.mailbox, func(t controller.Ticket) controller.Input {
+		return controller.Change{Ticket: t, Change: change}
+	})
+	return n.changed(ctx, reply, err)
+}
+
+// WithdrawKey implements port.Operations.
+func (n *Node) WithdrawKey(ctx context.Context, _ domain.OperationID, key config.KeyID) (port.InForce, error) {
+	ctx, cancel := context.WithTimeout(ctx, operationLimit)
+	defer cancel()
+	reply, err := askOnce[controller.ChangeReply](ctx, n.mailbox, func(t controller.Ticket) controller.Input {
+		return controller.WithdrawKey{Ticket: t, Key: key}
+	})
+	return n.changed(ctx, reply, err)
+}
+
+func (n *Node) changed(ctx context.Context, reply controller.ChangeReply, err error) (port.InForce, error) {
+	if err != nil {
+		return port.InForce{}, operationError(err)
+	}
+	if reply.Refusal != nil {
+		return port.InForce{}, reply.Refusal
+	}
+	return n.InForce(ctx, reply.Version)
+}
+
+// operationError explains an operation that got no answer in time.
+func operationError(err error) error {
+	if _, ok := domain.AsRefusal(err); ok {
+		return err
+	}
+	return domain.Unknown(domain.ReasonNoLeader, "no answer from the configuration leader in time; resend with the same operation id, or check that a majority of the voters runs").After(time.Second)
+}
+
+// GetProgram implements port.Frontend.
+func (n *Node) GetProgram(ctx context.Context, identity port.Identity, name domain.ProgramName) (port.ProgramStatus, error) {
+	reply, err := n.getProgram(ctx, identity, name)
+	if err != nil {
+		return port.ProgramStatus{}, err
+	}
+	return port.ProgramStatus{
+		Name: name, Ended: reply.Ended != "", Reason: reply.Ended, Turns: len(reply.History), Spent: reply.Spent, Budget: reply.Budget,
+	}, nil
+}
+
+func (n *Node) getProgram(ctx context.Context, identity port.Identity, name domain.ProgramName) (*program.GetProgramReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, operationLimit)
+	defer cancel()
+	id := domain.ProgramID{Account: identity.Account, Name: name}
+	reply, err := askOnce[*program.GetProgramReply](ctx, n.mailbox, func(t controller.Ticket) controller.Input {
+		return controller.GetProgram{Ticket: t, Program: id}
+	})
+	if err != nil {
+		return nil, unreachable(err, name)
+	}
+	if !reply.Found {
+		return nil, domain.NotRun(domain.ReasonProgramUnknown, "no program %q of this client account is known; check the name", name)
+	}
+	return reply, nil
+}
+
+func unreachable(err error, name domain.ProgramName) error {
+	if _, ok := domain.AsRefusal(err); ok {
+		return err
+	}
+	return domain.NotRun(domain.ReasonUnreachable, "the owner of program %s cannot be reached; send the request again", name).After(time.Second)
+}
+
+// EndProgram implements port.Frontend.
+func (n *Node) EndProgram(ctx context.Context, identity port.Identity, name domain.ProgramName) (port.ProgramStatus, error) {
+	limited, cancel := context.WithTimeout(ctx, operationLimit)
+	defer cancel()
+	id := domain.ProgramID{Account: identity.Account, Name: name}
+	reply, err := askOnce[*program.EndProgramReply](limited, n.mailbox, func(t controller.Ticket) controller.Input {
+		return controller.EndProgram{Ticket: t, Program: id}
+	})
+	if err != nil {
+		return port.ProgramStatus{}, unreachable(err, name)
+	}
+	if reply.Refusal != nil {
+		return port.ProgramStatus{}, reply.Refusal
+	}
+	return n.GetProgram(ctx, identity, name)
+}
+
+// History implements port.Frontend.
+func (n *Node) History(ctx context.Context, identity port.Identity, name domain.ProgramName) ([][]byte, error) {
+	reply, err := n.getProgram(ctx, identity, name)
+	if err != nil {
+		return nil, err
+	}
+	return n.fetchTurns(ctx, domain.ProgramID{Account: identity.Account, Name: name}, reply.History)
+}
--- /dev/null
+++ b/node/service.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Service implements port.Frontend.
+func (n *Node) Service(ctx context.Context, spec port.CallSpec, r port.ServiceRequest, exchange port.ServiceExchange) (*port.ServiceAnswer, domain.ProgramID, error) {
+	route := n.View().Route(spec.Route)
+	if route == nil {
+		return nil, domain.ProgramID{}, domain.NotRun(domain.ReasonRouteUnknown, "no route %q is configured; check the path", spec.Route)
+	}
+	begin := n.beginOf(spec)
+	runner := &serviceRunner{node: n, route: route, request: r, exchange: exchange}
+	if err := n.run(ctx, spec, begin, runner); err != nil {
+		return nil, begin.Program, err
+	}
+	return runner.answer, begin.Program, nil
+}
+
+// serviceRunner runs a call of a plain service. The whole answer is read and
+// stored before the caller gets any of it.
+type serviceRunner struct {
+	node     *Node
+	route    *config.RouteSpec
+	request  port.ServiceRequest
+	exchange port.ServiceExchange
+	answer   *port.ServiceAnswer
+}
+
+func (r *serviceRunner) commit() error { return nil }
+
+func (r *serviceRunner) replay(stored []byte) error {
+	answer, err := r.exchange.Replay(stored)
+	r.answer = answer
+	return err
+}
+
+func (r *serviceRunner) attempt(ctx context.Context, start *program.StartCall) attemptResult {
+	began := r.node.ports.Clock.Now()
+	answer, err := r.node.callService(ctx, r.route, r.request, start.Target, start.Call)
+	if err != nil {
+		return failed(ctx, err, false)
+	}
+	elapsed := r.node.ports.Clock.Now().Sub(began)
+	data, err := r.exchange.Stored(answer)
+	if err != nil {
+		return attemptResult{fail: program.FailTimedOut, final: err}
+	}
+	ref := port.HistoryRef{Program: start.Program, Length: int64(len(data)), SHA256: sha256.Sum256(data)}
+	if err := r.node.storeOnHolders(ctx, ref, data); err != nil {
+		return attemptResult{fail: program.FailTimedOut, final: err}
+	}
+	r.answer = answer
+	return attemptResult{timing: timing{elapsed, elapsed}, finish: &program.FinishCall{
+		Turn:         program.HistoryRef{SHA256: ref.SHA256, Length: uint32(ref.Length)},
+		Answer:       &program.Answer{SHA256: ref.SHA256, Length: uint32(ref.Length)},
+		Conversation: start.Conversation,
+	}}
+}
+
+// callService sends one request and reads the whole answer.
+func (n *Node) callService(ctx context.Context, route *config.RouteSpec, r port.ServiceRequest, target domain.Target, id domain.CallID) (*port.ServiceAnswer, error) {
+	call := port.PlainCall{
+		Target: target, Call: id, Method: r.Method, Path: "/" + r.Path, Query: r.Query, Header: r.Header,
+		MaxAnswer: n.config.MaxAnswerBytes, Timeout: route.Timeout,
+	}
+	if len(r.Body) > 0 {
+		call.Body, call.BodyLength, call.MaxBody = bytes.NewReader(r.Body), int64(len(r.Body)), int64(len(r.Body))
+	}
+	answer, err := n.ports.Targets.Plain(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return nil, err
+	}
+	return &port.ServiceAnswer{Status: answer.Status, Header: answer.Header, Body: body}, nil
+}
+
+// Open implements port.Frontend. Routes that are open to all need no key, no
+// program and no owner, so they go on while the VM is isolated.
+func (n *Node) Open(ctx context.Context, name string, r port.ServiceRequest) (*port.ServiceAnswer, error) {
+	view := n.View()
+	route := view.Route(name)
+	if route == nil || !route.Open {
+		return nil, domain.NotRun(domain.ReasonRouteUnknown, "no open route %q is configured; check the path", name)
+	}
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	targets := n.openTargets(view, route)
+	var last error
+	for _, target := range targets {
+		answer, err := n.callService(ctx, route, r, target, n.newCallID())
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		n.ports.Metrics.Retried("open_route")
+	}
+	if last == nil {
+		return nil, domain.NotRun(domain.ReasonNoTarget, "no target serves the route now; send the request again").After(time.Second)
+	}
+	return nil, openRefusal(last)
+}
+
+func openRefusal(err error) *domain.Refusal {
+	var failure *port.Failure
+	if errors.As(err, &failure) && failure.Kind == port.FailureTimeout {
+		return domain.Unknown(domain.ReasonToolTimeout, "the service did not answer in time; send the request again").After(time.Second)
+	}
+	return domain.Unknown(domain.ReasonTargetFailed, "the service failed; send the request again").After(time.Second)
+}
+
+// openAttempts bounds the targets that one call of an open route tries.
+const openAttempts = 2
+
+// openTargets returns the targets to try, spread over the route's targets and
+// nearest first.
+func (n *Node) openTargets(view *config.View, route *config.RouteSpec) []domain.Target {
+	var near, far []domain.Target
+	turn := int(n.openTurn.Add(1) % uint64(max(len(route.Targets), 1)))
+	for i := range route.Targets {
+		name := route.Targets[(i+turn)%len(route.Targets)]
+		target := view.Target(name)
+		switch {
+		case target == nil || target.Leaving:
+		case target.DataCentre == n.config.DataCentre:
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	all := append(near, far...)
+	return all[:min(len(all), openAttempts)]
+}
--- a/port/frontend.go
+++ b/port/frontend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -71,23 +70,31 @@
 	Commit() error
 }
 
-// PlainRequest is a request for a plain service.
-type PlainRequest struct {
+// ServiceRequest is a request for a plain service.
+type ServiceRequest struct {
 	Method string
 	// Path and Query are relative to the route.
 	Path   string
 	Query  string
-	Header http.Header
+	Header Header
 	Body   []byte
 }
 
-// PlainAnswer is the whole answer of a plain service.
-type PlainAnswer struct {
+// ServiceAnswer is the whole answer of a plain service.
+type ServiceAnswer struct {
 	Status int
-	Header http.Header
+	Header Header
 	Body   []byte
 }
 
+// ServiceExchange encodes what is stored of a call of a plain service.
+type ServiceExchange interface {
+	// Stored returns the bytes to store for a whole answer.
+	Stored(answer *ServiceAnswer) ([]byte, error)
+	// Replay returns the answer inside stored bytes.
+	Replay(stored []byte) (*ServiceAnswer, error)
+}
+
 // ProgramStatus is what a caller may read about a program.
 type ProgramStatus struct {
 	Name   domain.ProgramName
@@ -109,10 +116,10 @@
 	// Ready says whether the VM takes new work.
 	Ready() bool
 	Chat(ctx context.Context, spec CallSpec, exchange ChatExchange) error
-	// Plain runs a keyed call of a plain service.
-	Plain(ctx context.Context, spec CallSpec, request PlainRequest) (*PlainAnswer, domain.ProgramID, error)
+	// Service runs a keyed call of a plain service.
+	Service(ctx context.Context, spec CallSpec, request ServiceRequest, exchange ServiceExchange) (*ServiceAnswer, domain.ProgramID, error)
 	// Open runs a call of a route that is open to all.
-	Open(ctx context.Context, route string, request PlainRequest) (*PlainAnswer, error)
+	Open(ctx context.Context, route string, request ServiceRequest) (*ServiceAnswer, error)
 	EndProgram(ctx context.Context, identity Identity, name domain.ProgramName) (ProgramStatus, error)
 	GetProgram(ctx context.Context, identity Identity, name domain.ProgramName) (ProgramStatus, error)
 	// History returns the stored turns, oldest first.
--- a/port/history.go
+++ b/port/history.go
@@ -8,10 +8,10 @@
 	"github.com/mangoknot/mangoknot/core/domain"
 )
 
-// HistoryRef names the bytes of one stored turn.
+// HistoryRef names the bytes of one stored turn or answer by their content, so
+// that two attempts at a call never overwrite each other.
 type HistoryRef struct {
 	Program domain.ProgramID
-	Call    domain.CallID
 	// Length is the number of bytes.
 	Length int64
 	// SHA256 is the checksum of the bytes.
@@ -30,7 +30,7 @@
 
 // Error names the turn and the remedy.
 func (e *CorruptHistoryError) Error() string {
-	return fmt.Sprintf("history of %s, call %s is corrupt (%s); read it from the other holder of the shard and check the disk", e.Ref.Program, e.Ref.Call, e.Detail)
+	return fmt.Sprintf("history %x of %s is corrupt (%s); read it from the other holder of the shard and check the disk", e.Ref.SHA256[:4], e.Ref.Program, e.Detail)
 }
 
 // HistoryStore keeps the bytes of turns on one VM, outside of control memory.
@@ -40,6 +40,8 @@
 	// Get returns bytes that match the reference's checksum, or
 	// ErrHistoryMissing or a *CorruptHistoryError.
 	Get(ctx context.Context, ref HistoryRef) ([]byte, error)
+	// Has says whether the bytes are stored, without reading them.
+	Has(ref HistoryRef) bool
 	// Delete removes all turns of a program.
 	Delete(ctx context.Context, program domain.ProgramID) error
 }
