Replace lost voters safely and let operators change the voters

Cause: a voter whose disk was lost came back with the voters of its settings and an empty log, so it could vote again although it had forgotten entries that it acknowledged; a majority could then lose an accepted change. There was no command to replace a voter. A VM that lacks the configuration takes no followers. A shard without a lease no longer makes the control goroutine wake up at once. The shard tests keep a lease term of 2 s, because the default of 1 s hides the broken variants that they must catch.

--- a/adapter/operatorapi/client.go
+++ b/adapter/operatorapi/client.go
@@ -138,6 +138,16 @@
 	return out, err
 }
 
+// AddVoter makes a VM take part in agreement.
+func (c *Client) AddVoter(ctx context.Context, vm domain.VM) error {
+	return c.call(ctx, http.MethodPost, "/v1/voters/"+url.PathEscape(string(vm)), nil, nil)
+}
+
+// RemoveVoter ends a VM's part in agreement.
+func (c *Client) RemoveVoter(ctx context.Context, vm domain.VM) error {
+	return c.call(ctx, http.MethodDelete, "/v1/voters/"+url.PathEscape(string(vm)), nil, nil)
+}
+
 // Drain starts a planned stop of the VM at the first address.
 func (c *Client) Drain(ctx context.Context) error {
 	return c.call(ctx, http.MethodPost, "/v1/drain", nil, nil)
--- a/adapter/operatorapi/server.go
+++ b/adapter/operatorapi/server.go
@@ -103,6 +103,8 @@
 	mux.HandleFunc("GET /v1/in-force", a.inForce)
 	mux.HandleFunc("POST /v1/changes", a.change)
 	mux.HandleFunc("POST /v1/keys/{id}/withdraw", a.withdraw)
+	mux.HandleFunc("POST /v1/voters/{vm}", a.addVoter)
+	mux.HandleFunc("DELETE /v1/voters/{vm}", a.removeVoter)
 	mux.HandleFunc("POST /v1/drain", a.drain)
 	return a.authenticated(mux)
 }
@@ -219,6 +221,14 @@
 	answer(w, changeAnswerOf(in), err)
 }
 
+func (a *API) addVoter(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, a.node.AddVoter(r.Context(), domain.VM(r.PathValue("vm"))))
+}
+
+func (a *API) removeVoter(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, a.node.RemoveVoter(r.Context(), domain.VM(r.PathValue("vm"))))
+}
+
 func (a *API) drain(w http.ResponseWriter, r *http.Request) {
 	answer(w, struct{}{}, a.node.Drain(r.Context()))
 }
--- a/core/controller/agreement.go
+++ b/core/controller/agreement.go
@@ -228,6 +228,7 @@
 	if !c.leads() || c.raft.Status().Term != c.elected {
 		return
 	}
+	c.promoteLearners()
 	view := c.state.View()
 	if homes := c.chooseHomes(view); len(homes) > 0 {
 		c.propose("homes", &config.SetHomes{DataCentres: homes})
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -59,6 +59,7 @@
 
 	// Agreement and configuration.
 	raft      *raft.Raft
+	boot      bootstrap
 	state     *config.State
 	relay     *relay.Relay
 	grantor   *shard.LeaderGrantor
@@ -89,6 +90,7 @@
 
 	// Operators and planned stop.
 	changes  map[domain.OperationID][]Ticket
+	voters   voterRequests
 	queries  queries
 	drain    []Ticket
 	draining bool
@@ -127,12 +129,11 @@
 		callers:   newCallers(),
 		changes:   map[domain.OperationID][]Ticket{},
 		queries:   newQueries(),
+		voters:    voterRequests{open: map[uint64]voterRequest{}},
 	}
 	ctl.calls = entry.New(c.VM, directory{ctl})
 	ctl.shards.Restore(restored.Shards)
-	if c.HasDisk {
-		ctl.raft = raft.New(raft.Config{ID: c.VM, Voters: c.Voters, Rand: c.Rand}, restored.Raft, now)
-	}
+	ctl.startAgreement(restored.Raft)
 	ctl.traffic.Withdrawn = map[config.KeyID]bool{}
 	ctl.applyRelay(ctl.relay.Withdraw(now, restored.Withdrawn...))
 	ctl.listChanged()
@@ -188,6 +189,8 @@
 		c.withdrawKey(in)
 	case Ask:
 		c.ask(in)
+	case ChangeVoters:
+		c.changeVoters(in)
 	case Drain:
 		c.startDrain(in.Ticket)
 	}
@@ -245,7 +248,13 @@
 		if c.raft != nil {
 			c.raft.Step(c.now, from, m)
 		}
-	case *relay.Follow, *relay.Entries, *relay.Snapshot, *relay.Report, *relay.Propose, *relay.ProposeReply,
+	case *relay.Follow, *relay.Report:
+		// A VM that may lack accepted changes takes no followers, so that they
+		// choose another parent.
+		if c.raft != nil || c.current() {
+			c.applyRelay(c.relay.Step(c.now, from, m))
+		}
+	case *relay.Entries, *relay.Snapshot, *relay.Propose, *relay.ProposeReply,
 		*relay.WithdrawnDigest, *relay.WithdrawnBuckets, *relay.WithdrawnKeys:
 		c.applyRelay(c.relay.Step(c.now, from, m))
 	case *membership.Ping, *membership.PingRequest, *membership.Ack:
@@ -274,6 +283,12 @@
 		c.permitRequest(from, m)
 	case *schedule.PermitGrant:
 		c.scheduler.Step(c.now, from, m)
+	case *BootstrapQuery:
+		c.answerBootstrap(from)
+	case *BootstrapReply:
+		c.bootstrapReply(from, m)
+	case *VoterRequest, *VoterReply:
+		c.receiveVoters(from, m)
 	case *OwnerReady:
 		c.ownerReady(m)
 	case *QueryMessage:
@@ -286,7 +301,7 @@
 // Messages lists the messages of this package and of all parts.
 func Messages() []domain.Message {
 	return slices.Concat(
-		[]domain.Message{&ShardMessage{}, &OwnerReady{}, &QueryMessage{}, &QueryAnswer{}},
+		[]domain.Message{&ShardMessage{}, &OwnerReady{}, &BootstrapQuery{}, &BootstrapReply{}, &VoterRequest{}, &VoterReply{}, &QueryMessage{}, &QueryAnswer{}},
 		raft.Messages(), relay.Messages(), membership.Messages(), shard.Messages(), program.Messages(),
 		ledgerMessages(), share.Messages(), schedule.Messages(),
 	)
--- a/core/controller/fleet.go
+++ b/core/controller/fleet.go
@@ -149,7 +149,12 @@
 		if m.State == membership.Dead {
 			continue
 		}
-		out = append(out, relay.Node{VM: m.VM, DataCentre: m.DataCentre, Region: m.Region, Voter: slices.Contains(voters, m.VM)})
+		voter := slices.Contains(voters, m.VM)
+		if m.VM == c.config.VM {
+			// A listed voter without its log follows another VM.
+			voter = voter && c.raft != nil
+		}
+		out = append(out, relay.Node{VM: m.VM, DataCentre: m.DataCentre, Region: m.Region, Voter: voter})
 	}
 	return out
 }
--- a/core/controller/io.go
+++ b/core/controller/io.go
@@ -8,6 +8,7 @@
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/membership"
 	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/core/raft"
 	"github.com/mangoknot/mangoknot/core/schedule"
 )
 
@@ -99,27 +100,34 @@
 	Question Question
 }
 
+// ChangeVoters adds or removes a voter; its reply is a ChangeReply.
+type ChangeVoters struct {
+	Ticket Ticket
+	Change raft.VoterChange
+}
+
 // Drain starts a planned stop. The reply Drained follows when the VM owns no
 // shard and leads nothing.
 type Drain struct{ Ticket Ticket }
 
-func (Wake) isInput()        {}
-func (PeerMessage) isInput() {}
-func (Persisted) isInput()   {}
-func (BeginCall) isInput()   {}
-func (CallerGone) isInput()  {}
-func (FinishCall) isInput()  {}
-func (FailCall) isInput()    {}
-func (EndProgram) isInput()  {}
-func (GetProgram) isInput()  {}
-func (TargetLoad) isInput()  {}
-func (CacheChange) isInput() {}
-func (ReleaseDone) isInput() {}
-func (VMList) isInput()      {}
-func (Change) isInput()      {}
-func (WithdrawKey) isInput() {}
-func (Ask) isInput()         {}
-func (Drain) isInput()       {}
+func (Wake) isInput()         {}
+func (PeerMessage) isInput()  {}
+func (Persisted) isInput()    {}
+func (BeginCall) isInput()    {}
+func (CallerGone) isInput()   {}
+func (FinishCall) isInput()   {}
+func (FailCall) isInput()     {}
+func (EndProgram) isInput()   {}
+func (GetProgram) isInput()   {}
+func (TargetLoad) isInput()   {}
+func (CacheChange) isInput()  {}
+func (ReleaseDone) isInput()  {}
+func (VMList) isInput()       {}
+func (Change) isInput()       {}
+func (WithdrawKey) isInput()  {}
+func (Ask) isInput()          {}
+func (ChangeVoters) isInput() {}
+func (Drain) isInput()        {}
 
 // Stream names a durable sequence of records.
 type Stream string
--- a/core/controller/lifecycle.go
+++ b/core/controller/lifecycle.go
@@ -36,6 +36,7 @@
 	}
 	c.tickQuestions()
 	c.tickQueries()
+	c.tickVoters()
 	c.plan()
 }
 
@@ -62,6 +63,7 @@
 	}
 	c.candidates = c.listCandidates()
 	c.observe()
+	c.decideAgreement()
 	c.register()
 	c.lead()
 	c.reviveShards()
@@ -108,8 +110,11 @@
 	consider(c.calls.NextWake())
 	consider(c.scheduler.NextWake())
 	consider(c.nextPlan)
-	for _, owned := range c.stores {
-		consider(owned.store.NextWake())
+	for id, owned := range c.stores {
+		// A shard without a lease decides nothing, so its times do not count.
+		if _, ok := c.shards.Owns(c.now, id); ok {
+			consider(owned.store.NextWake())
+		}
 	}
 	return wake
 }
--- a/core/shard/explore_test.go
+++ b/core/shard/explore_test.go
@@ -37,7 +37,7 @@
 func newModel(broken bool) *model {
 	m := &model{
 		now: time.Unix(1000, 0), managers: map[domain.VM]*Manager{}, disks: map[domain.VM][]domain.Record{},
-		grantor: NewLeaderGrantor(DefaultTerm), state: config.NewState(),
+		grantor: NewLeaderGrantor(testTerm), state: config.NewState(),
 	}
 	m.start("a")
 	m.start("b")
@@ -61,7 +61,7 @@
 
 func (m *model) start(vm domain.VM) {
 	m.starts++
-	manager := New(Config{Self: vm, DataCentre: "a", Incarnation: m.starts, HasDisk: true}, m.now)
+	manager := New(Config{Self: vm, DataCentre: "a", Incarnation: m.starts, HasDisk: true, Term: testTerm, Renew: testRenew}, m.now)
 	m.managers[vm] = manager
 	manager.Restore(m.disks[vm])
 	m.effects(vm, manager.Configure(m.now, m.state.View()))
--- a/core/shard/manager_test.go
+++ b/core/shard/manager_test.go
@@ -99,7 +99,7 @@
 	w.run(10 * time.Second)
 	w.mustServe(t)
 	w.blocked = func(a, b domain.VM) bool { return a == "v0" || b == "v0" }
-	w.run(DefaultTerm)
+	w.run(testTerm)
 	must.Zero(t, w.owned(w.vms[0]))
 	w.run(3 * time.Second)
 	w.mustServe(t)
--- a/core/shard/world_test.go
+++ b/core/shard/world_test.go
@@ -10,6 +10,13 @@
 	"github.com/mangoknot/mangoknot/core/domain"
 )
 
+// The terms of the tests. A term above the time in which a death is detected
+// lets a VM that ignores its promises show up, which DefaultTerm hides.
+const (
+	testTerm  = 2 * time.Second
+	testRenew = 500 * time.Millisecond
+)
+
 const step = 5 * time.Millisecond
 
 type testRecord struct{ N int }
@@ -103,12 +110,12 @@
 	vm.incarnation++
 	vm.up, vm.leaving, vm.applied = true, false, -1
 	vm.lastSeen = map[domain.VM]time.Duration{}
-	vm.grantor = NewLeaderGrantor(DefaultTerm)
+	vm.grantor = NewLeaderGrantor(testTerm)
 	dc := domain.DataCentre("a")
 	if vm.name == "z" {
 		dc = "z"
 	}
-	vm.manager = New(Config{Self: vm.name, DataCentre: dc, Incarnation: vm.incarnation, HasDisk: vm.hasDisk, Batch: 3}, w.clock(vm))
+	vm.manager = New(Config{Self: vm.name, DataCentre: dc, Incarnation: vm.incarnation, HasDisk: vm.hasDisk, Batch: 3, Term: testTerm, Renew: testRenew}, w.clock(vm))
 	vm.manager.Restore(vm.disk)
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,6 +48,7 @@
 	Route    *routeCommand    `arg:"subcommand:route" help:"plain services"`
 	Target   *targetCommand   `arg:"subcommand:target" help:"model engines and application workers"`
 	VM       *vmCommand       `arg:"subcommand:vm" help:"VMs of the system"`
+	Voter    *voterCommand    `arg:"subcommand:voter" help:"VMs that agree on configuration"`
 	Program  *programCommand  `arg:"subcommand:program" help:"agent programs"`
 	Spend    *spendCommand    `arg:"subcommand:spend" help:"spend and forecast"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"what the VM knows of the system"`
@@ -145,6 +146,9 @@
 	if a.VM != nil {
 		groups = append(groups, a.VM)
 	}
+	if a.Voter != nil {
+		groups = append(groups, a.Voter)
+	}
 	if a.Program != nil {
 		groups = append(groups, a.Program)
 	}
--- a/node/operations.go
+++ b/node/operations.go
@@ -8,6 +8,7 @@
 	"github.com/mangoknot/mangoknot/core/controller"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/program"
+	"github.com/mangoknot/mangoknot/core/raft"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -44,6 +45,35 @@
 	return n.InForce(ctx, reply.Version)
 }
 
+// AddVoter implements port.Operations.
+func (n *Node) AddVoter(ctx context.Context, vm domain.VM) error {
+	spec := n.View().VM(vm)
+	if spec == nil || !spec.HasDisk {
+		return domain.NotRun(domain.ReasonBadRequest, "VM %q is not registered with a disk; start it with --data-dir first", vm)
+	}
+	return n.changeVoters(ctx, raft.VoterChange{Kind: raft.AddLearner, VM: vm})
+}
+
+// RemoveVoter implements port.Operations.
+func (n *Node) RemoveVoter(ctx context.Context, vm domain.VM) error {
+	return n.changeVoters(ctx, raft.VoterChange{Kind: raft.Remove, VM: vm})
+}
+
+func (n *Node) changeVoters(ctx context.Context, change raft.VoterChange) error {
+	ctx, cancel := context.WithTimeout(ctx, operationLimit)
+	defer cancel()
+	reply, err := askOnce[controller.ChangeReply](ctx, n.mailbox, func(t controller.Ticket) controller.Input {
+		return controller.ChangeVoters{Ticket: t, Change: change}
+	})
+	if err != nil {
+		return operationError(err)
+	}
+	if reply.Refusal != nil {
+		return reply.Refusal
+	}
+	return nil
+}
+
 // operationError explains an operation that got no answer in time.
 func operationError(err error) error {
 	if _, ok := domain.AsRefusal(err); ok {
--- a/port/operations.go
+++ b/port/operations.go
@@ -111,6 +111,10 @@
 	Spend(ctx context.Context) (SpendReport, error)
 	Forecast(ctx context.Context, preset config.PresetName) ([]AccountForecast, error)
 	Programs(ctx context.Context, account domain.Account) (ProgramReport, error)
+	// AddVoter makes a VM with a disk take part in agreement, as a learner first;
+	// RemoveVoter ends that. Both return when the leader has taken the change.
+	AddVoter(ctx context.Context, vm domain.VM) error
+	RemoveVoter(ctx context.Context, vm domain.VM) error
 	// Drain starts a planned stop of the answering VM.
 	Drain(ctx context.Context) error
 }
