Bound the durable stream of shard records and delete forgotten history

Cause: a VM appended every shard record to one stream that was never shortened, and the turns of ended programs stayed on the disk for good. Change: shard.Manager.Dump gives the records that rebuild every copy, and the controller replaces the stream after 65,536 records; program.Store lists the ended programs it forgets, and the node deletes their turns on both holders.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -73,6 +73,8 @@
 	candidates []shard.Candidate
 	shards     *shard.Manager
 	stores     map[domain.ShardID]*ownedShard
+	// stored counts the shard records since the stream was replaced.
+	stored int
 	// activated lists the shards to announce at the end of the step.
 	activated []domain.ShardID
 
--- a/core/controller/io.go
+++ b/core/controller/io.go
@@ -173,6 +173,8 @@
 	Replies            []Reply
 	Releases           []program.Release
 	ReplaceConnections []domain.VM
+	// Forgotten lists programs whose history is no longer needed on any VM.
+	Forgotten []domain.ProgramID
 	// View is set when the configuration in force changed.
 	View *config.View
 	// State is set when what the traffic side reads about the VM changed.
--- a/core/controller/lifecycle.go
+++ b/core/controller/lifecycle.go
@@ -68,6 +68,7 @@
 	c.lead()
 	c.reviveShards()
 	c.judgeIsolation()
+	c.rewriteShards()
 	c.proposeWithdrawals()
 	c.forgetProposed()
 }
--- a/core/controller/owner.go
+++ b/core/controller/owner.go
@@ -48,6 +48,7 @@
 func (c *Controller) applyShards(e shard.Effects) {
 	for _, w := range e.Writes {
 		c.out.Writes = append(c.out.Writes, Write{Stream: StreamShards, Token: w.Token, Records: w.Records})
+		c.stored += len(w.Records)
 	}
 	c.sendAll(e.Sends)
 	for _, id := range e.Deactivated {
@@ -241,6 +242,7 @@
 		c.send(domain.Send{To: owner, Body: &ShardMessage{To: out.To, Body: out.Body}})
 	}
 	c.out.Releases = append(c.out.Releases, e.Releases...)
+	c.out.Forgotten = append(c.out.Forgotten, e.Forgotten...)
 	for _, id := range e.Unready {
 		c.scheduler.Cancel(c.now, id)
 		delete(c.running, id)
@@ -292,6 +294,20 @@
 	c.compactShard(r.Shard, owned)
 }
 
+// rewriteAfter is the number of stored shard records after which the stream is
+// replaced by what is still needed of it.
+const rewriteAfter = 1 << 16
+
+// rewriteShards keeps the durable stream of shard records from growing.
+func (c *Controller) rewriteShards() {
+	if c.stored < rewriteAfter {
+		return
+	}
+	c.stored = 0
+	token, records := c.shards.Dump()
+	c.out.Writes = append(c.out.Writes, Write{Stream: StreamShards, Token: token, Replace: true, Records: records})
+}
+
 // compactShard replaces a long log by a snapshot. The store has applied every
 // appended record, so its snapshot is that of the committed position only when
 // nothing is in between.
--- a/core/program/end.go
+++ b/core/program/end.go
@@ -176,7 +176,7 @@
 
 // forget drops outcomes, keys and ended programs after their times. A key of a
 // call in flight and a program with open release orders stay.
-func (s *Store) forget(now time.Time) {
+func (s *Store) forget(now time.Time, e *Effects) {
 	for len(s.doneOrder) > 0 && now.Sub(s.doneOrder[0].At) >= doneTime {
 		if d := s.doneOrder[0]; s.done[d.Call] == d {
 			delete(s.done, d.Call)
@@ -202,6 +202,7 @@
 		old := len(p.targets) == 0 && now.Sub(timeOf(p.ended)) >= endedTime
 		if old && s.programs[p.id] == p {
 			delete(s.programs, p.id)
+			e.Forgotten = append(e.Forgotten, p.id)
 		}
 		return old
 	})
--- a/core/program/program_test.go
+++ b/core/program/program_test.go
@@ -525,7 +525,7 @@
 		commit(s.Step(start, finish(c, 1, 1)))
 		s.NextWake()
 		if i%10_000 == 0 {
-			s.forget(start.Add(doneTime))
+			s.forget(start.Add(doneTime), &Effects{})
 		}
 	}
 }
--- a/core/program/store.go
+++ b/core/program/store.go
@@ -41,6 +41,8 @@
 	// Ready lists calls for the scheduler, Unready those to remove from it.
 	Ready   []Ready
 	Unready []domain.CallID
+	// Forgotten lists ended programs whose stored history may be deleted.
+	Forgotten []domain.ProgramID
 	// Broadcast is for all VMs.
 	Broadcast []domain.Message
 	// kept holds the messages that wait for the records.
@@ -304,7 +306,7 @@
 	if s.active {
 		s.tick(now, &e)
 	}
-	s.forget(now)
+	s.forget(now, &e)
 	return s.result(e)
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -117,13 +117,16 @@
 	for _, release := range out.Releases {
 		c.shared.jobs.release(release)
 	}
+	for _, program := range out.Forgotten {
+		c.shared.jobs.forget(program)
+	}
 }
 
 func (c *control) write(w controller.Write) {
 	done := func(err error) {
 		c.mailbox.deliver(controller.Persisted{Stream: w.Stream, Token: w.Token, Err: err})
 	}
-	if w.Stream == controller.StreamShards && !w.Replace {
+	if w.Stream == controller.StreamShards {
 		c.shared.jobs.persist(w, done)
 		return
 	}
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -39,6 +39,7 @@
 type jobs struct {
 	node     *Node
 	releases chan program.Release
+	forgets  chan domain.ProgramID
 	writes   chan shardWrite
 }
 
@@ -46,6 +47,7 @@
 	return &jobs{
 		node:     n,
 		releases: make(chan program.Release, jobQueue),
+		forgets:  make(chan domain.ProgramID, jobQueue),
 		writes:   make(chan shardWrite, writeQueue),
 	}
 }
@@ -54,6 +56,7 @@
 	for range releaseWorkers {
 		go j.runReleases(ctx)
 	}
+	go j.runForgets(ctx)
 	go j.runWrites(ctx)
 }
 
@@ -65,6 +68,43 @@
 	}
 }
 
+// forget queues the deletion of a program's history. Bytes that stay because
+// the queue is full cost space only.
+func (j *jobs) forget(id domain.ProgramID) {
+	select {
+	case j.forgets <- id:
+	default:
+	}
+}
+
+func (j *jobs) runForgets(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-j.forgets:
+			j.deleteHistory(ctx, id)
+		}
+	}
+}
+
+// deleteHistory removes a forgotten program's turns from both holders.
+func (j *jobs) deleteHistory(ctx context.Context, id domain.ProgramID) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	holders, err := j.node.holders(id)
+	for _, vm := range holders {
+		if vm == j.node.config.VM {
+			err = errors.Join(err, j.node.ports.History.Delete(ctx, id))
+		} else {
+			err = errors.Join(err, j.node.ports.Transfer.Delete(ctx, vm, id))
+		}
+	}
+	if err != nil {
+		j.node.log.Info("the history of an ended program was not deleted everywhere", "program", id.String(), "error", err.Error())
+	}
+}
+
 // persist queues a write of shard records.
 func (j *jobs) persist(w controller.Write, done func(error)) {
 	select {
@@ -107,6 +147,10 @@
 			for _, ref := range missingHistory(j.node.ports.History, w.write.Records) {
 				j.copyHistory(ctx, ref)
 			}
+			if w.write.Replace {
+				j.node.ports.Disk.Replace(string(w.write.Stream), w.write.Records, w.done)
+				continue
+			}
 			j.node.ports.Disk.Append(string(w.write.Stream), w.write.Records, w.done)
 		}
 	}
