--- a/core/program/rig_test.go
+++ b/core/program/rig_test.go
@@ -205,7 +205,7 @@
 	want := r.store.Snapshot()
 	must.Eq(r.t, want, r.build(want).Snapshot())
 	fromLog := r.build(r.log)
-	fromLog.forget(r.now)
+	fromLog.forget(r.now, &Effects{})
 	must.Eq(r.t, withoutPending(want), withoutPending(fromLog.Snapshot()))
 }
 
