Follow the platform's list for leaving VMs and targets

Cause: the list's leaving marks reached membership only, so neither a VM that is taken away began its planned stop nor did a leaving target lose new work. A refusal that arrived while an attempt ran was dropped, so the caller waited for ever. Change: a leaving VM starts its planned stop, targets that the list names as leaving get no new work, the watch of an attempt keeps the event that ended the call, and roles are applied once at the end of a step.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -68,11 +68,16 @@
 	heardLead time.Time
 
 	// Fleet.
-	members    *membership.Membership
-	platform   map[domain.VM]membership.Member
-	candidates []shard.Candidate
-	shards     *shard.Manager
-	stores     map[domain.ShardID]*ownedShard
+	members  *membership.Membership
+	platform map[domain.VM]membership.Member
+	// leavingTargets are those that the platform will take away.
+	leavingTargets map[domain.Target]bool
+	// reconfigure says that roles or limits changed in this step. They are
+	// applied once at its end, because a takeover changes many shards.
+	reconfigure bool
+	candidates  []shard.Candidate
+	shards      *shard.Manager
+	stores      map[domain.ShardID]*ownedShard
 	// stored counts the shard records since the stream was replaced.
 	stored int
 	// activated lists the shards to announce at the end of the step.
@@ -109,29 +114,30 @@
 func New(c Config, restored Restored, now time.Time) *Controller {
 	self := membership.Member{VM: c.VM, DataCentre: c.DataCentre, Region: c.Region, Incarnation: c.Incarnation}
 	ctl := &Controller{
-		config:    c,
-		now:       now,
-		started:   now,
-		state:     config.NewState(),
-		relay:     relay.New(relay.Config{Self: c.VM, Rand: c.Rand}, now),
-		grantor:   shard.NewLeaderGrantor(shard.DefaultTerm),
-		proposed:  map[string]time.Time{},
-		members:   membership.New(membership.Config{Rand: c.Rand}, self, now),
-		platform:  map[domain.VM]membership.Member{},
-		shards:    shard.New(shard.Config{Self: c.VM, DataCentre: c.DataCentre, Incarnation: c.Incarnation, HasDisk: true}, now),
-		stores:    map[domain.ShardID]*ownedShard{},
-		vmState:   program.NewVMState(),
-		scheduler: schedule.New(schedule.Config{DataCentre: c.DataCentre, Region: c.Region, Rand: c.Rand}, now),
-		windows:   map[domain.Target]*schedule.WindowManager{},
-		running:   map[domain.CallID]domain.ShardID{},
-		instances: map[domain.Target]uint64{},
-		root:      share.NewRoot(c.Rand),
-		holder:    share.NewHolder(c.Rand),
-		admission: share.NewEntry(c.Rand),
-		callers:   newCallers(),
-		changes:   map[domain.OperationID][]Ticket{},
-		queries:   newQueries(),
-		voters:    voterRequests{open: map[uint64]voterRequest{}},
+		config:         c,
+		now:            now,
+		started:        now,
+		state:          config.NewState(),
+		relay:          relay.New(relay.Config{Self: c.VM, Rand: c.Rand}, now),
+		grantor:        shard.NewLeaderGrantor(shard.DefaultTerm),
+		proposed:       map[string]time.Time{},
+		members:        membership.New(membership.Config{Rand: c.Rand}, self, now),
+		platform:       map[domain.VM]membership.Member{},
+		leavingTargets: map[domain.Target]bool{},
+		shards:         shard.New(shard.Config{Self: c.VM, DataCentre: c.DataCentre, Incarnation: c.Incarnation, HasDisk: true}, now),
+		stores:         map[domain.ShardID]*ownedShard{},
+		vmState:        program.NewVMState(),
+		scheduler:      schedule.New(schedule.Config{DataCentre: c.DataCentre, Region: c.Region, Rand: c.Rand}, now),
+		windows:        map[domain.Target]*schedule.WindowManager{},
+		running:        map[domain.CallID]domain.ShardID{},
+		instances:      map[domain.Target]uint64{},
+		root:           share.NewRoot(c.Rand),
+		holder:         share.NewHolder(c.Rand),
+		admission:      share.NewEntry(c.Rand),
+		callers:        newCallers(),
+		changes:        map[domain.OperationID][]Ticket{},
+		queries:        newQueries(),
+		voters:         voterRequests{open: map[uint64]voterRequest{}},
 	}
 	ctl.calls = entry.New(c.VM, directory{ctl})
 	ctl.shards.Restore(restored.Shards)
@@ -203,6 +209,7 @@
 func (c *Controller) settle() {
 	for {
 		c.drainRaft()
+		c.applyRoles()
 		c.dispatch()
 		if len(c.local) == 0 {
 			break
--- a/core/controller/fleet.go
+++ b/core/controller/fleet.go
@@ -40,13 +40,28 @@
 	}})
 }
 
-// vmList takes the platform's list.
+// vmList takes the platform's list. It names VMs of the system and VMs of
+// targets; a leaving one gets no new work.
 func (c *Controller) vmList(list []membership.Member) {
 	clear(c.platform)
+	clear(c.leavingTargets)
+	view := c.state.View()
 	for _, m := range list {
-		c.platform[m.VM] = m
+		leaving := m.State == membership.Leaving
+		switch target := domain.Target(m.VM); {
+		case view.Target(target) == nil:
+			c.platform[m.VM] = m
+		case leaving:
+			c.leavingTargets[target] = true
+		}
+		if leaving && m.VM == c.config.VM && !c.traffic.Leaving {
+			c.log("node", "the platform will take this VM away, so a planned stop begins")
+			c.traffic.Leaving = true
+			c.publish()
+		}
 	}
 	c.listChanged()
+	c.reconfigure = true
 }
 
 // listChanged gives membership every VM that settings, configuration or the
@@ -188,8 +203,7 @@
 	for _, id := range c.ownedIDs() {
 		c.applyStore(id, c.stores[id].store.Configure(c.now, view))
 	}
-	c.configureShares(view)
-	c.configureScheduler(view)
+	c.reconfigure = true
 	c.applyEntry(c.calls.Moved(c.now))
 	c.ready()
 }
--- a/core/controller/io.go
+++ b/core/controller/io.go
@@ -199,6 +199,8 @@
 	Serving bool
 	// Isolated says that the VM refuses keyed requests.
 	Isolated bool
+	// Leaving says that the platform will take the VM away.
+	Leaving bool
 	// Withdrawn holds the keys that were withdrawn on any side.
 	Withdrawn map[config.KeyID]bool
 	// Addresses are those of all VMs that are known.
--- a/core/controller/limits.go
+++ b/core/controller/limits.go
@@ -8,6 +8,18 @@
 	"github.com/mangoknot/mangoknot/core/share"
 )
 
+// applyRoles brings shares, windows and targets up to the shards that this VM
+// owns and the configuration in force.
+func (c *Controller) applyRoles() {
+	if !c.reconfigure {
+		return
+	}
+	c.reconfigure = false
+	view := c.state.View()
+	c.configureShares(view)
+	c.configureScheduler(view)
+}
+
 // configureShares gives the roles of the rate shares to the owners of their
 // shards.
 func (c *Controller) configureShares(view *config.View) {
@@ -80,6 +92,7 @@
 	listed := map[domain.Target]bool{}
 	for _, t := range view.Targets() {
 		info := targetInfo(view, t)
+		info.Leaving = info.Leaving || c.leavingTargets[t.Name]
 		infos = append(infos, info)
 		listed[t.Name] = true
 		c.configureWindow(t, info)
--- a/core/controller/owner.go
+++ b/core/controller/owner.go
@@ -95,8 +95,7 @@
 			c.applyStore(id, store.VMDead(c.now, vm))
 		}
 	}
-	c.configureShares(view)
-	c.configureScheduler(view)
+	c.reconfigure = true
 }
 
 // announceOwned tells all VMs about the shards that this VM has taken over.
@@ -143,9 +142,7 @@
 			delete(c.running, call)
 		}
 	}
-	view := c.state.View()
-	c.configureShares(view)
-	c.configureScheduler(view)
+	c.reconfigure = true
 }
 
 // owned returns the shard's state if this VM may act for it now. A lease that
--- a/node/call.go
+++ b/node/call.go
@@ -57,6 +57,8 @@
 	cancelled domain.Reason
 	final     error
 	usage     domain.Usage
+	// last is an event that ended the call while an attempt ran.
+	last *entry.Event
 }
 
 // beginOf builds the owner's request from the caller's.
@@ -123,7 +125,10 @@
 		}
 		switch {
 		case event.Start != nil:
-			c.report(c.runAttempt(ctx, r, event.Start))
+			result := c.runAttempt(ctx, r, event.Start)
+			if c.last == nil {
+				c.report(result, event.Start)
+			}
 		case event.Committed != nil:
 			return c.committed(ctx, r, event.Committed)
 		case event.Refused != nil:
@@ -135,6 +140,9 @@
 // nextEvent waits for an order. When the caller goes away, the owner is told
 // and its answer is awaited, so that the call is settled.
 func (c *call) nextEvent(ctx context.Context) (entry.Event, error) {
+	if c.last != nil {
+		return *c.last, nil
+	}
 	reply, err := c.request.next(ctx)
 	if err != nil && ctx.Err() != nil {
 		c.node.mailbox.deliver(controller.CallerGone{Call: c.begin.Call})
@@ -154,35 +162,40 @@
 }
 
 // runAttempt runs one attempt and watches for orders to cancel it.
-func (c *call) runAttempt(ctx context.Context, r runner, start *program.StartCall) (attemptResult, *program.StartCall) {
+func (c *call) runAttempt(ctx context.Context, r runner, start *program.StartCall) attemptResult {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	ended := make(chan struct{})
-	watched := make(chan struct{})
-	go func() {
-		defer close(watched)
-		c.watchCancel(cancel, ended)
-	}()
+	watched := make(chan *entry.Event, 1)
+	go func() { watched <- c.watch(cancel, ended) }()
 	result := r.attempt(attemptCtx, start)
 	close(ended)
-	<-watched
+	c.last = <-watched
 	if cause, ok := context.Cause(attemptCtx).(errCancelled); ok && result.finish == nil {
 		c.cancelled = cause.reason
 		result.fail = program.FailCancelled
 	}
-	return result, start
+	return result
 }
 
-// watchCancel cancels the attempt when the owner or this VM orders it. Other
-// events cannot arrive while an attempt runs.
-func (c *call) watchCancel(cancel context.CancelCauseFunc, ended <-chan struct{}) {
+// watch cancels the attempt when the owner or this VM orders it. It returns an
+// event that ended the call while the attempt ran, if there was one.
+func (c *call) watch(cancel context.CancelCauseFunc, ended <-chan struct{}) *entry.Event {
 	for {
 		select {
 		case <-ended:
-			return
+			return nil
 		case reply := <-c.request.replies:
-			if event, ok := reply.Body.(entry.Event); ok && event.Cancel != "" {
+			event, ok := reply.Body.(entry.Event)
+			switch {
+			case !ok || event.Start != nil:
+			case event.Cancel != "":
 				cancel(errCancelled{event.Cancel})
+			case event.Refused != nil:
+				cancel(errCancelled{event.Refused.Reason})
+				return &event
+			default:
+				return &event
 			}
 		}
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -29,6 +29,8 @@
 	shared  *shared
 	// viewChanged tells the traffic side about a new configuration.
 	viewChanged func(*config.View)
+	// leave starts a planned stop; repeating it is harmless.
+	leave func()
 	// waiting holds the reply channels of open tickets.
 	waiting map[controller.Ticket]chan controller.Reply
 	// failed ends the loop with an error.
@@ -93,6 +95,9 @@
 		c.shared.state.Store(out.State)
 		c.ports.Peers.SetAddresses(out.State.Addresses)
 		c.failed = out.State.Fatal
+		if out.State.Leaving {
+			c.leave()
+		}
 	}
 	for _, s := range out.Sends {
 		c.ports.Peers.Send(s)
--- a/node/node.go
+++ b/node/node.go
@@ -95,6 +95,7 @@
 		log:         log,
 		shared:      n.shared,
 		viewChanged: n.signals.update,
+		leave:       func() { _ = n.Drain(context.Background()) },
 		waiting:     map[controller.Ticket]chan controller.Reply{},
 	}
 	return n
