Let the argument parser choose the command

Change: list and submit hold the shared steps, and go-arg's Subcommand replaces the hand-written choice. Conclusion: the same commands with fewer lines.

--- a/internal/cli/accounts.go
+++ b/internal/cli/accounts.go
@@ -17,16 +17,6 @@
 	List *accountList `arg:"subcommand:list" help:"list the client accounts"`
 }
 
-func (c *accountCommand) leaf() command {
-	switch {
-	case c.Put != nil:
-		return c.Put
-	case c.List != nil:
-		return c.List
-	}
-	return nil
-}
-
 type accountPut struct {
 	Name          string   `arg:"positional,required"`
 	Rate          *float64 `arg:"--rate" help:"requests a second over all VMs (default 10)"`
@@ -92,19 +82,16 @@
 type accountList struct{}
 
 func (*accountList) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	rows := [][]string{}
-	for _, a := range state.Accounts {
-		rows = append(rows, []string{
-			string(a.Name), fmt.Sprint(a.RatePerSecond), fmt.Sprint(a.Burst), fmt.Sprint(a.Weight),
-			a.MonthlyBudget.String(), a.ProgramBudget.String(), fmt.Sprint(a.Concurrency), fmt.Sprint(a.Disabled),
-		})
-	}
-	header := []string{"ACCOUNT", "RATE/S", "BURST", "WEIGHT", "MONTHLY BUDGET", "PROGRAM BUDGET", "CONCURRENCY", "DISABLED"}
-	return s.print(state.Accounts, header, rows)
+	return s.list(ctx, []string{"ACCOUNT", "RATE/S", "BURST", "WEIGHT", "MONTHLY BUDGET", "PROGRAM BUDGET", "CONCURRENCY", "DISABLED"}, func(state operatorapi.State) (any, [][]string) {
+		rows := [][]string{}
+		for _, a := range state.Accounts {
+			rows = append(rows, []string{
+				string(a.Name), fmt.Sprint(a.RatePerSecond), fmt.Sprint(a.Burst), fmt.Sprint(a.Weight),
+				a.MonthlyBudget.String(), a.ProgramBudget.String(), fmt.Sprint(a.Concurrency), fmt.Sprint(a.Disabled),
+			})
+		}
+		return state.Accounts, rows
+	})
 }
 
 type keyCommand struct {
@@ -113,18 +100,6 @@
 	List     *keyList     `arg:"subcommand:list" help:"list the keys"`
 }
 
-func (c *keyCommand) leaf() command {
-	switch {
-	case c.Create != nil:
-		return c.Create
-	case c.Withdraw != nil:
-		return c.Withdraw
-	case c.List != nil:
-		return c.List
-	}
-	return nil
-}
-
 type keyCreate struct {
 	Account string `arg:"positional,required"`
 	ID      string `arg:"--id" help:"id of the key (default: the account's name and random digits)"`
@@ -175,15 +150,13 @@
 type keyList struct{}
 
 func (*keyList) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	rows := [][]string{}
-	for _, k := range state.Keys {
-		rows = append(rows, []string{string(k.ID), string(k.Account), fmt.Sprint(k.Withdrawn)})
-	}
-	return s.print(state.Keys, []string{"ID", "ACCOUNT", "WITHDRAWN"}, rows)
+	return s.list(ctx, []string{"ID", "ACCOUNT", "WITHDRAWN"}, func(state operatorapi.State) (any, [][]string) {
+		rows := [][]string{}
+		for _, k := range state.Keys {
+			rows = append(rows, []string{string(k.ID), string(k.Account), fmt.Sprint(k.Withdrawn)})
+		}
+		return state.Keys, rows
+	})
 }
 
 type operatorCommand struct {
@@ -191,16 +164,6 @@
 	Hash *operatorHash `arg:"subcommand:hash" help:"read a token from standard input and print its line"`
 }
 
-func (c *operatorCommand) leaf() command {
-	switch {
-	case c.New != nil:
-		return c.New
-	case c.Hash != nil:
-		return c.Hash
-	}
-	return nil
-}
-
 type operatorNew struct {
 	Name string `arg:"positional,required"`
 }
--- a/internal/cli/catalogue.go
+++ b/internal/cli/catalogue.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/mangoknot/mangoknot/adapter/operatorapi"
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/domain"
 )
@@ -16,28 +17,12 @@
 	List *presetList `arg:"subcommand:list" help:"list the presets"`
 }
 
-func (c *presetCommand) leaf() command {
-	switch {
-	case c.Use != nil:
-		return c.Use
-	case c.Set != nil:
-		return c.Set
-	case c.List != nil:
-		return c.List
-	}
-	return nil
-}
-
 type presetUse struct {
 	Name string `arg:"positional,required" help:"ordinary, peak or maintenance"`
 }
 
 func (c *presetUse) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	return s.change(ctx, state.Version, &config.SetPreset{Name: config.PresetName(c.Name)})
+	return s.submit(ctx, &config.SetPreset{Name: config.PresetName(c.Name)})
 }
 
 type presetSet struct {
@@ -89,23 +74,20 @@
 type presetList struct{}
 
 func (*presetList) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	rows := [][]string{}
-	for _, p := range state.Presets {
-		inForce := ""
-		if p.Name == state.Preset {
-			inForce = "in force"
+	return s.list(ctx, []string{"PRESET", "", "DAILY 1/1000", "MAX GENERATED", "CONCURRENCY", "ORDER", "NEW PROGRAMS", "MAX TURNS", "MAX WALL TIME", "MAX REPEATED"}, func(state operatorapi.State) (any, [][]string) {
+		rows := [][]string{}
+		for _, p := range state.Presets {
+			inForce := ""
+			if p.Name == state.Preset {
+				inForce = "in force"
+			}
+			rows = append(rows, []string{
+				string(p.Name), inForce, fmt.Sprint(p.DailySpendPermille), fmt.Sprint(p.MaxGeneratedTokens), fmt.Sprint(p.AccountConcurrency),
+				string(p.QueueOrder), fmt.Sprint(p.NewPrograms), fmt.Sprint(p.MaxTurns), p.MaxWallTime.String(), fmt.Sprint(p.MaxRepeatedCalls),
+			})
 		}
-		rows = append(rows, []string{
-			string(p.Name), inForce, fmt.Sprint(p.DailySpendPermille), fmt.Sprint(p.MaxGeneratedTokens), fmt.Sprint(p.AccountConcurrency),
-			string(p.QueueOrder), fmt.Sprint(p.NewPrograms), fmt.Sprint(p.MaxTurns), p.MaxWallTime.String(), fmt.Sprint(p.MaxRepeatedCalls),
-		})
-	}
-	header := []string{"PRESET", "", "DAILY 1/1000", "MAX GENERATED", "CONCURRENCY", "ORDER", "NEW PROGRAMS", "MAX TURNS", "MAX WALL TIME", "MAX REPEATED"}
-	return s.print(state.Presets, header, rows)
+		return state.Presets, rows
+	})
 }
 
 type modelCommand struct {
@@ -113,16 +95,6 @@
 	List *modelList `arg:"subcommand:list" help:"list the models"`
 }
 
-func (c *modelCommand) leaf() command {
-	switch {
-	case c.Put != nil:
-		return c.Put
-	case c.List != nil:
-		return c.List
-	}
-	return nil
-}
-
 type modelPut struct {
 	Name           string `arg:"positional,required"`
 	PromptPrice    string `arg:"--prompt-price,required" help:"currency units for 1,000,000 prompt tokens"`
@@ -140,25 +112,19 @@
 			return err
 		}
 	}
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	return s.change(ctx, state.Version, &config.PutModel{Model: spec})
+	return s.submit(ctx, &config.PutModel{Model: spec})
 }
 
 type modelList struct{}
 
 func (*modelList) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	rows := [][]string{}
-	for _, m := range state.Models {
-		rows = append(rows, []string{string(m.Name), m.PromptPrice.String(), m.CachedPrice.String(), m.GeneratedPrice.String(), fmt.Sprint(m.MaxContext)})
-	}
-	return s.print(state.Models, []string{"MODEL", "PROMPT/M", "CACHED/M", "GENERATED/M", "MAX CONTEXT"}, rows)
+	return s.list(ctx, []string{"MODEL", "PROMPT/M", "CACHED/M", "GENERATED/M", "MAX CONTEXT"}, func(state operatorapi.State) (any, [][]string) {
+		rows := [][]string{}
+		for _, m := range state.Models {
+			rows = append(rows, []string{string(m.Name), m.PromptPrice.String(), m.CachedPrice.String(), m.GeneratedPrice.String(), fmt.Sprint(m.MaxContext)})
+		}
+		return state.Models, rows
+	})
 }
 
 type routeCommand struct {
@@ -167,18 +133,6 @@
 	List   *routeList   `arg:"subcommand:list" help:"list the plain services"`
 }
 
-func (c *routeCommand) leaf() command {
-	switch {
-	case c.Put != nil:
-		return c.Put
-	case c.Remove != nil:
-		return c.Remove
-	case c.List != nil:
-		return c.List
-	}
-	return nil
-}
-
 type routePut struct {
 	Name       string        `arg:"positional,required"`
 	Open       bool          `arg:"--open" help:"needs no key"`
@@ -196,11 +150,7 @@
 	for _, target := range c.Targets {
 		spec.Targets = append(spec.Targets, domain.Target(target))
 	}
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	return s.change(ctx, state.Version, &config.PutRoute{Route: spec})
+	return s.submit(ctx, &config.PutRoute{Route: spec})
 }
 
 type routeRemove struct {
@@ -208,25 +158,19 @@
 }
 
 func (c *routeRemove) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	return s.change(ctx, state.Version, &config.RemoveRoute{Name: c.Name})
+	return s.submit(ctx, &config.RemoveRoute{Name: c.Name})
 }
 
 type routeList struct{}
 
 func (*routeList) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	rows := [][]string{}
-	for _, r := range state.Routes {
-		rows = append(rows, []string{r.Name, fmt.Sprint(r.Open), fmt.Sprint(r.Repeatable), r.Timeout.String(), r.Price.String(), joinNames(r.Targets)})
-	}
-	return s.print(state.Routes, []string{"ROUTE", "OPEN", "REPEATABLE", "TIMEOUT", "PRICE", "TARGETS"}, rows)
+	return s.list(ctx, []string{"ROUTE", "OPEN", "REPEATABLE", "TIMEOUT", "PRICE", "TARGETS"}, func(state operatorapi.State) (any, [][]string) {
+		rows := [][]string{}
+		for _, r := range state.Routes {
+			rows = append(rows, []string{r.Name, fmt.Sprint(r.Open), fmt.Sprint(r.Repeatable), r.Timeout.String(), r.Price.String(), joinNames(r.Targets)})
+		}
+		return state.Routes, rows
+	})
 }
 
 func joinNames[T ~string](names []T) string {
@@ -245,22 +189,6 @@
 	List   *targetList   `arg:"subcommand:list" help:"list the targets"`
 }
 
-func (c *targetCommand) leaf() command {
-	switch {
-	case c.Put != nil:
-		return c.Put
-	case c.Leave != nil:
-		return c.Leave
-	case c.Return != nil:
-		return c.Return
-	case c.Remove != nil:
-		return c.Remove
-	case c.List != nil:
-		return c.List
-	}
-	return nil
-}
-
 type targetPut struct {
 	Name        string   `arg:"positional,required"`
 	Kind        string   `arg:"--kind" help:"engine or service" default:"engine"`
@@ -274,11 +202,7 @@
 }
 
 func (c *targetPut) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	return s.change(ctx, state.Version, &config.PutTarget{Target: config.TargetSpec{
+	return s.submit(ctx, &config.PutTarget{Target: config.TargetSpec{
 		Name:        domain.Target(c.Name),
 		Kind:        config.TargetKind(c.Kind),
 		Address:     c.Address,
@@ -308,37 +232,26 @@
 }
 
 func setLeaving(ctx context.Context, s *session, name string, leaving bool) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	return s.change(ctx, state.Version, &config.SetTargetLeaving{Name: domain.Target(name), Leaving: leaving})
+	return s.submit(ctx, &config.SetTargetLeaving{Name: domain.Target(name), Leaving: leaving})
 }
 
 type targetRemove struct{ targetName }
 
 func (c *targetRemove) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	return s.change(ctx, state.Version, &config.RemoveTarget{Name: domain.Target(c.Name)})
+	return s.submit(ctx, &config.RemoveTarget{Name: domain.Target(c.Name)})
 }
 
 type targetList struct{}
 
 func (*targetList) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	rows := [][]string{}
-	for _, t := range state.Targets {
-		rows = append(rows, []string{
-			string(t.Name), string(t.Kind), t.Address, string(t.DataCentre), string(t.Region),
-			joinNames(t.Models), fmt.Sprint(t.Leaving), fmt.Sprint(t.Fencing), fmt.Sprint(t.MaxBatch),
-		})
-	}
-	header := []string{"TARGET", "KIND", "ADDRESS", "DATA CENTRE", "REGION", "MODELS", "LEAVING", "FENCING", "MAX BATCH"}
-	return s.print(state.Targets, header, rows)
+	return s.list(ctx, []string{"TARGET", "KIND", "ADDRESS", "DATA CENTRE", "REGION", "MODELS", "LEAVING", "FENCING", "MAX BATCH"}, func(state operatorapi.State) (any, [][]string) {
+		rows := [][]string{}
+		for _, t := range state.Targets {
+			rows = append(rows, []string{
+				string(t.Name), string(t.Kind), t.Address, string(t.DataCentre), string(t.Region),
+				joinNames(t.Models), fmt.Sprint(t.Leaving), fmt.Sprint(t.Fencing), fmt.Sprint(t.MaxBatch),
+			})
+		}
+		return state.Targets, rows
+	})
 }
--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -26,6 +26,25 @@
 	return s.reportChange(ctx, answer)
 }
 
+// submit sends a command that is based on the current version.
+func (s *session) submit(ctx context.Context, c config.Command) error {
+	state, err := s.client.State(ctx)
+	if err != nil {
+		return err
+	}
+	return s.change(ctx, state.Version, c)
+}
+
+// list prints a part of the configuration as rows under the header.
+func (s *session) list(ctx context.Context, header []string, rowsOf func(operatorapi.State) (any, [][]string)) error {
+	state, err := s.client.State(ctx)
+	if err != nil {
+		return err
+	}
+	value, rows := rowsOf(state)
+	return s.print(value, header, rows)
+}
+
 // reportChange waits as long as --wait says and prints where the change is in
 // force.
 func (s *session) reportChange(ctx context.Context, answer operatorapi.ChangeAnswer) error {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -81,8 +81,8 @@
 	if len(args.Addresses) == 0 {
 		args.Addresses = []string{defaultAddress}
 	}
-	command := args.chosen()
-	if command == nil {
+	command, ok := parser.Subcommand().(command)
+	if !ok {
 		_ = parser.WriteHelpForSubcommand(stderr, parser.SubcommandNames()...)
 		return ExitUsage
 	}
@@ -122,54 +122,6 @@
 	run(ctx context.Context, s *session) error
 }
 
-// chosen returns the leaf command, or nil when the command line names none.
-func (a *Arguments) chosen() command {
-	groups := []interface{ leaf() command }{}
-	if a.Account != nil {
-		groups = append(groups, a.Account)
-	}
-	if a.Key != nil {
-		groups = append(groups, a.Key)
-	}
-	if a.Preset != nil {
-		groups = append(groups, a.Preset)
-	}
-	if a.Model != nil {
-		groups = append(groups, a.Model)
-	}
-	if a.Route != nil {
-		groups = append(groups, a.Route)
-	}
-	if a.Target != nil {
-		groups = append(groups, a.Target)
-	}
-	if a.VM != nil {
-		groups = append(groups, a.VM)
-	}
-	if a.Voter != nil {
-		groups = append(groups, a.Voter)
-	}
-	if a.Program != nil {
-		groups = append(groups, a.Program)
-	}
-	if a.Spend != nil {
-		groups = append(groups, a.Spend)
-	}
-	if a.Operator != nil {
-		groups = append(groups, a.Operator)
-	}
-	switch {
-	case a.Status != nil:
-		return a.Status
-	case a.Drain != nil:
-		return a.Drain
-	case len(groups) == 1:
-		return groups[0].leaf()
-	default:
-		return nil
-	}
-}
-
 func (a *Arguments) client() (*operatorapi.Client, error) {
 	if a.Output != "table" && a.Output != "json" {
 		return nil, usageError{fmt.Sprintf("--output %q: use table or json", a.Output)}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -15,16 +15,6 @@
 	Remove *vmRemove `arg:"subcommand:remove" help:"delete a VM that has left for good"`
 }
 
-func (c *vmCommand) leaf() command {
-	switch {
-	case c.List != nil:
-		return c.List
-	case c.Remove != nil:
-		return c.Remove
-	}
-	return nil
-}
-
 type vmList struct{}
 
 func (*vmList) run(ctx context.Context, s *session) error {
@@ -52,11 +42,7 @@
 }
 
 func (c *vmRemove) run(ctx context.Context, s *session) error {
-	state, err := s.client.State(ctx)
-	if err != nil {
-		return err
-	}
-	return s.change(ctx, state.Version, &config.RemoveVM{Name: domain.VM(c.Name)})
+	return s.submit(ctx, &config.RemoveVM{Name: domain.VM(c.Name)})
 }
 
 type statusCommand struct{}
@@ -96,13 +82,6 @@
 	List *programList `arg:"subcommand:list" help:"list programs"`
 }
 
-func (c *programCommand) leaf() command {
-	if c.List != nil {
-		return c.List
-	}
-	return nil
-}
-
 type programList struct {
 	Account string `arg:"--account" help:"only programs of this client account"`
 }
@@ -138,16 +117,6 @@
 	Forecast *spendForecast `arg:"subcommand:forecast" help:"next month's bill"`
 }
 
-func (c *spendCommand) leaf() command {
-	switch {
-	case c.Show != nil:
-		return c.Show
-	case c.Forecast != nil:
-		return c.Forecast
-	}
-	return nil
-}
-
 type spendShow struct{}
 
 func (*spendShow) run(ctx context.Context, s *session) error {
--- a/internal/cli/voters.go
+++ b/internal/cli/voters.go
@@ -13,18 +13,6 @@
 	List   *voterList   `arg:"subcommand:list" help:"list the voters"`
 }
 
-func (c *voterCommand) leaf() command {
-	switch {
-	case c.Add != nil:
-		return c.Add
-	case c.Remove != nil:
-		return c.Remove
-	case c.List != nil:
-		return c.List
-	}
-	return nil
-}
-
 type voterAdd struct {
 	VM string `arg:"positional,required"`
 }
