Let a VM register before the voters know its address

Cause: a VM that is not a voter is unknown to the voters until its registration is in the log, so they cannot answer its heartbeats. It declared its seeds dead after about 2 s and dropped them from the list of voters that proposals go to. When all VMs started at once, the first leader was elected later than that, and 3 of 6 VMs were never ready.

Change: until it is registered, a VM keeps its seeds in the list, dead or not.

Before: `make demo` found 3 of 6 VMs ready after 20 s. After: 6 of 6 after 2 s. TestUnknownVMsRegister delivers messages only to addresses that the sender knows; it fails without the change.

Conclusion: VMs may start in any order with only the voters as seeds.

--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/domain"
 )
 
 // Guards against a single VM that never gets its own shards, on which --dev
@@ -49,3 +51,12 @@
 	t.Logf("the next turn was served %v after the owner's death", w.now.Sub(died))
 	must.Less(t, 3*time.Second, w.now.Sub(died))
 }
+
+// Guards against VMs that never join: when all VMs start at once, no voter knows
+// the address of the others before they are registered, so their heartbeats stay
+// unanswered until the first leader is elected.
+func TestUnknownVMsRegister(t *testing.T) {
+	w := newWorldOf(t, 4, 3, 2, func(voters map[domain.VM]string, c *Config) { c.Seeds = voters })
+	w.cut = func(from, to domain.VM) bool { return w.vms[from].state.Addresses[to] == "" }
+	w.setUp()
+}
--- a/core/controller/fleet.go
+++ b/core/controller/fleet.go
@@ -144,9 +144,13 @@
 	if len(voters) == 0 {
 		voters = c.seedVoters()
 	}
+	registered := c.state.View().VM(c.config.VM) != nil
 	var out []relay.Node
 	for _, m := range c.members.Members() {
-		if m.State == membership.Dead {
+		// No VM knows the address of this one before its registration, so none
+		// answers its heartbeats. The seeds must still get the registration.
+		_, seed := c.config.Seeds[m.VM]
+		if m.State == membership.Dead && (registered || !seed) {
 			continue
 		}
 		out = append(out, relay.Node{VM: m.VM, DataCentre: m.DataCentre, Region: m.Region, Voter: slices.Contains(voters, m.VM)})
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -86,6 +86,11 @@
 // newWorld starts VMs named a1, a2, b1, b2, … with two in each data centre; the
 // first one of each data centre is a voter.
 func newWorld(t *testing.T, seed uint64, centres, each int) *world {
+	return newWorldOf(t, seed, centres, each, func(map[domain.VM]string, *Config) {})
+}
+
+// newWorldOf starts the same VMs after a change of their settings.
+func newWorldOf(t *testing.T, seed uint64, centres, each int, change func(voters map[domain.VM]string, c *Config)) *world {
 	w := &world{
 		t: t, now: time.Unix(1_790_000_000, 0).UTC(), rand: rand.New(rand.NewPCG(seed, 1)),
 		vms: map[domain.VM]*vm{}, cut: func(domain.VM, domain.VM) bool { return false },
@@ -93,6 +98,7 @@
 	w.engine = func(v *vm, start *program.StartCall) { w.answer(v, start, 50*time.Millisecond) }
 	seeds := map[domain.VM]string{}
 	var voters []domain.VM
+	voterSeeds := map[domain.VM]string{}
 	for c := range centres {
 		for i := range each {
 			name := domain.VM(fmt.Sprintf("%c%d", 'a'+c, i+1))
@@ -100,6 +106,7 @@
 			seeds[name] = "10.0.0.1:1"
 			if i == 0 {
 				voters = append(voters, name)
+				voterSeeds[name] = seeds[name]
 			}
 		}
 	}
@@ -110,6 +117,7 @@
 			VM: name, DataCentre: dc, Region: domain.Region(dc), PeerAddress: "10.0.0.1:1",
 			HasDisk: slices.Contains(voters, name), Voters: voters, Seeds: seeds,
 		}
+		change(voterSeeds, &v.config)
 		w.vms[name] = v
 		v.start()
 	}
