--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -59,6 +59,7 @@
 
 	// Agreement and configuration.
 	raft      *raft.Raft
+	boot      bootstrap
 	state     *config.State
 	relay     *relay.Relay
 	grantor   *shard.LeaderGrantor
@@ -67,11 +68,18 @@
 	heardLead time.Time
 
 	// Fleet.
-	members    *membership.Membership
-	platform   map[domain.VM]membership.Member
-	candidates []shard.Candidate
-	shards     *shard.Manager
-	stores     map[domain.ShardID]*ownedShard
+	members  *membership.Membership
+	platform map[domain.VM]membership.Member
+	// leavingTargets are those that the platform will take away.
+	leavingTargets map[domain.Target]bool
+	// reconfigure says that roles or limits changed in this step. They are
+	// applied once at its end, because a takeover changes many shards.
+	reconfigure bool
+	candidates  []shard.Candidate
+	shards      *shard.Manager
+	stores      map[domain.ShardID]*ownedShard
+	// stored counts the shard records since the stream was replaced.
+	stored int
 	// activated lists the shards to announce at the end of the step.
 	activated []domain.ShardID
 
@@ -89,6 +97,7 @@
 
 	// Operators and planned stop.
 	changes  map[domain.OperationID][]Ticket
+	voters   voterRequests
 	queries  queries
 	drain    []Ticket
 	draining bool
@@ -105,34 +114,34 @@
 func New(c Config, restored Restored, now time.Time) *Controller {
 	self := membership.Member{VM: c.VM, DataCentre: c.DataCentre, Region: c.Region, Incarnation: c.Incarnation}
 	ctl := &Controller{
-		config:    c,
-		now:       now,
-		started:   now,
-		state:     config.NewState(),
-		relay:     relay.New(relay.Config{Self: c.VM, Rand: c.Rand}, now),
-		grantor:   shard.NewLeaderGrantor(shard.DefaultTerm),
-		proposed:  map[string]time.Time{},
-		members:   membership.New(membership.Config{Rand: c.Rand}, self, now),
-		platform:  map[domain.VM]membership.Member{},
-		shards:    shard.New(shard.Config{Self: c.VM, DataCentre: c.DataCentre, Incarnation: c.Incarnation, HasDisk: true}, now),
-		stores:    map[domain.ShardID]*ownedShard{},
-		vmState:   program.NewVMState(),
-		scheduler: schedule.New(schedule.Config{DataCentre: c.DataCentre, Region: c.Region, Rand: c.Rand}, now),
-		windows:   map[domain.Target]*schedule.WindowManager{},
-		running:   map[domain.CallID]domain.ShardID{},
-		instances: map[domain.Target]uint64{},
-		root:      share.NewRoot(c.Rand),
-		holder:    share.NewHolder(c.Rand),
-		admission: share.NewEntry(c.Rand),
-		callers:   newCallers(),
-		changes:   map[domain.OperationID][]Ticket{},
-		queries:   newQueries(),
+		config:         c,
+		now:            now,
+		started:        now,
+		state:          config.NewState(),
+		relay:          relay.New(relay.Config{Self: c.VM, Rand: c.Rand}, now),
+		grantor:        shard.NewLeaderGrantor(shard.DefaultTerm),
+		proposed:       map[string]time.Time{},
+		members:        membership.New(membership.Config{Rand: c.Rand}, self, now),
+		platform:       map[domain.VM]membership.Member{},
+		leavingTargets: map[domain.Target]bool{},
+		shards:         shard.New(shard.Config{Self: c.VM, DataCentre: c.DataCentre, Incarnation: c.Incarnation, HasDisk: true}, now),
+		stores:         map[domain.ShardID]*ownedShard{},
+		vmState:        program.NewVMState(),
+		scheduler:      schedule.New(schedule.Config{DataCentre: c.DataCentre, Region: c.Region, Rand: c.Rand}, now),
+		windows:        map[domain.Target]*schedule.WindowManager{},
+		running:        map[domain.CallID]domain.ShardID{},
+		instances:      map[domain.Target]uint64{},
+		root:           share.NewRoot(c.Rand),
+		holder:         share.NewHolder(c.Rand),
+		admission:      share.NewEntry(c.Rand),
+		callers:        newCallers(),
+		changes:        map[domain.OperationID][]Ticket{},
+		queries:        newQueries(),
+		voters:         voterRequests{open: map[uint64]voterRequest{}},
 	}
 	ctl.calls = entry.New(c.VM, directory{ctl})
 	ctl.shards.Restore(restored.Shards)
-	if c.HasDisk {
-		ctl.raft = raft.New(raft.Config{ID: c.VM, Voters: c.Voters, Rand: c.Rand}, restored.Raft, now)
-	}
+	ctl.startAgreement(restored.Raft)
 	ctl.traffic.Withdrawn = map[config.KeyID]bool{}
 	ctl.applyRelay(ctl.relay.Withdraw(now, restored.Withdrawn...))
 	ctl.listChanged()
@@ -188,6 +197,8 @@
 		c.withdrawKey(in)
 	case Ask:
 		c.ask(in)
+	case ChangeVoters:
+		c.changeVoters(in)
 	case Drain:
 		c.startDrain(in.Ticket)
 	}
@@ -198,6 +209,7 @@
 func (c *Controller) settle() {
 	for {
 		c.drainRaft()
+		c.applyRoles()
 		c.dispatch()
 		if len(c.local) == 0 {
 			break
@@ -245,7 +257,13 @@
 		if c.raft != nil {
 			c.raft.Step(c.now, from, m)
 		}
-	case *relay.Follow, *relay.Entries, *relay.Snapshot, *relay.Report, *relay.Propose, *relay.ProposeReply,
+	case *relay.Follow, *relay.Report:
+		// A VM that may lack accepted changes takes no followers, so that they
+		// choose another parent.
+		if c.raft != nil || c.current() {
+			c.applyRelay(c.relay.Step(c.now, from, m))
+		}
+	case *relay.Entries, *relay.Snapshot, *relay.Propose, *relay.ProposeReply,
 		*relay.WithdrawnDigest, *relay.WithdrawnBuckets, *relay.WithdrawnKeys:
 		c.applyRelay(c.relay.Step(c.now, from, m))
 	case *membership.Ping, *membership.PingRequest, *membership.Ack:
@@ -274,6 +292,12 @@
 		c.permitRequest(from, m)
 	case *schedule.PermitGrant:
 		c.scheduler.Step(c.now, from, m)
+	case *BootstrapQuery:
+		c.answerBootstrap(from)
+	case *BootstrapReply:
+		c.bootstrapReply(from, m)
+	case *VoterRequest, *VoterReply:
+		c.receiveVoters(from, m)
 	case *OwnerReady:
 		c.ownerReady(m)
 	case *QueryMessage:
@@ -286,7 +310,7 @@
 // Messages lists the messages of this package and of all parts.
 func Messages() []domain.Message {
 	return slices.Concat(
-		[]domain.Message{&ShardMessage{}, &OwnerReady{}, &QueryMessage{}, &QueryAnswer{}},
+		[]domain.Message{&ShardMessage{}, &OwnerReady{}, &BootstrapQuery{}, &BootstrapReply{}, &VoterRequest{}, &VoterReply{}, &QueryMessage{}, &QueryAnswer{}},
 		raft.Messages(), relay.Messages(), membership.Messages(), shard.Messages(), program.Messages(),
 		ledgerMessages(), share.Messages(), schedule.Messages(),
 	)
--- a/node/control.go
+++ b/node/control.go
@@ -29,6 +29,8 @@
 	shared  *shared
 	// viewChanged tells the traffic side about a new configuration.
 	viewChanged func(*config.View)
+	// leave starts a planned stop; repeating it is harmless.
+	leave func()
 	// waiting holds the reply channels of open tickets.
 	waiting map[controller.Ticket]chan controller.Reply
 	// failed ends the loop with an error.
@@ -93,6 +95,9 @@
 		c.shared.state.Store(out.State)
 		c.ports.Peers.SetAddresses(out.State.Addresses)
 		c.failed = out.State.Fatal
+		if out.State.Leaving {
+			c.leave()
+		}
 	}
 	for _, s := range out.Sends {
 		c.ports.Peers.Send(s)
@@ -117,13 +122,16 @@
 	for _, release := range out.Releases {
 		c.shared.jobs.release(release)
 	}
+	for _, program := range out.Forgotten {
+		c.shared.jobs.forget(program)
+	}
 }
 
 func (c *control) write(w controller.Write) {
 	done := func(err error) {
 		c.mailbox.deliver(controller.Persisted{Stream: w.Stream, Token: w.Token, Err: err})
 	}
-	if w.Stream == controller.StreamShards && !w.Replace {
+	if w.Stream == controller.StreamShards {
 		c.shared.jobs.persist(w, done)
 		return
 	}
