--- a/internal/cli/catalogue.go
+++ b/internal/cli/catalogue.go
@@ -192,7 +192,7 @@
 type targetPut struct {
 	Name        string   `arg:"positional,required"`
 	Kind        string   `arg:"--kind" help:"engine or service" default:"engine"`
-	Address     string   `arg:"--address,required" help:"IP number and port"`
+	Address     string   `arg:"--target-address,required" help:"IP number and port"`
 	DataCentre  string   `arg:"--data-centre,required"`
 	Region      string   `arg:"--region,required"`
 	Models      []string `arg:"--model" help:"models that the engine has loaded"`
