Report the latency of whole programs

Cause: the histogram of program latency, the measure that counts most, had no caller, and a takeover logged a line for each shard. Change: the owner reports the time from a program's first call to its end; a takeover logs one line with the number of shards.

--- a/core/controller/io.go
+++ b/core/controller/io.go
@@ -4,6 +4,8 @@
 package controller
 
 import (
+	"time"
+
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/membership"
@@ -179,12 +181,20 @@
 	View *config.View
 	// State is set when what the traffic side reads about the VM changed.
 	State *State
+	// Ended lists programs that have ended, for histograms.
+	Ended []EndedProgram
 	// Retried names repeated calls by reason, for counters.
 	Retried []string
 	// Log lists sentences for operators.
 	Log []LogLine
 }
 
+// EndedProgram is the latency of a whole program.
+type EndedProgram struct {
+	Account domain.Account
+	Latency time.Duration
+}
+
 // LogLine is one sentence for operators.
 type LogLine struct {
 	Part string
--- a/core/controller/owner.go
+++ b/core/controller/owner.go
@@ -88,7 +88,6 @@
 	}
 	c.stores[id] = &ownedShard{store: store, epoch: epoch}
 	c.activated = append(c.activated, id)
-	c.log("shard", "this VM owns a shard", "shard", id.String(), "epoch", uint64(epoch))
 	c.applyStore(id, store.Activate(c.now, epoch, view))
 	for _, vm := range slices.Sorted(maps.Keys(store.Entries())) {
 		if vm != c.config.VM && c.knownDead(vm) {
@@ -103,6 +102,7 @@
 	if len(c.activated) == 0 {
 		return
 	}
+	c.log("shard", "this VM has taken over shards", "count", len(c.activated), "first", c.activated[0].String())
 	ready := &OwnerReady{Shards: c.activated}
 	c.activated = nil
 	c.broadcast(ready)
@@ -223,6 +223,7 @@
 			owned.first = position.Index
 		}
 		owned.appended = position
+		c.noteEnd(owned, r)
 		c.applyShards(effects)
 		if c.stores[id] != owned {
 			return
@@ -231,6 +232,17 @@
 	c.storeOutput(e)
 }
 
+// noteEnd reports the latency of a whole program, which is what callers feel.
+func (c *Controller) noteEnd(owned *ownedShard, r domain.Record) {
+	end, ok := r.(*program.ProgramEnded)
+	if !ok {
+		return
+	}
+	if started := owned.store.Started(end.Program); !started.IsZero() {
+		c.out.Ended = append(c.out.Ended, EndedProgram{Account: end.Program.Account, Latency: end.At.Sub(started)})
+	}
+}
+
 // storeOutput carries out what does not depend on records.
 func (c *Controller) storeOutput(e program.Effects) {
 	c.sendAll(e.Sends)
--- a/core/program/report.go
+++ b/core/program/report.go
@@ -32,6 +32,16 @@
 	return out
 }
 
+// Started returns the time of the program's first call, or zero when the
+// program is not known.
+func (s *Store) Started(id domain.ProgramID) time.Time {
+	p := s.programs[id]
+	if p == nil || p.started == 0 {
+		return time.Time{}
+	}
+	return timeOf(p.started)
+}
+
 // UnknownOutcomes counts the run-once calls of an account that may have run
 // and have no answer. They are not charged.
 func (s *Store) UnknownOutcomes(account domain.Account) int {
--- a/node/control.go
+++ b/node/control.go
@@ -109,6 +109,9 @@
 		c.reply(r)
 	}
 	c.background(out)
+	for _, ended := range out.Ended {
+		c.ports.Metrics.ProgramEnded(ended.Account, ended.Latency)
+	}
 	for _, reason := range out.Retried {
 		c.ports.Metrics.Retried(reason)
 	}
