--- a/internal/cli/catalogue.go
+++ b/internal/cli/catalogue.go
@@ -29,7 +29,7 @@
 	Name             string         `arg:"positional,required"`
 	DailyPermille    *int           `arg:"--daily-permille" help:"largest spend of a day in 1/1000 of the monthly budget"`
 	MaxGenerated     *int64         `arg:"--max-generated" help:"largest number of generated tokens of a call"`
-	Models           []string       `arg:"--model" help:"models that may be called; none means all"`
+	Models           []string       `arg:"--model,separate" help:"models that may be called; none means all"`
 	Concurrency      *int           `arg:"--concurrency" help:"calls in flight of each account, 0 for no bound"`
 	Order            *string        `arg:"--order" help:"least_attained, arrival or program_age"`
 	NewPrograms      *bool          `arg:"--new-programs" help:"whether calls may start programs"`
@@ -139,7 +139,7 @@
 	Repeatable bool          `arg:"--repeatable" help:"calls may be sent again; without it a call runs at most once"`
 	Timeout    time.Duration `arg:"--timeout" default:"30s"`
 	Price      string        `arg:"--price" help:"currency units for each served call" default:"0"`
-	Targets    []string      `arg:"--target,required" help:"targets that serve the route"`
+	Targets    []string      `arg:"--target,separate,required" help:"targets that serve the route"`
 }
 
 func (c *routePut) run(ctx context.Context, s *session) error {
@@ -195,7 +195,7 @@
 	Address     string   `arg:"--target-address,required" help:"IP number and port"`
 	DataCentre  string   `arg:"--data-centre,required"`
 	Region      string   `arg:"--region,required"`
-	Models      []string `arg:"--model" help:"models that the engine has loaded"`
+	Models      []string `arg:"--model,separate" help:"models that the engine has loaded"`
 	Fencing     bool     `arg:"--fencing" help:"the target refuses orders with an old fencing number"`
 	CacheTokens int64    `arg:"--cache-tokens" help:"size of the prefix cache" default:"200000"`
 	MaxBatch    int      `arg:"--max-batch" help:"largest useful number of calls in flight" default:"32"`
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,7 +33,7 @@
 
 // Arguments are the options and commands of the command line.
 type Arguments struct {
-	Addresses []string      `arg:"--address,env:MANGOKNOT_OPERATOR_ADDRESS" help:"operator addresses of VMs as IP number and port; the next is tried after a connection failure (default 127.0.0.1:7301)"`
+	Addresses []string      `arg:"--address,separate,env:MANGOKNOT_OPERATOR_ADDRESS" help:"operator addresses of VMs as IP number and port; the next is tried after a connection failure (default 127.0.0.1:7301)"`
 	Token     string        `arg:"--token,env:MANGOKNOT_OPERATOR_TOKEN" help:"the operator's token"`
 	Output    string        `arg:"--output" help:"table or json" default:"table"`
 	Wait      time.Duration `arg:"--wait" help:"how long a change waits to be in force everywhere, 0 to return at once" default:"0s"`
