Show the leader's knowledge of versions in every status

Cause: a VM that does not lead knows no other VM's version, so status showed 0. Change: the answering VM asks the leader. Conclusion: status on any VM shows the versions that the leader has heard of.

--- a/core/controller/queries.go
+++ b/core/controller/queries.go
@@ -126,12 +126,10 @@
 	var others []domain.VM
 	switch in.Question.Kind {
 	case QuestionStatus:
+		others = c.leaderElsewhere()
 		q.combined.Status = c.status()
 	case QuestionInForce:
-		// The leader hears of all VMs.
-		if leader := c.leader(); leader != "" && leader != c.config.VM {
-			others = []domain.VM{leader}
-		}
+		others = c.leaderElsewhere()
 		q.combined.InForce, q.combined.NotYet = c.inForce(in.Question.Version)
 	default:
 		q.combined = c.localAnswer(in.Question)
@@ -146,6 +144,15 @@
 	c.finishQuery(c.queries.next)
 }
 
+// leaderElsewhere returns the leader unless it is this VM. Only the leader hears
+// which versions all VMs serve from.
+func (c *Controller) leaderElsewhere() []domain.VM {
+	if leader := c.leader(); leader != "" && leader != c.config.VM {
+		return []domain.VM{leader}
+	}
+	return nil
+}
+
 func (c *Controller) otherVMs() []domain.VM {
 	var out []domain.VM
 	for _, spec := range c.state.View().VMs() {
@@ -179,6 +186,13 @@
 	if len(other.InForce)+len(other.NotYet) > 0 {
 		a.InForce, a.NotYet = other.InForce, other.NotYet
 	}
+	for i, vm := range a.Status.VMs {
+		for _, known := range other.Status.VMs {
+			if known.Member.VM == vm.Member.VM {
+				a.Status.VMs[i].Version = max(vm.Version, known.Version)
+			}
+		}
+	}
 }
 
 func (c *Controller) finishQuery(id uint64) {
