--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 
 clean:
 	rm -rf build
+
+# Runs programs on 6 VMs through operator actions and failures, on free loopback ports.
+demo: build
+	scripts/demo.sh
--- /dev/null
+++ b/cmd/mangoknot-load/main.go
@@ -0,0 +1,70 @@
+// Command mangoknot-load runs agent programs against entry VMs and checks the
+// promises that a caller can see.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+type arguments struct {
+	Run     *runCommand     `arg:"subcommand:run" help:"run the programs of a file"`
+	Stream  *streamCommand  `arg:"subcommand:stream" help:"hold one long stream and print how it ended"`
+	Refused *refusedCommand `arg:"subcommand:refused" help:"wait until every VM refuses a key"`
+	Ready   *readyCommand   `arg:"subcommand:ready" help:"wait until every VM is ready"`
+	Ports   *portsCommand   `arg:"subcommand:ports" help:"print free loopback ports"`
+}
+
+// Description is printed above the help text.
+func (arguments) Description() string {
+	return "mangoknot-load runs agent programs against mangoknot.\nExit codes: 0 done, 1 failed, 2 wrong usage, 3 a promise was seen broken."
+}
+
+// errBroken says that a promise was seen broken.
+var errBroken = errors.New("a promise was seen broken")
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+	exitBroken = 3
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := execute(ctx)
+	stop()
+	switch {
+	case errors.Is(err, errBroken):
+		fmt.Fprintln(os.Stderr, "mangoknot-load:", err)
+		os.Exit(exitBroken)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "mangoknot-load:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func execute(ctx context.Context) error {
+	var a arguments
+	parser := arg.MustParse(&a)
+	switch {
+	case a.Run != nil:
+		return a.Run.execute(ctx)
+	case a.Stream != nil:
+		return a.Stream.execute(ctx)
+	case a.Refused != nil:
+		return a.Refused.execute(ctx)
+	case a.Ready != nil:
+		return a.Ready.execute(ctx)
+	case a.Ports != nil:
+		return a.Ports.execute()
+	}
+	parser.WriteHelp(os.Stderr)
+	os.Exit(exitUsage)
+	return nil
+}
--- /dev/null
+++ b/internal/load/chat.go
@@ -0,0 +1,126 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// errNotWhole says that an answer looked complete and lacks a part.
+var errNotWhole = errors.New("the answer is not whole")
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatBody struct {
+	Model         string      `json:"model"`
+	Messages      []Message   `json:"messages"`
+	MaxTokens     int         `json:"max_tokens,omitempty"`
+	Stream        bool        `json:"stream,omitempty"`
+	StreamOptions *streamOpts `json:"stream_options,omitempty"`
+}
+
+type streamOpts struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatChunk struct {
+	Choices []struct {
+		Delta        Message `json:"delta"`
+		Message      Message `json:"message"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage          `json:"usage"`
+	Error json.RawMessage `json:"error"`
+}
+
+// answer collects a chat completion.
+type answer struct {
+	content strings.Builder
+	finish  string
+	usage   *Usage
+}
+
+// whole checks that nothing of the answer is missing.
+func (a *answer) whole(record *Record) error {
+	if a.finish == "" || a.usage == nil {
+		return fmt.Errorf("%w: finish reason %q, usage present %t", errNotWhole, a.finish, a.usage != nil)
+	}
+	record.Usage = a.usage
+	return nil
+}
+
+// readWhole reads an answer in one piece.
+func (a *answer) readWhole(body io.Reader, record *Record) error {
+	var c chatChunk
+	if err := json.NewDecoder(body).Decode(&c); err != nil {
+		return err
+	}
+	for _, choice := range c.Choices {
+		a.content.WriteString(choice.Message.Content)
+		if choice.FinishReason != nil {
+			a.finish = *choice.FinishReason
+		}
+	}
+	a.usage = c.Usage
+	return a.whole(record)
+}
+
+// maxEvent bounds one event of a stream in bytes.
+const maxEvent = 4 << 20
+
+// readStream reads server-sent events until [DONE].
+func (a *answer) readStream(body io.Reader, record *Record) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEvent)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return a.whole(record)
+		}
+		if err := a.event([]byte(data), record); err != nil {
+			return err
+		}
+	}
+	if lines.Err() != nil {
+		return lines.Err()
+	}
+	return io.ErrUnexpectedEOF
+}
+
+func (a *answer) event(data []byte, record *Record) error {
+	var c chatChunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("%w: an event is not JSON: %v", errNotWhole, err)
+	}
+	if c.Error != nil {
+		var refused refusedError
+		if err := json.Unmarshal(data, &refused); err != nil {
+			return fmt.Errorf("%w: the typed error is not readable: %v", errNotWhole, err)
+		}
+		return &refused
+	}
+	for _, choice := range c.Choices {
+		if record.FirstToken == 0 {
+			record.FirstToken = time.Since(record.Sent)
+		}
+		a.content.WriteString(choice.Delta.Content)
+		if choice.FinishReason != nil {
+			a.finish = *choice.FinishReason
+		}
+	}
+	if c.Usage != nil {
+		a.usage = c.Usage
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/probe.go
@@ -0,0 +1,121 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// StreamEnd tells how a long stream ended.
+type StreamEnd struct {
+	Code    string    `json:"code"`
+	Message string    `json:"message"`
+	At      time.Time `json:"at"`
+}
+
+// HoldStream asks one VM for a long streamed answer and returns how it ended.
+// The function started is called after the first token.
+func HoldStream(ctx context.Context, vm, key, model string, maxTokens int, started func()) (StreamEnd, error) {
+	b := NewBalancer([]string{vm})
+	b.Check(ctx)
+	if b.Ready() == 0 {
+		return StreamEnd{}, fmt.Errorf("load: the VM at %s is not ready", vm)
+	}
+	body, err := json.Marshal(chatBody{
+		Model: model, MaxTokens: maxTokens, Stream: true, StreamOptions: &streamOpts{IncludeUsage: true},
+		Messages: []Message{{Role: "user", Content: "Write a long list of part numbers."}},
+	})
+	if err != nil {
+		return StreamEnd{}, err
+	}
+	var a answer
+	r := request{account: Account{Key: key}, method: http.MethodPost, path: "/v1/chat/completions", body: body, contentType: "application/json", model: model}
+	r.decode = func(body io.Reader, record *Record) error {
+		return a.readStream(&firstRead{body: body, started: started}, record)
+	}
+	record, _ := NewClient(b, NewRecorder(nil)).attempt(ctx, r, 1)
+	return StreamEnd{Code: record.Code, Message: record.Message, At: record.Sent.Add(record.Duration)}, nil
+}
+
+// firstRead reports the first bytes that arrive.
+type firstRead struct {
+	body    io.Reader
+	started func()
+}
+
+func (f *firstRead) Read(p []byte) (int, error) {
+	n, err := f.body.Read(p)
+	if n > 0 && f.started != nil {
+		f.started()
+		f.started = nil
+	}
+	return n, err
+}
+
+// RefusedEverywhere waits until every VM refuses the key with the code. It
+// returns the time at which the last VM did, or an error that names the VMs
+// that still did not at the deadline.
+func RefusedEverywhere(ctx context.Context, vms []string, key, code string) (time.Time, error) {
+	errs := make([]error, len(vms))
+	times := make([]time.Time, len(vms))
+	var probes sync.WaitGroup
+	for i, vm := range vms {
+		probes.Go(func() { times[i], errs[i] = refusedAt(ctx, vm, key, code) })
+	}
+	probes.Wait()
+	var last time.Time
+	for _, t := range times {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last, errors.Join(errs...)
+}
+
+func refusedAt(ctx context.Context, vm, key, code string) (time.Time, error) {
+	client := newHTTPClient()
+	got := "no answer"
+	for {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm+"/v1/models", nil)
+		if err != nil {
+			return time.Time{}, err
+		}
+		r.Header.Set("Authorization", "Bearer "+key)
+		response, err := client.Do(r)
+		if err == nil {
+			var refused refusedError
+			got = response.Status
+			if json.NewDecoder(response.Body).Decode(&refused) == nil && refused.Detail.Code != "" {
+				got = refused.Detail.Code
+			}
+			response.Body.Close()
+			if got == code {
+				return time.Now(), nil
+			}
+		}
+		if !sleep(ctx, checkInterval/2) {
+			return time.Time{}, fmt.Errorf("load: the VM at %s answers %q, not %q", vm, got, code)
+		}
+	}
+}
+
+// FreePorts returns loopback ports that are free now.
+func FreePorts(count int) ([]int, error) {
+	ports := make([]int, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("load: %w", err)
+		}
+		// All listeners stay open until the end, so that no port is given twice.
+		defer listener.Close()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
--- /dev/null
+++ b/internal/load/runner.go
@@ -0,0 +1,298 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Result is how one program, or sub-agent, went.
+type Result struct {
+	Program string        `json:"program"`
+	Account string        `json:"account"`
+	Parent  string        `json:"parent,omitempty"`
+	Started time.Time     `json:"started"`
+	Latency time.Duration `json:"latency_ns"`
+	// Outcome is "complete" or the code that ended the program.
+	Outcome string `json:"outcome"`
+	Message string `json:"message,omitempty"`
+	Ended   bool   `json:"ended"`
+	Turns   int    `json:"turns"`
+	Spent   int64  `json:"spent_micros"`
+	Budget  int64  `json:"budget_micros"`
+	// Broken lists the promises that were seen broken.
+	Broken []string `json:"broken,omitempty"`
+	// Payments maps the path of each run-once call to the outcome seen.
+	Payments map[string]string `json:"payments,omitempty"`
+}
+
+// OutcomeComplete is the outcome of a program whose steps were all served.
+const OutcomeComplete = "complete"
+
+// Runner runs programs.
+type Runner struct {
+	Client   *Client
+	Accounts map[string]Account
+
+	mu      sync.Mutex
+	results []Result
+}
+
+// Results returns the results in the order of their ends.
+func (r *Runner) Results() []Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.results)
+}
+
+// RunFile runs every instance of the file's programs at its start time and
+// returns when all have ended.
+func (r *Runner) RunFile(ctx context.Context, f *File, prefix string) {
+	var running sync.WaitGroup
+	for _, p := range f.Programs {
+		for i := range max(1, p.Count) {
+			name := prefix + p.Name
+			if p.Count > 1 {
+				name = fmt.Sprintf("%s%s-%d", prefix, p.Name, i+1)
+			}
+			running.Go(func() {
+				if sleep(ctx, time.Duration(p.Start)+time.Duration(i)*time.Duration(p.Spacing)) {
+					r.Run(ctx, p, name)
+				}
+			})
+		}
+	}
+	running.Wait()
+}
+
+// sleep reports false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// execution is one program on its way.
+type execution struct {
+	runner  *Runner
+	program Program
+	account Account
+	name    string // full name
+	parent  string
+	result  Result
+	// messages is the conversation that the caller saw.
+	messages []Message
+	// unseen says that a turn may be stored that the caller did not see.
+	unseen bool
+}
+
+// Run runs one instance of a program to its end.
+func (r *Runner) Run(ctx context.Context, p Program, name string) {
+	account, ok := r.Accounts[p.Account]
+	if !ok {
+		r.add(Result{Program: name, Account: p.Account, Outcome: "account_without_key", Started: time.Now()})
+		return
+	}
+	e := &execution{runner: r, program: p, account: account, name: name}
+	_ = e.run(ctx, p.Steps)
+}
+
+func (r *Runner) add(result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, result)
+}
+
+func (e *execution) run(ctx context.Context, steps []Step) error {
+	e.result = Result{
+		Program: e.name, Account: e.account.Name, Parent: e.parent, Started: time.Now(),
+		Outcome: OutcomeComplete, Payments: map[string]string{},
+	}
+	err := e.steps(ctx, steps)
+	e.result.Latency = time.Since(e.result.Started)
+	if err != nil {
+		var failed *CallError
+		if errors.As(err, &failed) {
+			e.result.Outcome, e.result.Message = failed.Code, failed.Message
+		} else {
+			e.result.Outcome, e.result.Message = "stopped", err.Error()
+		}
+	}
+	e.check(ctx)
+	e.end(ctx)
+	e.runner.add(e.result)
+	return err
+}
+
+func (e *execution) steps(ctx context.Context, steps []Step) error {
+	for i, step := range steps {
+		var err error
+		switch {
+		case step.Call != nil:
+			err = e.chat(ctx, i, step.Call)
+		case step.Tool != nil:
+			err = e.tool(ctx, i, step.Tool)
+		case step.Agent != nil:
+			child := &execution{runner: e.runner, program: e.program, account: e.account, name: e.name + "/" + step.Agent.Name, parent: e.name}
+			err = child.run(ctx, step.Agent.Steps)
+		case step.End:
+			return nil
+		default:
+			if !sleep(ctx, time.Duration(step.Pause)) {
+				err = ctx.Err()
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *execution) request(step int) request {
+	r := request{account: e.account, program: e.name, name: e.name, parent: e.parent, step: step}
+	r.idempotency = fmt.Sprintf("%s-step-%d", e.name, step)
+	return r
+}
+
+func (e *execution) chat(ctx context.Context, step int, call *ModelCall) error {
+	added := Message{Role: "user", Content: call.Message}
+	body := chatBody{Model: e.program.Model, MaxTokens: call.MaxTokens, Stream: !call.Whole}
+	if body.Messages = append(slices.Clone(e.messages), added); e.program.NewMessages {
+		body.Messages = []Message{added}
+	}
+	if body.Stream {
+		body.StreamOptions = &streamOpts{IncludeUsage: true}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	var got answer
+	r := e.request(step)
+	r.method, r.path, r.body, r.contentType = http.MethodPost, "/v1/chat/completions", data, "application/json"
+	r.newMessages, r.model, r.expected = e.program.NewMessages, e.program.Model, call.MaxTokens
+	for _, m := range e.messages {
+		r.expected += len(m.Content) / bytesPerToken
+	}
+	r.decode = func(body io.Reader, record *Record) error {
+		got = answer{}
+		if call.Whole {
+			return got.readWhole(body, record)
+		}
+		return got.readStream(body, record)
+	}
+	if err := e.runner.Client.call(ctx, r); err != nil {
+		e.noteFailure(err)
+		return err
+	}
+	e.messages = append(e.messages, added, Message{Role: "assistant", Content: got.content.String()})
+	e.result.Turns++
+	return nil
+}
+
+// bytesPerToken turns text into tokens where the caller has no count.
+const bytesPerToken = 4
+
+func (e *execution) noteFailure(err error) {
+	var failed *CallError
+	if !errors.As(err, &failed) {
+		return
+	}
+	e.unseen = e.unseen || failed.MayHaveRun
+	if failed.Code == CodeNotWhole {
+		e.broken("whole answers: %s", failed.Message)
+	}
+}
+
+func (e *execution) broken(format string, args ...any) {
+	e.result.Broken = append(e.result.Broken, fmt.Sprintf(format, args...))
+}
+
+// tool calls a plain service. The path names the program and step, so that the
+// effects of the call can be counted at the service.
+func (e *execution) tool(ctx context.Context, step int, call *ToolCall) error {
+	path := fmt.Sprintf("%s/step-%d", e.name, step)
+	r := e.request(step)
+	r.method, r.path = call.Method, "/v1/services/"+call.Route+"/"+path
+	r.body, r.contentType, r.runOnce = []byte(call.Body), "application/json", call.RunOnce
+	r.decode = func(body io.Reader, _ *Record) error {
+		_, err := io.Copy(io.Discard, body)
+		return err
+	}
+	err := e.runner.Client.call(ctx, r)
+	outcome := CodeServed
+	var failed *CallError
+	if errors.As(err, &failed) {
+		if outcome = failed.Code; failed.MayHaveRun {
+			outcome = "unknown"
+		}
+	}
+	if call.RunOnce {
+		e.result.Payments["/"+path] = outcome
+	}
+	return err
+}
+
+// programStatus is the answer of GET and DELETE /v1/programs/{name}.
+type programStatus struct {
+	State  string `json:"state"`
+	Spent  int64  `json:"spent_micros"`
+	Budget int64  `json:"budget_micros"`
+}
+
+// check compares the stored history with what the caller saw.
+func (e *execution) check(ctx context.Context) {
+	if len(e.messages) == 0 || e.result.Outcome == "key_withdrawn" {
+		return
+	}
+	var stored struct {
+		Messages []Message `json:"messages"`
+	}
+	if err := e.read(ctx, http.MethodGet, "/v1/history/", &stored); err != nil {
+		e.broken("history: it could not be read: %v", err)
+		return
+	}
+	n := len(e.messages)
+	// A turn whose answer was lost may be stored: its message and its answer.
+	whole := len(stored.Messages) == n || e.unseen && len(stored.Messages) == n+2
+	if !whole || !slices.Equal(stored.Messages[:n], e.messages) {
+		e.broken("history: %d messages are stored and differ from the %d that were seen", len(stored.Messages), n)
+	}
+}
+
+// end closes the program and reads its spend.
+func (e *execution) end(ctx context.Context) {
+	var status programStatus
+	err := e.read(ctx, http.MethodDelete, "/v1/programs/", &status)
+	if err != nil {
+		if e.result.Message == "" {
+			e.result.Message = "the program was not ended: " + err.Error()
+		}
+		return
+	}
+	e.result.Ended = status.State == "ended"
+	e.result.Spent, e.result.Budget = status.Spent, status.Budget
+	if e.program.Budget > 0 && e.program.Budget != status.Budget && e.parent == "" {
+		e.broken("budget: the system reports a budget of %d micros, agreed are %d", status.Budget, e.program.Budget)
+	}
+	if status.Budget > 0 && status.Spent > status.Budget {
+		e.broken("budget: %d micros were spent of %d", status.Spent, status.Budget)
+	}
+}
+
+func (e *execution) read(ctx context.Context, method, path string, out any) error {
+	r := request{account: e.account, program: e.name, step: -1, method: method, path: path + (&url.URL{Path: e.name}).EscapedPath()}
+	r.decode = func(body io.Reader, _ *Record) error { return json.NewDecoder(body).Decode(out) }
+	return e.runner.Client.call(ctx, r)
+}
--- /dev/null
+++ b/internal/load/verify.go
@@ -0,0 +1,174 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+)
+
+// StandIns are the addresses of stand-in engines and tool services, whose
+// control interfaces tell what reached them.
+type StandIns struct {
+	Engines []string
+	Tools   []string
+}
+
+// releaseLimit bounds the time until the memory of ended programs is released.
+// It exceeds a takeover, after which the new owner repeats the order.
+const releaseLimit = 15 * time.Second
+
+// Verify compares what the stand-ins recorded with a run, and returns the
+// promises that were seen broken.
+func (s StandIns) Verify(ctx context.Context, results []Result, accounts map[string]Account) ([]string, error) {
+	var broken []string
+	for _, check := range []func(context.Context, []Result, map[string]Account) ([]string, error){s.keys, s.payments, s.memory} {
+		found, err := check(ctx, results, accounts)
+		if err != nil {
+			return broken, err
+		}
+		broken = append(broken, found...)
+	}
+	return broken, nil
+}
+
+// keys looks for callers' keys in all recorded requests.
+func (s StandIns) keys(ctx context.Context, _ []Result, accounts map[string]Account) (broken []string, err error) {
+	for _, address := range slices.Concat(s.Engines, s.Tools) {
+		data, err := get(ctx, address, "/control/requests")
+		if err != nil {
+			return broken, err
+		}
+		for _, name := range slices.Sorted(maps.Keys(accounts)) {
+			if bytes.Contains(data, []byte(accounts[name].Key)) {
+				broken = append(broken, fmt.Sprintf("keys: the stand-in at %s received the key of %s", address, name))
+			}
+		}
+	}
+	return broken, nil
+}
+
+// payments counts the effects of each run-once call. A served call has exactly
+// one; a call with an unknown outcome at most one; any other has none.
+func (s StandIns) payments(ctx context.Context, results []Result, _ map[string]Account) (broken []string, err error) {
+	effects := map[string]int{}
+	for _, address := range s.Tools {
+		if err := addEffects(ctx, address, effects); err != nil {
+			return nil, err
+		}
+	}
+	for _, r := range results {
+		for _, path := range slices.Sorted(maps.Keys(r.Payments)) {
+			low, high := 0, 0
+			switch r.Payments[path] {
+			case CodeServed:
+				low, high = 1, 1
+			case "unknown":
+				high = 1
+			}
+			if n := effects[path]; n < low || n > high {
+				broken = append(broken, fmt.Sprintf("run-once: %s had %d effects at the tool service, the caller was told %q", path, n, r.Payments[path]))
+			}
+		}
+	}
+	return broken, nil
+}
+
+// addEffects adds the effects that a tool service counted to those of the path
+// that caused them.
+func addEffects(ctx context.Context, address string, effects map[string]int) error {
+	var requests []struct {
+		Path   string
+		Header http.Header
+	}
+	var counts map[string]int
+	if err := getJSON(ctx, address, "/control/requests", &requests); err != nil {
+		return err
+	}
+	if err := getJSON(ctx, address, "/control/effects", &counts); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for _, r := range requests {
+		id := r.Header.Get("X-Request-Id")
+		if !seen[id] {
+			effects[r.Path] += counts[id]
+		}
+		seen[id] = true
+	}
+	return nil
+}
+
+// memory waits until no engine holds memory of an ended program.
+func (s StandIns) memory(ctx context.Context, results []Result, _ map[string]Account) ([]string, error) {
+	ended := map[string]bool{}
+	for _, r := range results {
+		if r.Ended {
+			ended[url.PathEscape(r.Account)+"/"+url.PathEscape(r.Program)] = true
+		}
+	}
+	deadline := time.Now().Add(releaseLimit)
+	for {
+		var broken []string
+		for _, address := range s.Engines {
+			var held map[string]int
+			if err := getJSON(ctx, address, "/control/held", &held); err != nil {
+				return nil, err
+			}
+			for _, program := range slices.Sorted(maps.Keys(held)) {
+				if ended[program] {
+					broken = append(broken, fmt.Sprintf("engine memory: the engine at %s holds %d tokens of the ended program %s", address, held[program], program))
+				}
+			}
+		}
+		if len(broken) == 0 || time.Now().After(deadline) || !sleep(ctx, checkInterval) {
+			return broken, nil
+		}
+	}
+}
+
+func getJSON(ctx context.Context, address, path string, out any) error {
+	data, err := get(ctx, address, path)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("load: %s of the stand-in at %s is not readable: %w", path, address, err)
+	}
+	return nil
+}
+
+func get(ctx context.Context, address, path string) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	response, err := newHTTPClient().Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("load: read %s of a stand-in: %w", path, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("load: %s of the stand-in at %s: status %d", path, address, response.StatusCode)
+	}
+	return io.ReadAll(response.Body)
+}
+
+// CutAt returns the requests that the VM at the address cut, which a planned
+// stop must not do.
+func CutAt(address string, records []Record) []string {
+	var broken []string
+	for _, r := range records {
+		if r.VM == address && (r.Code == CodeAnswerLost || strings.HasPrefix(r.Code, "status_") || r.Code == "stopping") {
+			broken = append(broken, fmt.Sprintf("planned stop: request of %s step %d ended with %s: %s", r.Program, r.Step, r.Code, r.Message))
+		}
+	}
+	return broken
+}
