--- /dev/null
+++ b/core/controller/faults_test.go
@@ -0,0 +1,156 @@
+package controller
+
+import (
+	"crypto/sha256"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/program"
+)
+
+// link is one direction between two VMs.
+type link struct{ from, to domain.VM }
+
+// faults are the failures of the network.
+type faults struct {
+	// isolated VMs exchange messages with no other VM.
+	isolated map[domain.VM]bool
+	// centres are cut off from the other data centres.
+	centres map[domain.DataCentre]bool
+	// silent connections lose messages until they are replaced.
+	silent map[link]bool
+}
+
+func newFaults() faults {
+	return faults{isolated: map[domain.VM]bool{}, centres: map[domain.DataCentre]bool{}, silent: map[link]bool{}}
+}
+
+func centreOf(vm domain.VM) domain.DataCentre { return domain.DataCentre(vm[:1]) }
+
+func (f faults) lost(from, to domain.VM) bool {
+	a, b := centreOf(from), centreOf(to)
+	return f.isolated[from] || f.isolated[to] || f.silent[link{from, to}] || a != b && (f.centres[a] || f.centres[b])
+}
+
+func (f faults) replaced(a, b domain.VM) {
+	delete(f.silent, link{a, b})
+	delete(f.silent, link{b, a})
+}
+
+func (f faults) heal() {
+	clear(f.isolated)
+	clear(f.centres)
+	clear(f.silent)
+}
+
+// arrival is an attempt that reached a target.
+type arrival struct {
+	at    time.Time
+	entry domain.VM
+	start *program.StartCall
+}
+
+// turnOf makes the history bytes of each call distinguishable.
+func turnOf(call domain.CallID) program.HistoryRef {
+	return program.HistoryRef{SHA256: sha256.Sum256([]byte(call)), Length: 1}
+}
+
+// clock returns the VM's own time.
+func (v *vm) clock() time.Time {
+	elapsed := v.world.now.Sub(v.world.start)
+	return v.world.now.Add(v.offset + time.Duration(float64(elapsed)*v.drift))
+}
+
+// worldTime returns the first time of the world at which the VM's clock shows t.
+func (v *vm) worldTime(t time.Time) time.Time {
+	if v.offset == 0 && v.drift == 0 {
+		return t
+	}
+	elapsed := float64(t.Sub(v.world.start)-v.offset) / (1 + v.drift)
+	return v.world.start.Add(time.Duration(elapsed) + time.Microsecond)
+}
+
+// leader returns the VM that leads the configuration now, or nothing.
+func (w *world) leader() domain.VM {
+	for _, name := range w.names {
+		if v := w.vms[name]; v.up && v.ctl.leads() {
+			return name
+		}
+	}
+	return ""
+}
+
+// owner returns the assigned owner and backup of a program, as seen by a VM.
+func (w *world) owner(seenBy domain.VM, id domain.ProgramID) (owner, backup domain.VM) {
+	shard, err := w.vms[seenBy].view.ShardOfProgram(id)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	a := w.vms[seenBy].view.Assignment(shard)
+	return a.Owner, a.Backup
+}
+
+// kill ends VMs; restart starts them again.
+func (w *world) kill(names ...domain.VM) {
+	for _, name := range names {
+		w.vms[name].kill()
+	}
+}
+
+func (w *world) restart(names ...domain.VM) {
+	for _, name := range names {
+		w.vms[name].start()
+	}
+}
+
+// attempts counts the times that a call was sent to a target.
+func (w *world) attempts(call domain.CallID) int {
+	n := 0
+	for _, a := range w.started {
+		if a.start.Call == call {
+			n++
+		}
+	}
+	return n
+}
+
+// checkOwners fails when two VMs hold leases that let both act for one shard.
+func (w *world) checkOwners() {
+	w.t.Helper()
+	holders := map[domain.ShardID]domain.VM{}
+	for _, name := range w.names {
+		v := w.vms[name]
+		if !v.up {
+			continue
+		}
+		for _, id := range v.ctl.ownedIDs() {
+			if _, owns := v.ctl.shards.Owns(v.clock(), id); !owns {
+				continue
+			}
+			if other, taken := holders[id]; taken {
+				w.t.Fatalf("%s: shard %s is owned by %s and %s", w.now, id, other, name)
+			}
+			holders[id] = name
+		}
+	}
+}
+
+// watch checks the owners of all shards each interval until the world ends.
+func (w *world) watch(interval time.Duration) {
+	w.after(interval, func() {
+		w.checkOwners()
+		w.watch(interval)
+	})
+}
+
+// running serves everyone again: all VMs are up, reachable and serving.
+func (w *world) recovered(limit time.Duration) bool {
+	return w.until(limit, func() bool {
+		for _, v := range w.vms {
+			if !v.up || !v.state.Serving || v.state.Isolated {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/core/controller/keys_test.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/entry"
+	"github.com/mangoknot/mangoknot/core/program"
+)
+
+// keyBound is the time within which a withdrawn key is refused.
+const keyBound = 5 * time.Second
+
+// withdraw withdraws the key at a VM and waits for the acknowledgement.
+func (w *world) withdraw(through domain.VM) {
+	w.t.Helper()
+	w.tickets++
+	ticket, v := w.tickets, w.vms[through]
+	v.step(WithdrawKey{Ticket: ticket, Key: "key"})
+	must.True(w.t, w.until(keyBound, func() bool { return len(v.replies[ticket]) > 0 }))
+	must.Nil(w.t, v.replies[ticket][0].Body.(ChangeReply).Refusal)
+}
+
+// refusedAt says whether a VM refuses a request with the key for a reason.
+func (w *world) refusedAt(vm domain.VM, reason domain.Reason) bool {
+	_, refused, ended := w.vms[vm].outcome(w.call(vm, chat("probe")))
+	return ended && refused != nil && refused.Reason == reason && refused.Outcome == domain.OutcomeNotRun
+}
+
+// cancelled says whether the running call of a ticket was told to stop.
+func (v *vm) cancelled(t Ticket) bool {
+	for _, r := range v.replies[t] {
+		if e, ok := r.Body.(entry.Event); ok && e.Cancel == domain.ReasonKeyWithdrawn {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a withdrawn key that some VM accepts, and against calls that
+// go on for connected callers.
+func TestWithdrawnKey(t *testing.T) {
+	w := newWorld(t, 11, 3, 2)
+	w.setUp()
+	w.engine = func(*vm, *program.StartCall) {}
+	var running []Ticket
+	for _, name := range w.names {
+		running = append(running, w.call(name, chat(domain.ProgramName("p-"+name))))
+	}
+	w.run(time.Second)
+	must.SliceLen(t, len(w.names), w.started)
+	w.withdraw("b2")
+	w.run(keyBound)
+	for i, name := range w.names {
+		must.True(t, w.refusedAt(name, domain.ReasonKeyWithdrawn), must.Sprint(name))
+		must.True(t, w.vms[name].cancelled(running[i]), must.Sprint(name))
+	}
+}
+
+// Guards against a retry that starts with a key that was withdrawn between two
+// attempts of a call.
+func TestWithdrawnKeyStopsRetries(t *testing.T) {
+	w := newWorld(t, 12, 3, 2)
+	w.setUp()
+	w.engine = func(v *vm, start *program.StartCall) {
+		v.step(FailCall{program.FailCall{Call: start.Call, Program: start.Program, Attempt: start.Attempt, Kind: program.FailRefused, Target: start.Target}})
+		if start.Attempt == 1 {
+			v.step(WithdrawKey{Key: "key"})
+		}
+	}
+	ticket := w.call("a2", chat("p@b"))
+	_, err := w.finish("a2", ticket, 10*time.Second)
+	refusal, ok := domain.AsRefusal(err)
+	must.True(t, ok, must.Sprint(err))
+	must.Eq(t, domain.ReasonKeyWithdrawn, refusal.Reason)
+	must.SliceLen(t, 1, w.started)
+}
+
+// Guards against a withdrawal that needs the majority, or that a merge undoes.
+func TestWithdrawnKeyInCutOffDataCentre(t *testing.T) {
+	w := newWorld(t, 13, 3, 2)
+	w.setUp()
+	w.faults.centres["c"] = true
+	w.run(10 * time.Second)
+	w.withdraw("c2")
+	w.run(keyBound)
+	must.True(t, w.refusedAt("c1", domain.ReasonKeyWithdrawn))
+	must.False(t, w.refusedAt("a1", domain.ReasonKeyWithdrawn))
+	w.faults.heal()
+	w.run(keyBound)
+	for _, name := range w.names {
+		must.True(t, w.refusedAt(name, domain.ReasonKeyWithdrawn), must.Sprint(name))
+	}
+	w.kill(w.names...)
+	w.run(time.Second)
+	w.restart(w.names...)
+	must.True(t, w.recovered(20*time.Second))
+	for _, name := range w.names {
+		must.True(t, w.refusedAt(name, domain.ReasonKeyWithdrawn), must.Sprint(name))
+	}
+}
+
+// Guards against a VM that is isolated alone and serves keys that it cannot
+// check, and against one that accepts keys again before it has merged the set.
+func TestWithdrawnKeyWhileIsolated(t *testing.T) {
+	w := newWorld(t, 14, 3, 2)
+	w.setUp()
+	for _, vm := range []domain.VM{"b2", "a1"} {
+		w.faults.isolated[vm] = true
+		w.run(keyBound)
+		must.True(t, w.refusedAt(vm, domain.ReasonIsolated), must.Sprint(vm))
+		if vm == "a1" {
+			w.withdraw("b1")
+		}
+		w.run(5 * time.Second)
+		w.faults.heal()
+		if vm == "b2" {
+			must.True(t, w.recovered(keyBound))
+			continue
+		}
+		for range 5000 {
+			w.run(time.Millisecond)
+			refused := w.refusedAt(vm, domain.ReasonIsolated) || w.refusedAt(vm, domain.ReasonKeyWithdrawn)
+			must.True(t, refused, must.Sprint(w.now))
+		}
+		must.True(t, w.refusedAt(vm, domain.ReasonKeyWithdrawn))
+	}
+}
+
+// Guards against an acknowledged withdrawal that is lost with the memory of the
+// VM that accepted it while no other VM could be reached.
+func TestWithdrawnKeyIsDurable(t *testing.T) {
+	w := newWorld(t, 15, 3, 2)
+	w.setUp()
+	w.faults.isolated["c1"] = true
+	w.withdraw("c1")
+	w.kill("c1")
+	w.faults.heal()
+	w.restart("c1")
+	w.run(2 * keyBound)
+	must.True(t, w.refusedAt("a2", domain.ReasonKeyWithdrawn))
+}
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -58,6 +58,11 @@
 	wokenAt time.Time
 	wakes   int
 	up      bool
+	// offset and drift make the VM's clock differ from the world's.
+	offset time.Duration
+	drift  float64
+	// diskError fails every write.
+	diskError error
 }
 
 // world runs controllers in one goroutine with a manual clock and an in-memory
@@ -65,6 +70,7 @@
 type world struct {
 	t     *testing.T
 	now   time.Time
+	start time.Time
 	order int
 	queue eventQueue
 	rand  *rand.Rand
@@ -76,6 +82,9 @@
 	engine  func(v *vm, start *program.StartCall)
 	tickets Ticket
 	log     []string
+	faults  faults
+	// started lists the attempts that reached a target.
+	started []arrival
 }
 
 const (
@@ -86,10 +95,17 @@
 // newWorld starts VMs named a1, a2, b1, b2, … with two in each data centre; the
 // first one of each data centre is a voter.
 func newWorld(t *testing.T, seed uint64, centres, each int) *world {
+	return newWorldWith(t, seed, centres, each, func(*vm) {})
+}
+
+// newWorldWith adjusts each VM before its first start.
+func newWorldWith(t *testing.T, seed uint64, centres, each int, adjust func(*vm)) *world {
 	w := &world{
 		t: t, now: time.Unix(1_790_000_000, 0).UTC(), rand: rand.New(rand.NewPCG(seed, 1)),
-		vms: map[domain.VM]*vm{}, cut: func(domain.VM, domain.VM) bool { return false },
+		vms: map[domain.VM]*vm{},
 	}
+	w.start, w.faults = w.now, newFaults()
+	w.cut = w.faults.lost
 	w.engine = func(v *vm, start *program.StartCall) { w.answer(v, start, 50*time.Millisecond) }
 	seeds := map[domain.VM]string{}
 	var voters []domain.VM
@@ -111,6 +127,7 @@
 			HasDisk: slices.Contains(voters, name), Voters: voters, Seeds: seeds,
 		}
 		w.vms[name] = v
+		adjust(v)
 		v.start()
 	}
 	return w
@@ -148,7 +165,7 @@
 	v.process++
 	v.up = true
 	c := v.config
-	c.Incarnation = uint64(v.world.now.UnixNano())
+	c.Incarnation = uint64(v.clock().UnixNano())
 	c.Rand = rand.New(rand.NewPCG(v.world.rand.Uint64(), 2))
 	var restored Restored
 	for _, r := range v.streams[StreamRaft] {
@@ -158,7 +175,7 @@
 	for _, r := range v.streams[StreamKeys] {
 		restored.Withdrawn = append(restored.Withdrawn, r.(*WithdrawnKey).Key)
 	}
-	v.ctl = New(c, restored, v.world.now)
+	v.ctl = New(c, restored, v.clock())
 	v.wakeAt = time.Time{}
 	v.step(Wake{})
 }
@@ -176,8 +193,8 @@
 	if !v.up {
 		return
 	}
-	v.execute(v.ctl.Step(v.world.now, in))
-	if wake := v.ctl.NextWake(); v.wakeAt.IsZero() || wake.Before(v.wakeAt) {
+	v.execute(v.ctl.Step(v.clock(), in))
+	if wake := v.worldTime(v.ctl.NextWake()); v.wakeAt.IsZero() || wake.Before(v.wakeAt) {
 		v.wakeAt = wake
 		process := v.process
 		v.world.at(wake, func() {
@@ -236,6 +253,10 @@
 			if v.process != process {
 				return
 			}
+			if v.diskError != nil {
+				v.step(Persisted{Stream: write.Stream, Token: write.Token, Err: v.diskError})
+				return
+			}
 			if write.Replace {
 				v.streams[write.Stream] = nil
 			}
@@ -256,6 +277,9 @@
 	if out.State != nil {
 		v.state = out.State
 	}
+	for _, to := range out.ReplaceConnections {
+		w.faults.replaced(v.config.VM, to)
+	}
 	for _, line := range out.Log {
 		w.log = append(w.log, fmt.Sprintf("%s %s %s: %s %v", w.now.Format("05.000"), v.config.VM, line.Part, line.Text, line.Pairs))
 	}
@@ -266,9 +290,22 @@
 		v.replies[r.Ticket] = append(v.replies[r.Ticket], r)
 		if e, ok := r.Body.(entry.Event); ok && e.Start != nil {
 			start := e.Start
-			w.after(0, func() { w.engine(v, start) })
+			w.after(0, func() {
+				if v.process == process {
+					w.started = append(w.started, arrival{w.now, v.config.VM, start})
+					w.engine(v, start)
+				}
+			})
 		}
 	}
+	if out.State != nil && out.State.Fatal != nil {
+		// The daemon ends the process when the controller cannot go on.
+		w.after(0, func() {
+			if v.process == process {
+				v.kill()
+			}
+		})
+	}
 }
 
 // answer finishes an attempt after a time.
@@ -278,7 +315,7 @@
 		if v.process == process {
 			v.step(FinishCall{Finish: program.FinishCall{
 				Call: start.Call, Program: start.Program, Attempt: start.Attempt, FirstToken: d / 2,
-				Usage: ledger.Usage{Prompt: 100, Generated: 20}, Turn: program.HistoryRef{Length: 1},
+				Usage: ledger.Usage{Prompt: 100, Generated: 20}, Turn: turnOf(start.Call),
 			}})
 		}
 	})
