controller: acknowledge a withdrawal when it is durable; wake only for leased shards

The VM acknowledged a key's withdrawal before its record was synced, so a VM that was isolated and died at once lost it (TestWithdrawnKeyIsDurable). And the overdue time of a shard whose lease has ended stayed in NextWake although such a shard is not ticked, so an isolated VM woke up without end (TestWithdrawnKeyWhileIsolated, TestLeaderIsolatedAndBack: the harness reports that the VM spins).

--- a/core/controller/calls.go
+++ b/core/controller/calls.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/config"
@@ -154,7 +156,8 @@
 
 // cancelKey ends every call that came with a key.
 func (c *Controller) cancelKey(key config.KeyID) {
-	for id, caller := range c.callers.calls {
+	for _, id := range slices.Sorted(maps.Keys(c.callers.calls)) {
+		caller := c.callers.calls[id]
 		switch {
 		case caller.key != key:
 		case caller.admitting:
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -90,6 +90,7 @@
 	// Operators and planned stop.
 	changes  map[domain.OperationID][]Ticket
 	queries  queries
+	keys     keyWrites
 	drain    []Ticket
 	draining bool
 
--- a/core/controller/lifecycle.go
+++ b/core/controller/lifecycle.go
@@ -108,8 +108,12 @@
 	consider(c.calls.NextWake())
 	consider(c.scheduler.NextWake())
 	consider(c.nextPlan)
-	for _, owned := range c.stores {
-		consider(owned.store.NextWake())
+	// A shard without a lease is not ticked, so its overdue time must not wake
+	// the VM again and again.
+	for id, owned := range c.stores {
+		if _, owns := c.shards.Owns(c.now, id); owns {
+			consider(owned.store.NextWake())
+		}
 	}
 	return wake
 }
@@ -126,9 +130,7 @@
 		}
 		c.applyShards(c.shards.Persisted(c.now, in.Token))
 	case StreamKeys:
-		if in.Err != nil {
-			c.storageFailed(in.Err)
-		}
+		c.keysPersisted(in)
 	}
 }
 
--- a/core/controller/operators.go
+++ b/core/controller/operators.go
@@ -56,7 +56,42 @@
 	}
 	c.applyRelay(c.relay.Withdraw(c.now, in.Key))
 	c.proposeWithdrawals()
-	c.reply(in.Ticket, ChangeReply{}, true)
+	c.keys.waiting = append(c.keys.waiting, pendingReply{c.keys.written, in.Ticket})
+	c.answerWithdrawals()
+}
+
+// keyWrites follows the writes of withdrawn keys. A withdrawal is acknowledged
+// when it is durable, because this VM may be the only one that knows it.
+type keyWrites struct {
+	written, durable uint64
+	waiting          []pendingReply
+}
+
+// pendingReply is a ticket that waits for a write.
+type pendingReply struct {
+	token  uint64
+	ticket Ticket
+}
+
+func (c *Controller) answerWithdrawals() {
+	for len(c.keys.waiting) > 0 && c.keys.waiting[0].token <= c.keys.durable {
+		c.reply(c.keys.waiting[0].ticket, ChangeReply{}, true)
+		c.keys.waiting = c.keys.waiting[1:]
+	}
+}
+
+// keysPersisted takes the completion of a write of withdrawn keys.
+func (c *Controller) keysPersisted(in Persisted) {
+	if in.Err == nil {
+		c.keys.durable = in.Token
+		c.answerWithdrawals()
+		return
+	}
+	c.storageFailed(in.Err)
+	for _, w := range c.keys.waiting {
+		c.reply(w.ticket, ChangeReply{Refusal: domain.Unknown(domain.ReasonStorageFailed, "the disk of this VM failed (%v); withdraw the key on another VM", in.Err)}, true)
+	}
+	c.keys.waiting = nil
 }
 
 // keysWithdrawn takes over keys that are new in the withdrawn set.
@@ -70,7 +105,8 @@
 	}
 	c.traffic.Withdrawn = withdrawn
 	c.publish()
-	c.out.Writes = append(c.out.Writes, Write{Stream: StreamKeys, Records: records})
+	c.keys.written++
+	c.out.Writes = append(c.out.Writes, Write{Stream: StreamKeys, Token: c.keys.written, Records: records})
 	for _, key := range keys {
 		c.cancelKey(key)
 	}
