--- a/core/share/source.go
+++ b/core/share/source.go
@@ -97,13 +97,13 @@
 type Root struct {
 	sources
 	holders map[domain.Account][]Peer
-	// collectAt is the time of the next request for unused base tokens.
-	collectAt map[domain.Account]time.Time
+	// collectedAt is the time of the last request for unused base tokens.
+	collectedAt map[domain.Account]time.Time
 }
 
 // NewRoot returns a root without accounts.
 func NewRoot(r *rand.Rand) *Root {
-	return &Root{sources: newSources(r), holders: map[domain.Account][]Peer{}, collectAt: map[domain.Account]time.Time{}}
+	return &Root{sources: newSources(r), holders: map[domain.Account][]Peer{}, collectedAt: map[domain.Account]time.Time{}}
 }
 
 // Activate makes this VM the root of an account, or updates its limit and
@@ -168,10 +168,16 @@
 	r.touch(now, l)
 	urgent := len(l.waiters) > 0
 	want := max(l.wanted(), l.room())
-	if want == 0 || !urgent && now.Before(r.collectAt[l.account]) {
+	// Urgent requests are spaced too: a holder without spare tokens answers at
+	// once, and without a pause the two would exchange messages without end.
+	interval := 2 * l.reportEvery
+	if urgent {
+		interval = sourceInterval
+	}
+	if want == 0 || now.Sub(r.collectedAt[l.account]) < interval {
 		return
 	}
-	r.collectAt[l.account] = now.Add(2 * l.reportEvery)
+	r.collectedAt[l.account] = now
 	for _, h := range r.holders[l.account] {
 		to := peerKey{h.VM, RoleHolder}
 		if l.canAsk(now, to) {
