entry: start no attempt of a call whose key was withdrawn between attempts

Cancel ignored calls that wait for the answer to a failed attempt, so the owner's retry ran with the withdrawn key (TestWithdrawnKeyStopsRetries). The entry VM now answers the retry with FailNotSent and refuses the call with the reason of the cancellation; the owner decides the outcome.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -76,6 +76,8 @@
 	ownerSeen time.Time
 	// sent says that an attempt may have reached a target.
 	sent bool
+	// cancelled is the reason of this VM to start no further attempt.
+	cancelled *domain.Refusal
 }
 
 // Calls holds the calls of one VM. It is not safe for concurrent use.
@@ -119,6 +121,9 @@
 	case *program.CallRefused:
 		if k := c.calls[m.Call]; k != nil {
 			refusal := m.Refusal
+			if k.cancelled != nil {
+				refusal.Reason, refusal.Remedy = k.cancelled.Reason, k.cancelled.Remedy
+			}
 			c.end(m.Call, Event{Call: m.Call, Refused: &refusal})
 		}
 	case *program.CancelCall:
@@ -139,6 +144,12 @@
 	if m.Attempt <= k.begin.Attempts {
 		return
 	}
+	if k.cancelled != nil {
+		// The owner knows whether an earlier attempt may have run.
+		k.begin.Attempts = m.Attempt
+		c.setReport(now, m.Call, &program.FailCall{Call: m.Call, Entry: c.self, Program: m.Program, Attempt: m.Attempt, Kind: program.FailNotSent, Target: m.Target})
+		return
+	}
 	k.begin.Attempts, k.phase, k.report, k.sent = m.Attempt, running, nil, true
 	c.out.Events = append(c.out.Events, Event{Call: m.Call, Start: m})
 }
@@ -193,7 +204,7 @@
 
 // Cancel ends a call for a reason of this VM, such as a withdrawn key. A call
 // that has not started is refused; the attempt of a started one is stopped and
-// reported.
+// reported. A call whose attempt has ended gets its answer, but no retry.
 func (c *Calls) Cancel(id domain.CallID, refusal *domain.Refusal) Effects {
 	k := c.calls[id]
 	switch {
@@ -202,6 +213,8 @@
 		c.out.Events = append(c.out.Events, Event{Call: id, Cancel: refusal.Reason})
 	case k.phase == waiting:
 		c.abandon(id, k, refusal)
+	case k.phase == reporting:
+		k.cancelled = refusal
 	}
 	return c.take()
 }
