membership: probe watched members

Only ring successors are probed on the existing connection, so a connection that went silent to any other VM was never replaced: with b2 to b1 silent, calls of their shards got no answer for more than 20 s. Watch names the members that a VM works with; they are probed like ring successors. TestSilentConnectionToWatchedMember fails without it.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -85,6 +85,7 @@
 	probes   map[domain.VM]*probe
 	ring     []domain.VM // see ringOrder; nil when it must be built again
 	position int         // of this VM in the ring
+	watched  []domain.VM // see Watch
 	updates  []*update
 	sequence uint64
 	refresh  int
@@ -320,13 +321,24 @@
 	return m.ring
 }
 
-// monitored returns the ring successors that this VM probes.
+// Watch sets the members that this VM probes besides its ring successors. It
+// needs them where a silent connection would stop work, because probes of ring
+// successors find silent connections only to these.
+func (m *Membership) Watch(vms []domain.VM) { m.watched = vms }
+
+// monitored returns the ring successors and the watched members that this VM
+// probes.
 func (m *Membership) monitored() []domain.VM {
 	ring := m.ringOrder()
 	var out []domain.VM
 	for i := 1; i <= m.config.Monitors && i < len(ring); i++ {
 		out = append(out, ring[(m.position+i)%len(ring)])
 	}
+	for _, vm := range m.watched {
+		if member := m.members[vm]; member != nil && vm != m.self && member.State != Dead {
+			out = append(out, vm)
+		}
+	}
 	return out
 }
 
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -246,3 +246,21 @@
 		})
 	}
 }
+
+// Guards against a connection that stays silent because its peer is not a ring
+// successor, although this VM works with the peer.
+func TestSilentConnectionToWatchedMember(t *testing.T) {
+	c := newCluster(12, 0)
+	c.run(5 * time.Second)
+	m := c.nodes[c.order[0]]
+	ring := m.ringOrder()
+	far := ring[(m.position+len(ring)-1)%len(ring)]
+	m.Watch([]domain.VM{far})
+	c.silent = func(from, to domain.VM, msg domain.Message) bool {
+		p, ping := msg.(*Ping)
+		return from == c.order[0] && to == far && (!ping || !p.Fresh)
+	}
+	c.run(3 * time.Second)
+	must.Positive(t, c.replaced[far])
+	must.MapEmpty(t, c.deaths)
+}
