controller: watch the holders of own shards and the owners that calls wait for

A silent connection to one of these stops work, and membership found silent connections only to ring successors. In TestSilentConnections all calls now end, the slowest after 1.07 s; before, those of shards between b2 and b1 did not end within 10 s.

--- a/core/controller/fleet.go
+++ b/core/controller/fleet.go
@@ -163,6 +163,20 @@
 	return slices.Sorted(maps.Keys(c.config.Seeds))
 }
 
+// watchPartners probes the VMs without whose answers work stops: the other
+// holders of this VM's shards, and the owners that calls wait for.
+func (c *Controller) watchPartners() {
+	partners := c.calls.Asked()
+	for _, a := range c.state.View().Assignments() {
+		holders := []domain.VM{a.Owner, a.Backup, a.Learner}
+		if slices.Contains(holders, c.config.VM) {
+			partners = append(partners, holders...)
+		}
+	}
+	slices.Sort(partners)
+	c.members.Watch(slices.Compact(partners))
+}
+
 func (c *Controller) observe() {
 	c.applyShards(c.shards.Observe(c.now, c.candidates, c.leader()))
 }
--- a/core/controller/lifecycle.go
+++ b/core/controller/lifecycle.go
@@ -62,6 +62,7 @@
 	}
 	c.candidates = c.listCandidates()
 	c.observe()
+	c.watchPartners()
 	c.register()
 	c.lead()
 	c.reviveShards()
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -299,6 +299,17 @@
 	return c.wake
 }
 
+// Asked lists the VMs whose answers calls wait for.
+func (c *Calls) Asked() []domain.VM {
+	var out []domain.VM
+	for _, id := range c.order {
+		if k := c.calls[id]; k.phase != running && !slices.Contains(out, k.sentTo) {
+			out = append(out, k.sentTo)
+		}
+	}
+	return out
+}
+
 // transmit sends the call's current message to the owner.
 func (c *Calls) transmit(now time.Time, k *call) {
 	if c.wake.Before(now) {
