--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -99,6 +99,7 @@
 	changes  map[domain.OperationID][]Ticket
 	voters   voterRequests
 	queries  queries
+	keys     keyWrites
 	drain    []Ticket
 	draining bool
 
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -56,7 +56,12 @@
 // the address of the others before they are registered, so their heartbeats stay
 // unanswered until the first leader is elected.
 func TestUnknownVMsRegister(t *testing.T) {
-	w := newWorldOf(t, 4, 3, 2, func(voters map[domain.VM]string, c *Config) { c.Seeds = voters })
+	w := newWorldWith(t, 4, 3, 2, func(v *vm) {
+		v.config.Seeds = map[domain.VM]string{}
+		for _, voter := range v.config.Voters {
+			v.config.Seeds[voter] = "10.0.0.1:1"
+		}
+	})
 	w.cut = func(from, to domain.VM) bool { return w.vms[from].state.Addresses[to] == "" }
 	w.setUp()
 }
--- a/core/controller/lifecycle.go
+++ b/core/controller/lifecycle.go
@@ -63,6 +63,7 @@
 	}
 	c.candidates = c.listCandidates()
 	c.observe()
+	c.watchPartners()
 	c.decideAgreement()
 	c.register()
 	c.lead()
@@ -111,9 +112,10 @@
 	consider(c.calls.NextWake())
 	consider(c.scheduler.NextWake())
 	consider(c.nextPlan)
+	// A shard without a lease is not ticked, so its overdue time must not wake
+	// the VM again and again.
 	for id, owned := range c.stores {
-		// A shard without a lease decides nothing, so its times do not count.
-		if _, ok := c.shards.Owns(c.now, id); ok {
+		if _, owns := c.shards.Owns(c.now, id); owns {
 			consider(owned.store.NextWake())
 		}
 	}
@@ -132,9 +134,7 @@
 		}
 		c.applyShards(c.shards.Persisted(c.now, in.Token))
 	case StreamKeys:
-		if in.Err != nil {
-			c.storageFailed(in.Err)
-		}
+		c.keysPersisted(in)
 	}
 }
 
--- a/core/ledger/escrow.go
+++ b/core/ledger/escrow.go
@@ -81,7 +81,7 @@
 	}
 	free, reason := l.free(now, b)
 	if free >= m.Amount {
-		amount := m.Amount + min(3*min(m.Amount, free/grantShare), (free-m.Amount)/grantShare)
+		amount := m.Amount + (free-m.Amount)/grantShare
 		b.recallAt = time.Time{}
 		p.sentAt = now
 		l.emit(e, &TransferSent{m.Account, m.Month, m.From, p.OutNumber + 1, amount, dayOf(now), false})
@@ -155,6 +155,7 @@
 	if !m.Return {
 		h := l.holder(k)
 		h.wanted, h.deniedAt, h.askedAt = 0, time.Time{}, time.Time{}
+		h.lastCredit = m.Amount
 	}
 	e.send(m.From, &TransferReply{m.Account, m.Month, l.shard, m.Number, m.Return})
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -36,8 +36,15 @@
 	// reportInterval spaces usage reports to the root.
 	reportInterval = 10 * time.Second
 	// grantShare is the part of the free amount that a release adds to the
-	// requested amount at most, so that many holders find something left.
-	grantShare = 16
+	// requested amount, so that the 48 shards of 3 data centres find something
+	// left, and each has enough to go on while it is cut off from the root.
+	grantShare = 32
+	// refillBelow is the part of the last credit below which a holder asks for
+	// more before a call needs it.
+	refillBelow = 4
+	// refillWorth is the number of calls that a credit must cover to be refilled
+	// early.
+	refillWorth = 8
 )
 
 type key struct {
@@ -65,10 +72,13 @@
 	held                      domain.Micros
 	wanted                    domain.Micros
 	askedAt, sentAt, deniedAt time.Time
+	refilledAt                time.Time
 	reported                  domain.Micros
 	reportedAt                time.Time
 	reason                    domain.Reason
 	rootFree                  domain.Micros
+	// lastCredit is the amount of the last transfer from the root.
+	lastCredit domain.Micros
 }
 
 func (h *holder) available() domain.Micros {
@@ -134,7 +144,9 @@
 	missing := amount - h.available()
 	if missing <= 0 {
 		h.held += amount
-		return reservation, Held, nil, Effects{}
+		var e Effects
+		l.refill(now, h, amount, &e)
+		return reservation, Held, nil, e
 	}
 	if !h.deniedAt.IsZero() && now.Sub(h.deniedAt) < deniedFor && missing > h.rootFree {
 		return reservation, Refused, refusal(h.reason, account, missing-h.rootFree, now), Effects{}
@@ -147,6 +159,19 @@
 	return reservation, Pending, nil, e
 }
 
+// refill asks the root early when a holder runs low. Nobody waits for the
+// answer, so a denial has no effect. A credit of the size of a call means that
+// the root is nearly empty, and early requests would only split the rest.
+func (l *Ledger) refill(now time.Time, h *holder, amount domain.Micros, e *Effects) {
+	low := h.available() < h.lastCredit/refillBelow && h.lastCredit/refillWorth >= amount
+	shard, err := RootShard(l.view, h.Account)
+	if !low || err != nil || now.Sub(h.refilledAt) < recallInterval {
+		return
+	}
+	h.refilledAt = now
+	e.send(shard, &Request{h.Account, h.Month, l.shard, 1})
+}
+
 // Unreachable returns the refusal of a pending hold that got no answer.
 func (l *Ledger) Unreachable(now time.Time, r Reservation) *domain.Refusal {
 	h := l.holder(key{r.Account, r.Month})
