Choose ports below the range of outgoing connections

Cause: a port from the range of outgoing connections was taken by another VM's connection before its own VM started; one run of the demo ended with "address already in use" and 1 of 6 VMs ready.

Change: the load tool's ports come from 10240 to 32767.

Conclusion: the ports of VMs no longer meet those of connections.

--- a/internal/load/probe.go
+++ b/internal/load/probe.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -105,17 +106,29 @@
 	}
 }
 
+// Ports below the range from which systems take the ports of outgoing
+// connections. A port from that range may be taken again before its VM starts.
+const (
+	lowestPort  = 10_240
+	highestPort = 32_767
+	portTries   = 1000
+)
+
 // FreePorts returns loopback ports that are free now.
 func FreePorts(count int) ([]int, error) {
 	ports := make([]int, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		if len(ports) == count {
+			return ports, nil
+		}
+		port := lowestPort + rand.IntN(highestPort-lowestPort+1)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, fmt.Errorf("load: %w", err)
+			continue
 		}
 		// All listeners stay open until the end, so that no port is given twice.
 		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("load: found %d of %d free ports", len(ports), count)
 }
