--- /dev/null
+++ b/internal/settingsdoc/page.go
@@ -0,0 +1,54 @@
+// Package settingsdoc writes the page of the daemon's settings from the
+// declarations in internal/settings.
+package settingsdoc
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/mangoknot/mangoknot/internal/settings"
+)
+
+const head = `# Settings
+
+This page is generated from internal/settings/settings.go. Run
+` + "`go run ./internal/settingsdoc/write > docs/operate/settings.md`" + ` after a change there.
+
+The daemon takes flags and environment variables; a flag wins. ` + "`mangoknotd --check-config`" + ` with the same settings
+checks them and exits. Addresses are IP numbers with a port.
+
+| flag | environment variable | default | meaning |
+| --- | --- | --- | --- |
+`
+
+// Page returns the page in Markdown.
+func Page() string {
+	var b strings.Builder
+	b.WriteString(head)
+	fields := reflect.TypeFor[settings.Settings]()
+	for i := range fields.NumField() {
+		b.WriteString(row(fields.Field(i).Tag))
+	}
+	return b.String()
+}
+
+func row(tag reflect.StructTag) string {
+	var flag, env string
+	for part := range strings.SplitSeq(tag.Get("arg"), ",") {
+		if name, ok := strings.CutPrefix(part, "env:"); ok {
+			env = name
+		} else {
+			flag = part
+		}
+	}
+	return fmt.Sprintf("| `%s` | %s | %s | %s |\n", flag, code(env), code(tag.Get("default")), tag.Get("help"))
+}
+
+// code formats a value as code, and an absent one as nothing.
+func code(s string) string {
+	if s == "" {
+		return ""
+	}
+	return "`" + s + "`"
+}
