--- /dev/null
+++ b/core/raft/example_test.go
@@ -0,0 +1,51 @@
+package raft_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/raft"
+)
+
+// note is the caller's own record.
+type note struct{ Text string }
+
+// RecordName implements domain.Record.
+func (*note) RecordName() string { return "example.note" }
+
+// A single voter elects itself and commits what it has made durable. Guards
+// against an interface that cannot be used without the controller.
+func Example() {
+	now := time.Unix(0, 0)
+	r := raft.New(raft.Config{ID: "a", Voters: []domain.VM{"a"}, Rand: rand.New(rand.NewPCG(1, 1))}, raft.Restored{}, now)
+	for r.Status().Role != raft.Leader {
+		now = r.NextWake()
+		r.Tick(now)
+		drain(r, now)
+	}
+	if _, err := r.Propose(now, &note{Text: "hello"}); err != nil {
+		fmt.Println(err)
+	}
+	drain(r, now)
+	// Output: committed hello
+}
+
+// drain does the output: a real caller syncs the records to disk first.
+func drain(r *raft.Raft, now time.Time) {
+	for {
+		ready := r.Ready()
+		if len(ready.Records) == 0 && len(ready.Committed) == 0 {
+			return
+		}
+		for _, e := range ready.Committed {
+			if n, ok := e.Data.(*note); ok {
+				fmt.Println("committed", n.Text)
+			}
+		}
+		if len(ready.Records) > 0 {
+			r.Persisted(now, ready.Token)
+		}
+	}
+}
--- /dev/null
+++ b/core/share/example_test.go
@@ -0,0 +1,59 @@
+package share_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/share"
+)
+
+// An entry without tokens asks its holder, and the holder asks the root. Guards
+// against an interface that cannot be used without the controller.
+func Example() {
+	now := time.Unix(0, 0)
+	r := rand.New(rand.NewPCG(1, 1))
+	limit := share.Limit{Account: "acme", RatePerSecond: 10, Burst: 8}
+	root, holder, entry := share.NewRoot(r), share.NewHolder(r), share.NewEntry(r)
+	root.Activate(now, limit, 1, []share.Peer{{VM: "holder", Epoch: 1}})
+	holder.Activate(now, limit, 1, share.Peer{VM: "root", Epoch: 1}, 1)
+	entry.Configure(limit, share.Peer{VM: "holder", Epoch: 1})
+
+	// A new source lends nothing for the term of its predecessor's grants.
+	now = now.Add(2 * share.GrantTerm)
+	root.Tick(now)
+	holder.Tick(now)
+	decision, sends := entry.Admit(now, "acme", 1)
+	fmt.Println("pending:", decision == share.Pending)
+	type packet struct {
+		from domain.VM
+		send domain.Send
+	}
+	var network []packet
+	post := func(from domain.VM, sends []domain.Send) {
+		for _, s := range sends {
+			network = append(network, packet{from, s})
+		}
+	}
+	post("entry", sends)
+	for len(network) > 0 {
+		p := network[0]
+		network = network[1:]
+		switch p.send.To {
+		case "root":
+			post("root", root.Step(now, p.from, p.send.Body))
+		case "holder":
+			post("holder", holder.Step(now, p.from, p.send.Body))
+		default:
+			effects := entry.Step(now, p.from, p.send.Body)
+			post("entry", effects.Sends)
+			for _, o := range effects.Outcomes {
+				fmt.Println("ticket", o.Ticket, "admitted:", o.Refusal == nil)
+			}
+		}
+	}
+	// Output:
+	// pending: true
+	// ticket 1 admitted: true
+}
