schedule: add round robin and least loaded as baselines

Change: Config.Policy selects a baseline that places every call at once and leaves queueing to the targets. Only daemon.NewExperiment sets it; no flag does. Conclusion: the default is unchanged.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -38,6 +38,8 @@
 	// RefuseWhenCutOff refuses keyed requests while the leader is out of reach.
 	RefuseWhenCutOff bool
 	Rand             *rand.Rand
+	// Policy selects a baseline of the scheduler in experiments.
+	Policy schedule.Policy
 }
 
 // Restored is the durable state of an earlier process.
@@ -117,7 +119,7 @@
 		shards:    shard.New(shard.Config{Self: c.VM, DataCentre: c.DataCentre, Incarnation: c.Incarnation, HasDisk: true}, now),
 		stores:    map[domain.ShardID]*ownedShard{},
 		vmState:   program.NewVMState(),
-		scheduler: schedule.New(schedule.Config{DataCentre: c.DataCentre, Region: c.Region, Rand: c.Rand}, now),
+		scheduler: schedule.New(schedule.Config{DataCentre: c.DataCentre, Region: c.Region, Rand: c.Rand, Policy: c.Policy}, now),
 		windows:   map[domain.Target]*schedule.WindowManager{},
 		running:   map[domain.CallID]domain.ShardID{},
 		instances: map[domain.Target]uint64{},
--- a/core/schedule/dispatch.go
+++ b/core/schedule/dispatch.go
@@ -17,7 +17,11 @@
 		p := s.dirty[len(s.dirty)-1]
 		s.dirty = s.dirty[:len(s.dirty)-1]
 		p.dirty = false
-		s.dispatchPool(now, p)
+		if s.config.Policy == PolicyProject {
+			s.dispatchPool(now, p)
+		} else {
+			s.dispatchBaseline(now, p)
+		}
 	}
 	if len(s.leased) > 0 {
 		s.sendPermitRequests(now)
@@ -151,7 +155,7 @@
 	t.running++
 	t.tokens += c.Prompt
 	t.update(now)
-	if t.info.Manager != "" {
+	if t.info.Manager != "" && s.config.Policy == PolicyProject {
 		t.lease.usedAt = now
 		if t.free(now) <= 0 {
 			s.askPermits(now, t)
--- a/core/schedule/doc.go
+++ b/core/schedule/doc.go
@@ -41,6 +41,8 @@
 	// save before a prompt crosses it.
 	RegionPrice time.Duration
 	Rand        *rand.Rand
+	// Policy selects a baseline in experiments.
+	Policy Policy
 }
 
 // Defaults of Config.
--- a/core/schedule/pause.go
+++ b/core/schedule/pause.go
@@ -100,7 +100,7 @@
 // memory, so the programs that return last leave first.
 func (s *Scheduler) pause(now time.Time, p *program, t *target, tokens domain.Tokens) {
 	p.pausedAt = now
-	if t.info.CacheTokens <= 0 || p.target != nil {
+	if t.info.CacheTokens <= 0 || p.target != nil || s.config.Policy != PolicyProject {
 		return
 	}
 	p.target, p.tokens, p.returnAt = t, tokens, now.Add(p.expectedPause())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/controller"
 	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/schedule"
 	"github.com/mangoknot/mangoknot/internal/settings"
 	"github.com/mangoknot/mangoknot/node"
 	"github.com/mangoknot/mangoknot/port"
@@ -44,6 +45,8 @@
 	Node     *node.Node
 	Metrics  *metrics.Metrics
 
+	experiment Experiment
+
 	disk    *disk.Disk
 	client  *peer.Client
 	targets *target.Client
@@ -61,7 +64,18 @@
 // New loads the durable state, opens the listeners and wires the parts. The
 // settings must have passed their check.
 func New(s settings.Settings, log logr.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, Metrics: metrics.New()}
+	return NewExperiment(s, log, Experiment{})
+}
+
+// Experiment holds options that no setting reaches. Only measurements use them.
+type Experiment struct {
+	// Policy replaces the scheduler's policy by a baseline.
+	Policy schedule.Policy
+}
+
+// NewExperiment is New with options for experiments.
+func NewExperiment(s settings.Settings, log logr.Logger, experiment Experiment) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, Metrics: metrics.New(), experiment: experiment}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -196,6 +210,7 @@
 		Homes:            settings.ParseDataCentres(s.Homes),
 		RefuseWhenCutOff: s.CutOffKeys == "refuse",
 		Rand:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Policy:           d.experiment.Policy,
 	}
 }
 
