controller: let a joining VM register although its seeds seem dead

Cause: the seeds learn a VM's address from its registration, so they cannot answer its probes before. Membership declared them dead after about 1 s, and the VM then proposed its registration to nobody: a non-voter that was not registered within that second never joined. In a start of 6 VMs in one process 1 or 2 of the 3 non-voters stayed out in each of 3 tries. Change: until a configuration names voters, seeds count as voters also when they seem dead.

--- a/core/controller/fleet.go
+++ b/core/controller/fleet.go
@@ -141,12 +141,15 @@
 
 func (c *Controller) relayNodes() []relay.Node {
 	voters := c.state.View().Voters()
-	if len(voters) == 0 {
+	joining := len(voters) == 0
+	if joining {
 		voters = c.seedVoters()
 	}
 	var out []relay.Node
 	for _, m := range c.members.Members() {
-		if m.State == membership.Dead {
+		// The seeds cannot answer a VM before they know its address from its
+		// registration, so it takes them for dead and must register all the same.
+		if m.State == membership.Dead && !(joining && slices.Contains(voters, m.VM)) {
 			continue
 		}
 		out = append(out, relay.Node{VM: m.VM, DataCentre: m.DataCentre, Region: m.Region, Voter: slices.Contains(voters, m.VM)})
