measure: compare the policies on real daemons over loopback

Adds mangoknot-measure: 6 daemons, 9 stand-in engines and 6 tool services in one process, the same programs for round robin, least loaded and the project's policy.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 
 clean:
 	rm -rf build
+
+# Compares the scheduling policies on this machine; docs/measurements.md defines the fields.
+measure:
+	$(GO) run ./cmd/mangoknot-measure
--- /dev/null
+++ b/internal/measure/fleet.go
@@ -0,0 +1,258 @@
+package measure
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+
+	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/schedule"
+	"github.com/mangoknot/mangoknot/emulator/engine"
+	"github.com/mangoknot/mangoknot/emulator/tool"
+	"github.com/mangoknot/mangoknot/internal/daemon"
+	"github.com/mangoknot/mangoknot/internal/keys"
+	"github.com/mangoknot/mangoknot/internal/settings"
+)
+
+// The places of the fleet: 2 VMs in each data centre, 3 of 6 with a disk.
+var (
+	centres = []domain.DataCentre{"dc-1", "dc-2", "dc-3"}
+	regions = map[domain.DataCentre]domain.Region{"dc-1": "r-1", "dc-2": "r-1", "dc-3": "r-2"}
+)
+
+const (
+	vmsPerCentre = 2
+	modelName    = "model-a"
+	routeName    = "lookup"
+	setupLimit   = 30 * time.Second
+	readyPause   = 50 * time.Millisecond
+	// permitPause passes the first term of the windows' managers, in which they
+	// grant nothing.
+	permitPause = 3500 * time.Millisecond
+)
+
+// fleet is a running system.
+type fleet struct {
+	folder  string
+	daemons []*daemon.Daemon
+	engines []*engine.Engine
+	tools   []*tool.Service
+	keys    []string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+// startFleet starts the daemons, engines and services, and waits until calls
+// can run.
+func startFleet(ctx context.Context, policy schedule.Policy, rate float64) (*fleet, error) {
+	folder, err := os.MkdirTemp("", "measure-")
+	if err != nil {
+		return nil, fmt.Errorf("measure: make a folder for the voters: %w", err)
+	}
+	f := &fleet{folder: folder, ended: make(chan error, 2)}
+	commands, err := f.startTargets()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, setupLimit)
+	defer cancel()
+	if err := f.startDaemons(ctx, policy); err != nil {
+		return nil, err
+	}
+	commands = append(commands, f.accounts(rate)...)
+	for i, command := range commands {
+		if err := f.apply(ctx, i, command); err != nil {
+			f.close()
+			return nil, fmt.Errorf("measure: configure the fleet: %w", err)
+		}
+	}
+	if err := f.waitReady(ctx); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) startTargets() ([]config.Command, error) {
+	commands := []config.Command{&config.PutModel{Model: config.ModelSpec{
+		Name: modelName, PromptPrice: 1_000, CachedPrice: 250, GeneratedPrice: 4_000, MaxContext: 1_000_000,
+	}}}
+	for i := range engineCount {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		e := engine.New(engine.Settings{
+			Models: []string{modelName}, MaxBatch: maxBatch, PrefillPerSecond: prefillPerSecond, DecodePerSecond: decodePerSecond,
+			TimeScale: TimeScale, CacheTokens: cacheTokens, AnswerTokens: 4 * meanAnswer, LoadLag: time.Second / TimeScale, EventDelay: time.Second / TimeScale,
+		})
+		go e.Start(l) //nolint:errcheck // an engine that ends early shows as refused calls
+		f.engines = append(f.engines, e)
+		dc := centres[i%len(centres)]
+		commands = append(commands, &config.PutTarget{Target: config.TargetSpec{
+			Name: domain.Target(fmt.Sprintf("engine-%d", i)), Kind: config.TargetEngine, Address: l.Addr().String(), DataCentre: dc, Region: regions[dc],
+			Models: []domain.ModelName{modelName}, Fencing: true, CacheTokens: cacheTokens, MaxBatch: maxBatch,
+		}})
+	}
+	route := config.RouteSpec{Name: routeName, Repeatable: true, Timeout: 10 * time.Second}
+	for i := range serviceCount {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		s := tool.New()
+		s.Inject(tool.Fault{DelayMillis: 20})
+		go s.Start(l) //nolint:errcheck // as for engines
+		f.tools = append(f.tools, s)
+		dc := centres[i%len(centres)]
+		name := domain.Target(fmt.Sprintf("tools-%d", i))
+		route.Targets = append(route.Targets, name)
+		commands = append(commands, &config.PutTarget{Target: config.TargetSpec{
+			Name: name, Kind: config.TargetService, Address: l.Addr().String(), DataCentre: dc, Region: regions[dc], MaxBatch: 64,
+		}})
+	}
+	return append(commands, &config.PutRoute{Route: route}), nil
+}
+
+// accounts gives each account a rate of requests above its part of the offered
+// programs, so that an account without excess stays inside it.
+func (f *fleet) accounts(rate float64) (out []config.Command) {
+	for i, part := range accountShares {
+		key := keys.New()
+		f.keys = append(f.keys, key)
+		name := accountName(i)
+		requests := max(requestRate(rate, i), 2)
+		out = append(out,
+			&config.PutAccount{Account: config.AccountSpec{
+				Name: name, RatePerSecond: requests, Burst: rateBurst(requests), Weight: part,
+				MonthlyBudget: 1e15, ProgramBudget: 1e12,
+			}},
+			&config.PutKey{Key: config.KeySpec{ID: config.KeyID("key-" + string(name)), Hash: sha256.Sum256([]byte(key)), Account: name}},
+		)
+	}
+	return out
+}
+
+func accountName(i int) domain.Account { return domain.Account(fmt.Sprintf("account-%d", i)) }
+
+func (f *fleet) startDaemons(ctx context.Context, policy schedule.Policy) error {
+	type place struct {
+		name, address string
+		dc            domain.DataCentre
+		voter         bool
+	}
+	var places []place
+	voterList := ""
+	for i := range vmsPerCentre * len(centres) {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		p := place{fmt.Sprintf("vm-%d", i), address, centres[i%len(centres)], i < len(centres)}
+		places = append(places, p)
+		if p.voter {
+			voterList += "," + p.name + "=" + p.address
+		}
+	}
+	var stopped context.Context
+	stopped, f.stop = context.WithCancel(context.Background())
+	// The voters start first, as in a rolling start of a new system.
+	for _, voters := range []bool{true, false} {
+		var group run.Group
+		group.Add(func() error { <-stopped.Done(); return nil }, func(error) { f.stop() })
+		for _, p := range places {
+			if p.voter != voters {
+				continue
+			}
+			s := settings.Settings{
+				VM: p.name, DataCentre: string(p.dc), Region: string(regions[p.dc]), Listen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
+				PeerListen: p.address, Voters: voterList[1:], Homes: "dc-1,dc-2,dc-3", Insecure: true, CutOffKeys: "serve", DrainDeadline: time.Second,
+			}
+			if p.voter {
+				s.DataDir = filepath.Join(f.folder, p.name)
+			}
+			d, err := daemon.NewExperiment(s, logr.Discard(), daemon.Experiment{Policy: policy})
+			if err != nil {
+				return err
+			}
+			d.AddActors(&group)
+			f.daemons = append(f.daemons, d)
+		}
+		go func() { f.ended <- group.Run() }()
+		if voters {
+			for !f.daemons[0].Node.Ready() && sleep(ctx, readyPause) {
+			}
+		}
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// apply repeats a change until the voters have a leader.
+func (f *fleet) apply(ctx context.Context, number int, command config.Command) error {
+	change := config.Change{Operation: domain.OperationID(fmt.Sprintf("measure-%d", number)), Operator: "measure", Command: command}
+	for {
+		_, err := f.daemons[0].Node.Change(ctx, change)
+		refusal, refused := domain.AsRefusal(err)
+		if err == nil || refused && refusal.Reason == domain.ReasonBadRequest || ctx.Err() != nil {
+			return err
+		}
+		if !sleep(ctx, readyPause) {
+			return err
+		}
+	}
+}
+
+// waitReady waits until every VM serves and the windows' managers grant places.
+func (f *fleet) waitReady(ctx context.Context) error {
+	for _, d := range f.daemons {
+		for !d.Node.Ready() || len(d.Node.View().Accounts()) < len(accountShares) {
+			if !sleep(ctx, readyPause) {
+				return fmt.Errorf("measure: a VM is not ready after %s; the machine may be overloaded", setupLimit)
+			}
+		}
+	}
+	sleep(ctx, permitPause)
+	return nil
+}
+
+func (f *fleet) close() {
+	f.stop()
+	<-f.ended
+	<-f.ended
+	for _, e := range f.engines {
+		_ = e.Close()
+	}
+	for _, t := range f.tools {
+		_ = t.Close()
+	}
+	_ = os.RemoveAll(f.folder)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/measure/load.go
@@ -0,0 +1,114 @@
+package measure
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// drainLimit ends the programs that still run after the window.
+const drainLimit = 25 * time.Second
+
+// observation is what one run produced.
+type observation struct {
+	start    time.Time
+	window   time.Duration
+	calls    []callResult
+	programs []programResult
+	// crossRegion counts prompt bytes that an entry VM sent to an engine of
+	// another region.
+	crossRegion int64
+}
+
+// drive runs the programs on a fleet. With lose set, one engine dies after a
+// third of the window.
+func drive(ctx context.Context, f *fleet, scripts []*script, window time.Duration, lose bool) *observation {
+	ctx, cancel := context.WithTimeout(ctx, window+drainLimit)
+	defer cancel()
+	c := newCaller(f)
+	defer c.http.CloseIdleConnections()
+	o := &observation{start: time.Now(), window: window}
+	if lose {
+		timer := time.AfterFunc(window/3, func() { _ = f.engines[0].Close() })
+		defer timer.Stop()
+	}
+	var running sync.WaitGroup
+	for _, s := range scripts {
+		running.Go(func() {
+			sleep(ctx, s.arrival)
+			c.program(ctx, s)
+		})
+	}
+	finished := make(chan struct{})
+	go func() { running.Wait(); close(finished) }()
+	o.collect(c, finished)
+	o.crossRegion = f.crossRegion(o.calls)
+	return o
+}
+
+// collect is the only goroutine that touches the observation during a run.
+func (o *observation) collect(c *caller, finished <-chan struct{}) {
+	for {
+		select {
+		case r := <-c.calls:
+			o.calls = append(o.calls, r)
+		case p := <-c.programs:
+			o.programs = append(o.programs, p)
+		case <-finished:
+			for len(c.calls) > 0 {
+				o.calls = append(o.calls, <-c.calls)
+			}
+			for len(c.programs) > 0 {
+				o.programs = append(o.programs, <-c.programs)
+			}
+			return
+		}
+	}
+}
+
+// crossRegion joins the requests that engines recorded with the entry VMs of
+// the calls.
+func (f *fleet) crossRegion(calls []callResult) int64 {
+	entry := map[domain.CallID]domain.Region{}
+	for _, c := range calls {
+		entry[c.id] = c.entry
+	}
+	var bytes int64
+	for i, e := range f.engines {
+		region := regions[centres[i%len(centres)]]
+		for _, r := range e.Requests() {
+			from, known := entry[domain.CallID(r.Header.Get("X-Engine-Call"))]
+			if known && from != region {
+				bytes += int64(len(r.Body))
+			}
+		}
+	}
+	return bytes
+}
+
+// inProgress counts the programs that have arrived and not ended at a time.
+func (o *observation) inProgress(at time.Duration) int {
+	n, t := 0, o.start.Add(at)
+	for _, p := range o.programs {
+		if !p.arrived.After(t) && p.ended.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// keepsUp says whether the backlog of programs stayed bounded: in the second
+// half of the window it grew by at most a tenth of the programs that arrived.
+func (o *observation) keepsUp() bool {
+	half, arrived := o.window/2, 0
+	for _, p := range o.programs {
+		if p.arrived.After(o.start.Add(half)) {
+			arrived++
+		}
+	}
+	return float64(o.inProgress(o.window)-o.inProgress(half)) <= growthPart*float64(arrived)
+}
+
+const growthPart = 0.1
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,39 @@
+package measure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against policies that are compared on different programs.
+func TestScriptsRepeat(t *testing.T) {
+	a, b := makeScripts(1, 10, 5*time.Second, false), makeScripts(1, 10, 5*time.Second, false)
+	must.Eq(t, fmt.Sprint(a[0].name, a[0].turns), fmt.Sprint(b[0].name, b[0].turns))
+	must.Positive(t, len(a))
+	must.NotEq(t, len(a), len(makeScripts(1, 10, 5*time.Second, true)))
+}
+
+// Guards against a fair share that counts what an account did not ask for.
+func TestFairShares(t *testing.T) {
+	demand := make([]float64, len(accountShares))
+	demand[0], demand[7] = 1000, 10
+	fair := fairShares(demand, 500)
+	must.Eq(t, 10, fair[7])
+	must.Eq(t, 490, fair[0])
+	must.Eq(t, 0, fair[1])
+}
+
+// Guards against wasted cache that counts the first prefill of a prompt or a
+// block that no engine keeps.
+func TestWastedCache(t *testing.T) {
+	start := time.Unix(1000, 0)
+	o := &observation{start: start, window: time.Minute, calls: []callResult{
+		{model: true, sent: start, done: start, prompt: 100, held: 0, cached: 0},
+		{model: true, sent: start, done: start, prompt: 200, held: 120, cached: 112},
+		{model: true, sent: start, done: start, prompt: 300, held: 220, cached: 108},
+	}}
+	must.Eq(t, 100.0/(100+88+192), o.summary(-1).WastedCacheRatio)
+}
--- /dev/null
+++ b/internal/measure/summary.go
@@ -0,0 +1,146 @@
+package measure
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// settleTime excludes calls from the accounts' shares that were sent shortly
+// before the end of the window, because any policy would still be serving them.
+const settleTime = time.Second
+
+// blockTokens is the unit of the engines' caches; a prefix is found in whole
+// blocks only.
+const blockTokens = 16
+
+// summary computes the measures of a run.
+func (o *observation) summary(noisy int) Record {
+	r := Record{Programs: len(o.programs), Refusals: map[string]int{}}
+	var latencies, firsts []float64
+	for _, p := range o.programs {
+		if p.failed {
+			r.Failed++
+		}
+		latencies = append(latencies, p.ended.Sub(p.arrived).Seconds())
+	}
+	var prefill, wasted int64
+	for _, c := range o.calls {
+		if c.refusal != "" {
+			r.Refusals[c.refusal]++
+			continue
+		}
+		if c.model {
+			firsts = append(firsts, c.first.Seconds())
+			prefill += c.prompt - c.cached
+			held := min(c.held, c.prompt) / blockTokens * blockTokens
+			wasted += max(held-c.cached, 0)
+		}
+	}
+	r.ProgramLatencyMean, r.ProgramLatencyP95, r.ProgramLatencyP99 = mean(latencies), quantile(latencies, 0.95), quantile(latencies, 0.99)
+	r.FirstTokenP95 = quantile(firsts, 0.95)
+	if prefill > 0 {
+		r.WastedCacheRatio = float64(wasted) / float64(prefill)
+	}
+	r.WorstAccountShare = o.worstShare()
+	r.RefusedInsideRate = o.refusedInside(noisy)
+	r.CrossRegionBytes = o.crossRegion
+	return r
+}
+
+// worstShare compares the tokens served to each account in the window with its
+// weighted max-min fair part of all tokens served.
+func (o *observation) worstShare() float64 {
+	end := o.start.Add(o.window)
+	demand, served := make([]float64, len(accountShares)), make([]float64, len(accountShares))
+	total := 0.0
+	for _, c := range o.calls {
+		if !c.model || c.sent.After(end.Add(-settleTime)) || c.refusal == string(domain.ReasonRateExceeded) {
+			continue
+		}
+		demand[c.account] += float64(c.nominal)
+		if c.refusal == "" && !c.done.After(end) {
+			served[c.account] += float64(c.nominal)
+			total += float64(c.nominal)
+		}
+	}
+	fair := fairShares(demand, total)
+	worst := 1.0
+	for i := range fair {
+		if fair[i] > 0 {
+			worst = min(worst, served[i]/fair[i])
+		}
+	}
+	return worst
+}
+
+// fairShares divides a total by weight; what an account does not demand goes to
+// the others.
+func fairShares(demand []float64, total float64) []float64 {
+	out := make([]float64, len(demand))
+	open := make([]int, len(demand))
+	for i := range open {
+		open[i] = i
+	}
+	for len(open) > 0 {
+		weights := 0.0
+		for _, i := range open {
+			weights += float64(accountShares[i])
+		}
+		unit := total / weights
+		rest := slices.DeleteFunc(slices.Clone(open), func(i int) bool { return demand[i] <= unit*float64(accountShares[i]) })
+		if len(rest) == len(open) {
+			for _, i := range open {
+				out[i] = unit * float64(accountShares[i])
+			}
+			return out
+		}
+		for _, i := range open {
+			if !slices.Contains(rest, i) {
+				out[i] = demand[i]
+				total -= demand[i]
+			}
+		}
+		open = rest
+	}
+	return out
+}
+
+// refusedInside returns the part of the requests inside the accounts' rates
+// that was refused. The account that sends a multiple of its rate is left out.
+func (o *observation) refusedInside(noisy int) float64 {
+	requests, refused := 0, 0
+	for _, c := range o.calls {
+		if c.account == noisy || c.refusal == "aborted" {
+			continue
+		}
+		requests++
+		if c.refusal != "" {
+			refused++
+		}
+	}
+	if requests == 0 {
+		return 0
+	}
+	return float64(refused) / float64(requests)
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / math.Max(float64(len(values)), 1)
+}
+
+// quantile returns the smallest value that at least a part q of the values does
+// not exceed.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[max(int(math.Ceil(q*float64(len(sorted))))-1, 0)]
+}
--- /dev/null
+++ b/internal/measure/workload.go
@@ -0,0 +1,98 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// turn is one model call of a program and what follows it.
+type turn struct {
+	prompt    int // new prompt tokens
+	generated int
+	pause     time.Duration // after the call
+	tool      bool          // the pause ends with a call of a tool service
+	agent     *script       // a sub-agent that runs before the next turn
+}
+
+// script is a program's shape, fixed by the seed. The scheduler does not see it.
+type script struct {
+	name    string
+	account int
+	arrival time.Duration
+	turns   []turn
+}
+
+// accountShares are the parts of the offered programs of 8 accounts: a few
+// large ones and small ones. They are also the accounts' weights, in 1/100.
+var accountShares = []int{30, 24, 16, 10, 7, 5, 4, 4}
+
+// noisyAccount is the one that sends noisyFactor times its rate.
+const (
+	noisyAccount = 2
+	noisyFactor  = 5
+)
+
+// Shape of programs. The lengths are log-normal or geometric, so that a few
+// programs are much longer than the median.
+const (
+	moreTurns    = 0.75 // probability of a further turn
+	maxTurns     = 12
+	firstPrompt  = 1800.0
+	nextPrompt   = 450.0
+	promptSpread = 0.6
+	meanAnswer   = 24
+	meanPause    = 1.2 // seconds of simulated time
+	agentPart    = 0.08
+	toolPart     = 0.3
+)
+
+// makeScripts returns the programs that arrive in the window at a rate of
+// programs a second.
+func makeScripts(seed uint64, rate float64, window time.Duration, noisy bool) []*script {
+	r := rand.New(rand.NewPCG(seed, 0x6d65_6173))
+	var out []*script
+	for account, part := range accountShares {
+		accountRate := rate * float64(part) / 100
+		if noisy && account == noisyAccount {
+			accountRate *= noisyFactor * rateHeadroom
+		}
+		for at := r.ExpFloat64() / accountRate; at < window.Seconds(); at += r.ExpFloat64() / accountRate {
+			name := fmt.Sprintf("p-%d-%d-%d", seed, account, len(out))
+			out = append(out, &script{name: name, account: account, arrival: seconds(at), turns: makeTurns(r, true)})
+		}
+	}
+	return out
+}
+
+func makeTurns(r *rand.Rand, agents bool) []turn {
+	var out []turn
+	size := firstPrompt
+	for len(out) == 0 || len(out) < maxTurns && r.Float64() < moreTurns {
+		t := turn{
+			prompt:    int(size * math.Exp(promptSpread*r.NormFloat64())),
+			generated: 4 + r.IntN(2*meanAnswer-8),
+			pause:     seconds(r.ExpFloat64() * meanPause / TimeScale),
+			tool:      r.Float64() < toolPart,
+		}
+		if agents && r.Float64() < agentPart {
+			t.agent = &script{turns: makeTurns(r, false)}
+		}
+		out = append(out, t)
+		size = nextPrompt
+	}
+	return out
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// text returns a prompt of about n tokens of 4 bytes that is unique to its seed.
+func text(seed string, n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < 4*n; i++ {
+		fmt.Fprintf(&b, "%s-%d ", seed, i)
+	}
+	return b.String()[:4*n]
+}
