schedule: shrink a window on queueing only beyond one step's arrivals

Cause: an engine admits calls only between two steps, so a report often counts a call that waits for the next step. A window smaller than the number of VMs was never 0.8 in use, so it could not grow again. Change: a report counts when more calls wait than arrive in a step, and a window grows by what the VMs want as well as by what they use.

--- a/core/schedule/manager.go
+++ b/core/schedule/manager.go
@@ -100,7 +100,7 @@
 	if i := slices.IndexFunc(l.grants, func(g permitGrant) bool { return g.seq == r.Taken }); i > 0 {
 		l.grants = slices.Delete(l.grants, 0, i)
 	}
-	m.window.observe(now, r.Sample, m.total())
+	m.window.observe(now, r.Sample, max(m.total(), m.wanted()))
 	permits := m.grant(now, from, l, r.Exclusive)
 	g := &PermitGrant{Target: m.target, Seq: r.Seq, Permits: permits, Exclusive: m.exclusive == from && m.othersIdle(from), Window: m.Window(), Total: m.total(), Term: permitTerm}
 	return []domain.Send{{To: from, Body: g}}
@@ -174,6 +174,16 @@
 	return sum
 }
 
+// wanted sums the demand of the VMs. A window that is smaller than the number of
+// VMs is never in use as a whole, and must grow by demand.
+func (m *WindowManager) wanted() int {
+	sum := 0
+	for _, l := range m.leases {
+		sum += l.want
+	}
+	return sum
+}
+
 func (m *WindowManager) othersIdle(vm domain.VM) bool {
 	for other, l := range m.leases {
 		if other != vm && l.counted() > 0 {
--- a/core/schedule/window.go
+++ b/core/schedule/window.go
@@ -17,6 +17,10 @@
 	// baseDrift lets the base time follow an engine that became slower for good.
 	baseDrift = 0.002
 	smoothing = 0.2
+	// stepPart bounds the calls that arrive during one step of an engine, as a
+	// part of those that run.
+	stepPart  = 0.25
+	leastStep = 2
 )
 
 // window adapts the number of calls in flight on one target: additive increase
@@ -81,10 +85,12 @@
 }
 
 // report applies a load report. Calls that wait inside the engine would be
-// better off in the queue here. Reports measured before the last decrease
+// better off in the queue here. A few wait at any time, because an engine admits
+// calls only between two steps. Reports measured before the last decrease
 // describe the larger window.
 func (w *window) report(now time.Time, r LoadReport) {
-	if r.Waiting > 0 && !w.fixed && r.At.After(w.shrunkAt) {
+	betweenSteps := max(leastStep, int(stepPart*float64(r.Running)))
+	if r.Waiting > betweenSteps && !w.fixed && r.At.After(w.shrunkAt) {
 		w.size = max(min(w.size, float64(r.Running)), 1)
 		w.shrunkAt = now
 	}
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -22,10 +22,11 @@
 	crossRegion int64
 }
 
-// drive runs the programs on a fleet. With lose set, one engine dies after a
+// drive runs the programs on a fleet and ends those that still run when the
+// time to drain after the window is over. With lose set, one engine dies after a
 // third of the window.
-func drive(ctx context.Context, f *fleet, scripts []*script, window time.Duration, lose bool) *observation {
-	ctx, cancel := context.WithTimeout(ctx, window+drainLimit)
+func drive(ctx context.Context, f *fleet, scripts []*script, window, drain time.Duration, lose bool) *observation {
+	ctx, cancel := context.WithTimeout(ctx, window+drain)
 	defer cancel()
 	c := newCaller(f)
 	defer c.http.CloseIdleConnections()
