schedule: keep the permit renewals in a priority queue

Cause: NextWake visited all leased targets and sendPermitRequests sorted them, at each step of the control goroutine. Change: the leased targets are ordered by the time of their next request, so NextWake reads the first one and a renewal costs a logarithm of their number. The tests of core/schedule and core/controller pass.

--- a/core/schedule/dispatch.go
+++ b/core/schedule/dispatch.go
@@ -23,9 +23,7 @@
 			s.dispatchBaseline(now, p)
 		}
 	}
-	if len(s.leased) > 0 {
-		s.sendPermitRequests(now)
-	}
+	s.sendPermitRequests(now)
 	out := s.placed
 	s.placed, s.spare = s.spare[:0], out
 	return out
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -40,7 +38,7 @@
 	if t.info.Manager != "" {
 		t.lease.urgent = true
 		t.lease.usedAt = now
-		s.leased[t.order] = t
+		s.leased.set(t)
 	}
 }
 
@@ -66,19 +64,27 @@
 	}
 }
 
+// rescheduled restores a target's position after the time of its next request
+// has changed.
+func (s *Scheduler) rescheduled(t *target) {
+	if t.leaseIndex >= 0 {
+		s.leased.set(t)
+	}
+}
+
 // sendPermitRequests renews what is due.
 func (s *Scheduler) sendPermitRequests(now time.Time) {
-	for _, order := range slices.Sorted(maps.Keys(s.leased)) {
-		t := s.leased[order]
-		l := &t.lease
-		if now.Before(l.nextRequest()) {
-			continue
+	for {
+		t, ok := s.leased.top()
+		if !ok || now.Before(t.lease.nextRequest()) {
+			return
 		}
-		idle := t.running+len(t.parked) == 0 && t.reserved == nil && now.Sub(l.usedAt) >= permitIdle
+		idle := t.running+len(t.parked) == 0 && t.reserved == nil && now.Sub(t.lease.usedAt) >= permitIdle
 		if idle {
-			delete(s.leased, order)
+			s.leased.remove(t)
 		}
 		s.sends = append(s.sends, domain.Send{To: t.info.Manager, Body: s.permitRequest(now, t, idle)})
+		s.rescheduled(t)
 	}
 }
 
@@ -126,6 +132,7 @@
 	}
 	l := &t.lease
 	l.waiting, l.taken = false, g.Seq
+	s.rescheduled(t)
 	l.permits, l.exclusive, l.window = g.Permits, g.Exclusive, g.Window
 	l.until = l.sentAt.Add(time.Duration(float64(g.Term) * permitMargin))
 	t.external = max(g.Total-t.running, 0)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -20,8 +20,8 @@
 	programs map[domain.ProgramID]*program
 	cache    directory
 	timers   indexed[*call]
-	dirty    []*pool         // pools to look at in the next Dispatch
-	leased   map[int]*target // targets whose permits are renewed, by order
+	dirty    []*pool          // pools to look at in the next Dispatch
+	leased   indexed[*target] // targets whose permits are renewed, the next request first
 	aside    []*call
 	placed   []Placement
 	spare    []Placement // the result of the last Dispatch, to be reused
@@ -50,7 +50,16 @@
 	return &Scheduler{
 		config: c, accounts: map[domain.Account]*account{}, pools: map[PoolID]*pool{},
 		targets: map[domain.Target]*target{}, calls: map[domain.CallID]*call{},
-		programs: map[domain.ProgramID]*program{}, cache: newDirectory(), leased: map[int]*target{},
+		programs: map[domain.ProgramID]*program{}, cache: newDirectory(),
+		leased: indexed[*target]{
+			less: func(a, b *target) bool {
+				if x, y := a.lease.nextRequest(), b.lease.nextRequest(); !x.Equal(y) {
+					return x.Before(y)
+				}
+				return a.order < b.order
+			},
+			position: func(t *target) *int { return &t.leaseIndex },
+		},
 		timers: indexed[*call]{
 			less:     func(a, b *call) bool { return a.due.Before(b.due) },
 			position: func(c *call) *int { return &c.timerIndex },
@@ -107,7 +116,7 @@
 func (s *Scheduler) setTarget(now time.Time, info TargetInfo) {
 	t := s.targets[info.Name]
 	if t == nil {
-		t = &target{order: s.ordered, prefill: defaultPrefill, callTime: defaultCall, prefixes: prefixes{recent: list.New()}, paused: newPausedSet()}
+		t = &target{order: s.ordered, leaseIndex: -1, prefill: defaultPrefill, callTime: defaultCall, prefixes: prefixes{recent: list.New()}, paused: newPausedSet()}
 		t.window = newWindow(info.MaxBatch, isService(info))
 		s.ordered++
 		s.targets[info.Name] = t
@@ -117,6 +126,7 @@
 	}
 	if t.info.Manager != info.Manager {
 		t.lease = lease{}
+		s.rescheduled(t)
 	}
 	rewired := !slices.Equal(t.info.Pools, info.Pools)
 	t.info = info
@@ -161,7 +171,7 @@
 	}
 	t.info.Pools = nil
 	s.wire(t)
-	delete(s.leased, t.order)
+	s.leased.remove(t)
 	delete(s.targets, t.info.Name)
 }
 
@@ -261,7 +271,7 @@
 	if c, ok := s.timers.top(); ok {
 		wake = c.due
 	}
-	for _, t := range s.leased {
+	if t, ok := s.leased.top(); ok {
 		at := t.lease.nextRequest()
 		if wake.IsZero() || at.Before(wake) {
 			wake = at
--- a/core/schedule/target.go
+++ b/core/schedule/target.go
@@ -33,9 +33,11 @@
 	slots    []*slot
 	window   window
 	lease    lease
-	running  int
-	tokens   domain.Tokens // prompt tokens of the running calls
-	parked   []*call
+	// leaseIndex is the place among the targets whose permits are renewed.
+	leaseIndex int
+	running    int
+	tokens     domain.Tokens // prompt tokens of the running calls
+	parked     []*call
 	// reserved keeps the target for a crash suspect until that call has ended.
 	reserved *call
 	load     float64 // key in the pools' indexes
