--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,7 @@
 # Runs programs on 6 VMs through operator actions and failures, on free loopback ports.
 demo: build
 	scripts/demo.sh
+
+# Compares the scheduling policies on this machine; docs/measurements.md defines the fields.
+measure:
+	$(GO) run ./cmd/mangoknot-measure
--- a/core/schedule/dispatch.go
+++ b/core/schedule/dispatch.go
@@ -17,11 +17,13 @@
 		p := s.dirty[len(s.dirty)-1]
 		s.dirty = s.dirty[:len(s.dirty)-1]
 		p.dirty = false
-		s.dispatchPool(now, p)
-	}
-	if len(s.leased) > 0 {
-		s.sendPermitRequests(now)
+		if s.config.Policy == PolicyProject {
+			s.dispatchPool(now, p)
+		} else {
+			s.dispatchBaseline(now, p)
+		}
 	}
+	s.sendPermitRequests(now)
 	out := s.placed
 	s.placed, s.spare = s.spare[:0], out
 	return out
@@ -151,7 +153,7 @@
 	t.running++
 	t.tokens += c.Prompt
 	t.update(now)
-	if t.info.Manager != "" {
+	if t.info.Manager != "" && s.config.Policy == PolicyProject {
 		t.lease.usedAt = now
 		if t.free(now) <= 0 {
 			s.askPermits(now, t)
