httpapi: refuse malformed requests with a typed answer and bound slow bodies

Cause: the deadline of a body was lifted after it had passed, and requests refused before their body was read had none, so net/http waited for the rest of the body for ever, also without a key. Field names of a chat completion matched without regard to case, so that {"model":"a","MODEL":"b"} was checked and charged as b and run as a. net/http answered paths with empty or dot segments by a redirect and large headers without a body. The path of a plain service was passed on unescaped, and a service request without a body had a size bound of 0, which the target adapter refuses. A failed flush to the caller counted as a failure of the engine. Read errors named addresses.

Change: set the deadline for every request with a body and lift it only after the whole body; decode by exact names; check path and header size first; keep the escaped path; give requests without a body a bound of 1 byte; map flush errors to caller_gone; keep network errors out of the answers.

--- a/adapter/httpapi/chat.go
+++ b/adapter/httpapi/chat.go
@@ -37,40 +37,79 @@
 	if err := json.Unmarshal(body, &request.raw); err != nil || request.raw == nil {
 		return nil, badRequest("the body is not a JSON object: %v", jsonProblem(err))
 	}
-	var fields struct {
-		Model               string            `json:"model"`
-		Messages            []json.RawMessage `json:"messages"`
-		Stream              bool              `json:"stream"`
-		StreamOptions       *streamOptions    `json:"stream_options"`
-		MaxTokens           *int64            `json:"max_tokens"`
-		MaxCompletionTokens *int64            `json:"max_completion_tokens"`
-		N                   *int64            `json:"n"`
-	}
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, badRequest("a field of the chat completion has the wrong type: %v", jsonProblem(err))
-	}
-	if fields.Model == "" {
-		return nil, badRequest("the field model is missing; GET /v1/models lists the models")
-	}
-	if len(fields.Messages) == 0 {
-		return nil, badRequest("the field messages is missing or empty; send at least one message")
+	fields, err := readFields(request.raw)
+	if err != nil {
+		return nil, err
 	}
-	if fields.N != nil && *fields.N != 1 {
-		return nil, badRequest("n is %d; only n=1 is served, because a program has one history", *fields.N)
+	if err := fields.check(); err != nil {
+		return nil, err
 	}
-	limit, err := tokenLimit(fields.MaxTokens, fields.MaxCompletionTokens)
+	limit, err := tokenLimit(fields.maxTokens, fields.maxCompletionTokens)
 	if err != nil {
 		return nil, err
 	}
-	request.model = domain.ModelName(fields.Model)
-	request.messages = fields.Messages
-	request.stream = fields.Stream
-	request.includeUsage = fields.StreamOptions != nil && fields.StreamOptions.IncludeUsage
+	request.model = domain.ModelName(fields.model)
+	request.messages = fields.messages
+	request.stream = fields.stream
+	request.includeUsage = fields.streamOptions.IncludeUsage
 	request.maxTokens = limit
 	request.messagesBytes = len(request.raw["messages"]) + len(request.raw["tools"])
 	return request, nil
 }
 
+// maxModelBytes bounds a model's name, which travels in control messages.
+const maxModelBytes = 200
+
+// chatFields are the fields that the front end reads.
+type chatFields struct {
+	model               string
+	messages            []json.RawMessage
+	stream              bool
+	streamOptions       streamOptions
+	maxTokens           *int64
+	maxCompletionTokens *int64
+	n                   *int64
+}
+
+// readFields decodes by exact names. Decoding into a struct would also match
+// names that differ in case, so that {"model":"a","MODEL":"b"} would be checked
+// and charged as b and run by the engine as a.
+func readFields(raw map[string]json.RawMessage) (chatFields, error) {
+	var f chatFields
+	for name, into := range map[string]any{
+		"model": &f.model, "messages": &f.messages, "stream": &f.stream, "stream_options": &f.streamOptions,
+		"max_tokens": &f.maxTokens, "max_completion_tokens": &f.maxCompletionTokens, "n": &f.n,
+	} {
+		value, ok := raw[name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(value, into); err != nil {
+			return f, badRequest("the field %s of the chat completion has the wrong type; check it against the API", name)
+		}
+	}
+	return f, nil
+}
+
+func (f *chatFields) check() error {
+	switch {
+	case f.model == "":
+		return badRequest("the field model is missing; GET /v1/models lists the models")
+	case len(f.model) > maxModelBytes:
+		return badRequest("the field model has %d bytes; GET /v1/models lists the models", len(f.model))
+	case len(f.messages) == 0:
+		return badRequest("the field messages is missing or empty; send at least one message")
+	case f.n != nil && *f.n != 1:
+		return badRequest("n is %d; only n=1 is served, because a program has one history", *f.n)
+	}
+	for i, message := range f.messages {
+		if message[0] != '{' {
+			return badRequest("message %d is not a JSON object; send objects with role and content", i)
+		}
+	}
+	return nil
+}
+
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
 }
--- a/adapter/httpapi/exchange.go
+++ b/adapter/httpapi/exchange.go
@@ -117,10 +117,14 @@
 
 func (e *chatExchange) write(payload []byte) error {
 	e.begin("text/event-stream")
-	if _, err := e.w.Write(sseFrame(payload)); err != nil {
+	_, err := e.w.Write(sseFrame(payload))
+	if err == nil {
+		err = http.NewResponseController(e.w).Flush()
+	}
+	if err != nil {
 		return domain.Unknown(domain.ReasonCallerGone, "the caller's connection ended")
 	}
-	return http.NewResponseController(e.w).Flush()
+	return nil
 }
 
 // Turn implements port.ChatExchange. A whole conversation that goes on from the
--- a/adapter/httpapi/request.go
+++ b/adapter/httpapi/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"unicode/utf8"
@@ -51,6 +52,33 @@
 	return key, nil
 }
 
+// checkHeaderSize bounds all headers together.
+func (a *API) checkHeaderSize(h http.Header) error {
+	total := 0
+	for name, values := range h {
+		for _, value := range values {
+			total += len(name) + len(value)
+		}
+	}
+	if total > a.limits.HeaderBytes {
+		return domain.NotRun(domain.ReasonTooLarge, "the headers have %d bytes together; send at most %d", total, a.limits.HeaderBytes)
+	}
+	return nil
+}
+
+// checkPath refuses paths that net/http would answer with a redirect: a client
+// that follows it may repeat a request that must run once.
+func checkPath(r *http.Request) error {
+	segments := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	for i, segment := range segments {
+		empty := segment == "" && i < len(segments)-1
+		if empty || segment == "." || segment == ".." {
+			return badRequest("the path holds an empty, . or .. segment; send the path without it")
+		}
+	}
+	return nil
+}
+
 func checkSingleHeaders(h http.Header) error {
 	for _, name := range singleHeaders {
 		if n := len(h.Values(name)); n > 1 {
@@ -115,19 +143,33 @@
 	return domain.ProgramName(name), nil
 }
 
-// readBody reads a bounded body within the read timeout.
+// limitReading bounds the time for the whole body. net/http reads the rest of
+// a body before it ends a refused request, so without a deadline a sender that
+// stops half-way would hold the connection for ever, also without a key.
+func (a *API) limitReading(w http.ResponseWriter, r *http.Request) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	// A recorder in a test has no deadline.
+	_ = http.NewResponseController(w).SetReadDeadline(deadlineAfter(a.limits.ReadTimeout))
+}
+
+// readBody reads a bounded body within the read timeout. The deadline is
+// lifted only after the whole body, because a long answer is not bounded by it.
 func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	// The deadline bounds slow senders; a long answer is not bounded by it.
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(deadlineAfter(a.limits.ReadTimeout))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.BodyBytes))
-	_ = controller.SetReadDeadline(noDeadline)
+	if err == nil {
+		_ = http.NewResponseController(w).SetReadDeadline(noDeadline)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, domain.NotRun(domain.ReasonTooLarge, "the body is larger than %d bytes; send less, or send only new messages with %s: new", a.limits.BodyBytes, messagesHeader)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, badRequest("the body did not arrive within %s; send it faster, or send less", a.limits.ReadTimeout)
 	case err != nil:
-		return nil, badRequest("the body could not be read in full: %v", err)
+		// The error itself names addresses of this VM.
+		return nil, badRequest("the body could not be read in full; check its length and encoding")
 	}
 	return data, nil
 }
--- a/adapter/httpapi/server.go
+++ b/adapter/httpapi/server.go
@@ -64,7 +64,24 @@
 		mux.Handle("GET /metrics", metrics)
 	}
 	mux.HandleFunc("/", a.notFound)
-	return a.recovered(mux)
+	return a.recovered(a.checked(mux))
+}
+
+// checked refuses requests whose headers or path are malformed before they are
+// routed.
+func (a *API) checked(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.limitReading(w, r)
+		err := a.checkHeaderSize(r.Header)
+		if err == nil {
+			err = checkPath(r)
+		}
+		if err != nil {
+			a.refuse(w, port.Identity{}, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Server returns an HTTP server with the limits set.
@@ -73,7 +90,8 @@
 		Handler:           a.Handler(metrics),
 		ReadHeaderTimeout: a.limits.ReadTimeout,
 		IdleTimeout:       a.limits.IdleTimeout,
-		MaxHeaderBytes:    a.limits.HeaderBytes,
+		// net/http refuses without a body, so its bound is above the front end's.
+		MaxHeaderBytes: 4 * a.limits.HeaderBytes,
 	}
 }
 
--- a/adapter/httpapi/services.go
+++ b/adapter/httpapi/services.go
@@ -42,23 +42,30 @@
 }
 
 func (a *API) plainRequest(w http.ResponseWriter, r *http.Request) (port.ServiceRequest, error) {
+	if err := checkSingleHeaders(r.Header); err != nil {
+		return port.ServiceRequest{}, err
+	}
 	body, err := a.readBody(w, r)
 	if err != nil {
 		return port.ServiceRequest{}, err
 	}
-	path := r.PathValue("path")
-	if slices.Contains(strings.Split(path, "/"), "..") {
-		return port.ServiceRequest{}, badRequest("the path holds a .. segment; leave it out")
-	}
 	return port.ServiceRequest{
 		Method: r.Method,
-		Path:   path,
+		Path:   servicePath(r),
 		Query:  r.URL.RawQuery,
 		Header: port.Header(pick(r.Header, forwardedHeaders)),
 		Body:   body,
 	}, nil
 }
 
+// servicePath returns the path below the route as the caller escaped it, so
+// that %2F and %3F in a segment do not become separators.
+func servicePath(r *http.Request) string {
+	// The pattern has matched /v1/services/{route}, so there are 5 parts at most.
+	parts := strings.SplitN(r.URL.EscapedPath(), "/", 5)
+	return strings.Join(parts[min(4, len(parts)):], "")
+}
+
 func (a *API) openService(w http.ResponseWriter, r *http.Request, route string) {
 	request, err := a.plainRequest(w, r)
 	if err != nil {
--- a/node/service.go
+++ b/node/service.go
@@ -74,9 +74,11 @@
 	call := port.PlainCall{
 		Target: target, Call: id, Method: r.Method, Path: "/" + r.Path, Query: r.Query, Header: r.Header,
 		MaxAnswer: n.config.MaxAnswerBytes, Timeout: route.Timeout,
+		// The bound must be above 0 for a request without a body, too.
+		MaxBody: max(int64(len(r.Body)), 1),
 	}
 	if len(r.Body) > 0 {
-		call.Body, call.BodyLength, call.MaxBody = bytes.NewReader(r.Body), int64(len(r.Body)), int64(len(r.Body))
+		call.Body, call.BodyLength = bytes.NewReader(r.Body), int64(len(r.Body))
 	}
 	answer, err := n.ports.Targets.Plain(ctx, call)
 	if err != nil {
