share: wait before asking again after an empty answer

Cause: the root of an account's rate deletes its open request when a holder answers with no tokens and asks again at once while requests wait. When root and holder are on one VM, both messages stay inside one controller step, which never ends: the control goroutine spins and every call on the VM hangs.

Change: an empty answer keeps the request open, so that the next one follows after askTimeout, as after a lost answer.

--- a/core/share/borrower.go
+++ b/core/share/borrower.go
@@ -92,7 +92,12 @@
 	if !ok || a.seq != seq {
 		return false
 	}
-	delete(b.asked, from)
+	// After an empty answer the entry stays, so that the next request waits for
+	// askTimeout. A lender on the same VM answers within the same step, which
+	// would otherwise never end.
+	if len(items) > 0 {
+		delete(b.asked, from)
+	}
 	for _, it := range items {
 		term := time.Duration(float64(it.Term) * borrowerTerm)
 		expires := a.at.Add(term)
