Ask for permits on demand and repeat the orders of running calls

A call whose end was reported in a lost message blocked its program, because the owner sent its order once. Change: targets that did not change are left alone, only those of the own data centre are asked ahead, and the owner repeats the orders of running calls.

--- a/core/program/end.go
+++ b/core/program/end.go
@@ -161,7 +161,9 @@
 }
 
 // scan ends programs that are idle or run for too long. A parent is not idle
-// while it has children.
+// while it has children. It also repeats the orders of running calls: an entry
+// VM that does not know the call any more reports its end, which would
+// otherwise block the program when that report was lost.
 func (s *Store) scan(now time.Time, e *Effects) {
 	s.scanned = now
 	if limit := s.view.Preset().MaxWallTime; limit > 0 {
@@ -172,6 +174,11 @@
 	s.endWhere(now, domain.ReasonProgramEnded, e, func(p *program) bool {
 		return p.active == nil && len(p.queue) == 0 && p.children == 0 && now.UnixNano()-p.used >= int64(idleTime)
 	})
+	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
+		if c := s.calls[id]; c.state == running {
+			s.sendStart(c, e)
+		}
+	}
 }
 
 // forget drops outcomes, keys and ended programs after their times. A key of a
--- a/core/schedule/lease.go
+++ b/core/schedule/lease.go
@@ -42,13 +42,22 @@
 	}
 }
 
-// askPool asks the next targets of a pool that has queued calls and no place.
+// askPool asks targets of a pool that has queued calls and no place: the next
+// ones of the own data centre, and one of all.
 func (s *Scheduler) askPool(now time.Time, p *pool) {
-	for range min(askWidth, len(p.slots)) {
-		p.cursor++
-		if t := p.slots[p.cursor%len(p.slots)].target; !t.info.Leaving && t.reserved == nil {
-			s.askPermits(now, t)
-		}
+	for range min(askWidth, len(p.near)) {
+		s.askNext(now, p, p.near)
+	}
+	s.askNext(now, p, p.slots)
+}
+
+func (s *Scheduler) askNext(now time.Time, p *pool, slots []*slot) {
+	if len(slots) == 0 {
+		return
+	}
+	p.cursor++
+	if t := slots[p.cursor%len(slots)].target; !t.info.Leaving && t.reserved == nil {
+		s.askPermits(now, t)
 	}
 }
 
--- a/core/schedule/queue.go
+++ b/core/schedule/queue.go
@@ -72,8 +72,10 @@
 	ready indexed[*flow] // flows with queued calls
 	// open holds the targets with a free place for each distance, the least
 	// loaded first.
-	open    [distances]indexed[*slot]
-	slots   []*slot
+	open  [distances]indexed[*slot]
+	slots []*slot
+	// near lists the slots of targets in the scheduler's own data centre.
+	near    []*slot
 	virtual float64
 	queued  int
 	suspect *call // the call that waits for a target to drain
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"reflect"
 	"slices"
 	"time"
 
@@ -113,8 +114,20 @@
 	}
 }
 
+// sameInfo says whether two descriptions of a target are equal.
+func sameInfo(a, b TargetInfo) bool {
+	if !slices.Equal(a.Pools, b.Pools) {
+		return false
+	}
+	a.Pools, b.Pools = nil, nil
+	return reflect.DeepEqual(a, b)
+}
+
 func (s *Scheduler) setTarget(now time.Time, info TargetInfo) {
 	t := s.targets[info.Name]
+	if t != nil && sameInfo(t.info, info) {
+		return
+	}
 	if t == nil {
 		t = &target{order: s.ordered, leaseIndex: -1, prefill: defaultPrefill, callTime: defaultCall, prefixes: prefixes{recent: list.New()}, paused: newPausedSet()}
 		t.window = newWindow(info.MaxBatch, isService(info))
@@ -138,7 +151,9 @@
 	if info.Leaving {
 		s.unparkAll(now, t)
 		s.startReserved(now, t)
-	} else if info.Manager != "" {
+	} else if t.distance == sameDataCentre {
+		// Other targets are asked when calls need them: a request for each of
+		// 3,000 targets from each of 360 VMs would follow every change.
 		s.askPermits(now, t)
 	}
 	s.freed(now, t)
@@ -147,13 +162,18 @@
 // wire puts the target into the pools it serves.
 func (s *Scheduler) wire(t *target) {
 	for _, sl := range t.slots {
-		sl.pool.slots = slices.DeleteFunc(sl.pool.slots, func(o *slot) bool { return o == sl })
+		isSlot := func(o *slot) bool { return o == sl }
+		sl.pool.slots = slices.DeleteFunc(sl.pool.slots, isSlot)
+		sl.pool.near = slices.DeleteFunc(sl.pool.near, isSlot)
 	}
 	t.slots = nil
 	for _, id := range t.info.Pools {
 		sl := &slot{target: t, pool: s.pool(id), index: -1}
 		t.slots = append(t.slots, sl)
 		sl.pool.slots = append(sl.pool.slots, sl)
+		if t.distance == sameDataCentre {
+			sl.pool.near = append(sl.pool.near, sl)
+		}
 	}
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -134,8 +134,10 @@
   op target put "tools-$dc" --kind service --target-address "${tool_of[$dc]}" --data-centre "$dc" --region "${region[$dc]}" >/dev/null
   services+=("tools-$dc")
 done
-op route put lookup --repeatable --timeout 10s --target "${services[@]}" >/dev/null
-op route put payment --timeout 10s --price 0.001 --target "${services[@]}" >/dev/null
+service_options=()
+for service in "${services[@]}"; do service_options+=(--target "$service"); done
+op route put lookup --repeatable --timeout 10s "${service_options[@]}" >/dev/null
+op route put payment --timeout 10s --price 0.001 "${service_options[@]}" >/dev/null
 accounts=()
 for account in harbor:2 market:1 corner:1 visitor:1; do
   name=${account%:*} weight=${account#*:}
