Do not ask an empty holder again at once

Cause: a root with a waiting request asked a holder again on every answer without tokens. When root and holder are on one VM, time does not pass between the messages, so Controller.settle never ended. The VM's control goroutine stood still, the others declared it dead, and its programs had no owner.

Change: after an answer without tokens the root waits for its Tick.

Conclusion: the loop is gone; a test of the case is still to be written.

--- a/core/share/source.go
+++ b/core/share/source.go
@@ -142,6 +142,13 @@
 			out = append(out, l.newRequest(now, l.account, from, RoleRoot, m.Epoch, 0))
 			l.lots = nil
 		}
+		if len(m.Items) == 0 {
+			// Asking an empty holder again at once would never end when it is on
+			// this VM. Tick asks it again.
+			l.serveWaiters(now, partialDelay, answerDelay, true, &out)
+			r.touch(now, l)
+			return out
+		}
 		r.serve(now, l, &out)
 	}
 	return out
