--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -91,7 +91,7 @@
 MANGOKNOT_OPERATOR_TOKEN=$(json_text token <"$work/operator.json")
 export MANGOKNOT_OPERATOR_TOKEN
 json_text line <"$work/operator.json" >"$work/operators"
-op() { "$bin/mangoknot" --address "${operators[@]}" --output json "$@" 2>>"$work/operator.log"; }
+op() { "$bin/mangoknot" "${operators[@]/#/--address=}" --output json "$@" 2>>"$work/operator.log"; }
 
 ### Stand-ins and VMs
 engines=()
