daemon: let a planned stop finish the running calls

Cause: http.Server.Serve returns as soon as Shutdown begins. The callers' actor returned with it, so the run group stopped all actors and cut the calls that still ran after 5 s, whatever the drain deadline.

Change: the actor waits until the group is stopped. Listen and NewOn split New, so that tests can start several VMs on ports that the system chooses.

--- a/internal/daemon/actors.go
+++ b/internal/daemon/actors.go
@@ -24,9 +24,13 @@
 		defer d.Close()
 		return d.Node.Run(control)
 	}, func(error) { stopControl() })
-	group.Add(func() error { return d.grpc.Serve(d.peerListener) }, func(error) { d.grpc.Stop() })
-	group.Add(func() error { return serveHTTP(d.callers, d.callerListener) }, func(error) { stopHTTP(d.callers) })
-	group.Add(func() error { return serveHTTP(d.operators, d.operatorListener) }, func(error) { stopHTTP(d.operators) })
+	group.Add(func() error { return d.grpc.Serve(d.listeners.Peers) }, func(error) { d.grpc.Stop() })
+	served, stopServed := context.WithCancel(context.Background())
+	group.Add(func() error { return d.serveCallers(served) }, func(error) {
+		stopHTTP(d.callers)
+		stopServed()
+	})
+	group.Add(func() error { return serveHTTP(d.operators, d.listeners.Operators) }, func(error) { stopHTTP(d.operators) })
 	drain, stopDrain := context.WithCancel(context.Background())
 	group.Add(func() error { return d.plannedStop(drain) }, func(error) { stopDrain() })
 	if d.list != nil {
@@ -35,6 +39,17 @@
 	}
 }
 
+// serveCallers ends when the group is stopped. Serve itself returns as soon as
+// a planned stop shuts the server down, while calls still run; an actor that
+// returned then would stop the group and cut them.
+func (d *Daemon) serveCallers(stopped context.Context) error {
+	if err := serveHTTP(d.callers, d.listeners.Callers); err != nil {
+		return err
+	}
+	<-stopped.Done()
+	return nil
+}
+
 func serveHTTP(server *http.Server, listener net.Listener) error {
 	var err error
 	if server.TLSConfig != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,60 +53,74 @@
 	callers   *http.Server
 	operators *http.Server
 
-	callerListener   net.Listener
-	operatorListener net.Listener
-	peerListener     net.Listener
+	listeners Listeners
+}
+
+// Listeners are the open sockets of a VM.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
 }
 
 // New loads the durable state, opens the listeners and wires the parts. The
 // settings must have passed their check.
 func New(s settings.Settings, log logr.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, Metrics: metrics.New()}
-	if err := d.listen(); err != nil {
+	listeners, err := Listen(s)
+	if err != nil {
 		return nil, err
 	}
+	return NewOn(s, listeners, log)
+}
+
+// NewOn is New on listeners that are open already, so that settings of several
+// VMs can name ports that the system chose. It closes them when it fails.
+func NewOn(s settings.Settings, listeners Listeners, log logr.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, Metrics: metrics.New(), listeners: listeners}
 	if err := d.wire(); err != nil {
-		d.closeListeners()
+		listeners.close()
 		return nil, err
 	}
 	return d, nil
 }
 
-func (d *Daemon) listen() error {
+// Listen opens the sockets that the settings name.
+func Listen(s settings.Settings) (Listeners, error) {
+	var out Listeners
 	for _, l := range []struct {
 		address  string
 		listener *net.Listener
 	}{
-		{d.settings.Listen, &d.callerListener},
-		{d.settings.OperatorListen, &d.operatorListener},
-		{d.settings.PeerListen, &d.peerListener},
+		{s.Listen, &out.Callers},
+		{s.OperatorListen, &out.Operators},
+		{s.PeerListen, &out.Peers},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
-			d.closeListeners()
-			return fmt.Errorf("daemon: listen on %s (choose a free port of this VM): %w", l.address, err)
+			out.close()
+			return Listeners{}, fmt.Errorf("daemon: listen on %s (choose a free port of this VM): %w", l.address, err)
 		}
 		*l.listener = listener
 	}
-	return nil
+	return out, nil
 }
 
-func (d *Daemon) closeListeners() {
-	for _, l := range []net.Listener{d.callerListener, d.operatorListener, d.peerListener} {
-		if l != nil {
-			_ = l.Close()
+func (l Listeners) close() {
+	for _, listener := range []net.Listener{l.Callers, l.Operators, l.Peers} {
+		if listener != nil {
+			_ = listener.Close()
 		}
 	}
 }
 
 // CallerAddress returns the address for callers, for settings with port 0.
-func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
+func (d *Daemon) CallerAddress() string { return d.listeners.Callers.Addr().String() }
 
 // OperatorAddress returns the address for operators.
-func (d *Daemon) OperatorAddress() string { return d.operatorListener.Addr().String() }
+func (d *Daemon) OperatorAddress() string { return d.listeners.Operators.Addr().String() }
 
 // PeerAddress returns the address for the other VMs.
-func (d *Daemon) PeerAddress() string { return d.peerListener.Addr().String() }
+func (d *Daemon) PeerAddress() string { return d.listeners.Peers.Addr().String() }
 
 func (d *Daemon) wire() error {
 	c, err := codec.New(controller.Messages(), controller.Records())
