operatorapi: type every refusal and say when to retry

Cause: refusals that waiting helps carried no Retry-After, oversized bodies were answered as bad_request, and unknown paths by a bare text.

Change: set Retry-After, answer too_large with 413 and route_unknown with 404, both with code, remedy and outcome.

--- a/adapter/operatorapi/server.go
+++ b/adapter/operatorapi/server.go
@@ -10,8 +10,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -104,6 +106,9 @@
 	mux.HandleFunc("POST /v1/changes", a.change)
 	mux.HandleFunc("POST /v1/keys/{id}/withdraw", a.withdraw)
 	mux.HandleFunc("POST /v1/drain", a.drain)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		writeError(w, domain.NotRun(domain.ReasonRouteUnknown, "no such path or method; see the operators' interface"))
+	})
 	return a.authenticated(mux)
 }
 
@@ -233,6 +238,10 @@
 	decoder := json.NewDecoder(r)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return domain.NotRun(domain.ReasonTooLarge, "the body is larger than %d bytes; send less", tooLarge.Limit)
+		}
 		return badRequest("the body is not valid: %v", err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
@@ -269,6 +278,13 @@
 		status = http.StatusBadRequest
 	case domain.ReasonConflict:
 		status = http.StatusConflict
+	case domain.ReasonTooLarge:
+		status = http.StatusRequestEntityTooLarge
+	case domain.ReasonRouteUnknown:
+		status = http.StatusNotFound
+	}
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
 	}
 	writeJSON(w, status, ErrorAnswer{Code: refusal.Reason, Message: refusal.Remedy, Outcome: refusal.Outcome.String()})
 }
