daemon: wait for both keys before the tests of six VMs begin

Cause: the wait looked for one of two keys, and the order in which they are put is random, so TestTargetNeverSeesKey failed with 401 in 1 of 2 runs.

Change: wait for both.

--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -172,8 +172,10 @@
 	s.configure(t)
 	eventually(t, "all VMs are ready, know the keys and hold all shards twice", func() bool {
 		for _, v := range s.vms {
-			if !v.ready(t) || v.Node.View().KeyByHash(sha256.Sum256([]byte(keyTwo))) == nil {
-				return false
+			for _, key := range []string{keyOne, keyTwo} {
+				if !v.ready(t) || v.Node.View().KeyByHash(sha256.Sum256([]byte(key))) == nil {
+					return false
+				}
 			}
 		}
 		status, err := s.vms[0].operator().Status(t.Context())
