--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"github.com/mangoknot/mangoknot/adapter/codec"
 	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/membership"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -26,6 +28,9 @@
 	queueLength = 4096
 	// maxBatch bounds the messages of one frame.
 	maxBatch = 128
+	// maxFresh bounds the probes to one peer that are under way over connections
+	// of their own.
+	maxFresh = 4
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = time.Second
 	// firstRetryDelay and lastRetryDelay bound the delay before the next attempt.
@@ -69,6 +74,9 @@
 	c.mu.Lock()
 	l := c.links[s.To]
 	c.mu.Unlock()
+	if l != nil && wantsFresh(s.Body) {
+		return l.sendFresh(s.Body)
+	}
 	if l != nil {
 		select {
 		case l.queue <- s.Body:
@@ -80,6 +88,64 @@
 	return false
 }
 
+// wantsFresh says whether a message must go over a connection of its own: a
+// probe that tells a silent connection from a dead VM.
+func wantsFresh(m domain.Message) bool {
+	switch m := m.(type) {
+	case *membership.Ping:
+		return m.Fresh
+	case *membership.Ack:
+		return m.Fresh
+	default:
+		return false
+	}
+}
+
+// sendFresh sends one message over a new connection, which is closed
+// afterwards. At most maxFresh of them are open to one peer.
+func (l *link) sendFresh(m domain.Message) bool {
+	select {
+	case l.fresh <- struct{}{}:
+	default:
+		l.client.dropped(l.vm)
+		return false
+	}
+	go func() {
+		defer func() { <-l.fresh }()
+		ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+		defer cancel()
+		if err := l.sendOnce(ctx, m); err != nil {
+			l.client.log.V(1).Info("a probe over a new connection failed", "peer", l.vm, "error", err.Error())
+		}
+	}()
+	return true
+}
+
+func (l *link) sendOnce(ctx context.Context, m domain.Message) error {
+	conn, err := l.client.dial(l.address, maxControlFrameBytes)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx = metadata.AppendToOutgoingContext(ctx, senderHeader, string(l.client.self))
+	stream, err := conn.NewStream(ctx, &messageStream, messageMethod)
+	if err != nil {
+		return err
+	}
+	if err := l.sendBatch(stream, []domain.Message{m}); err != nil {
+		return err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return err
+	}
+	var reply []byte
+	// The server ends the stream after it has read the message.
+	if err := stream.RecvMsg(&reply); !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
 // Replace implements port.Peers. Queued messages are kept.
 func (c *Client) Replace(vm domain.VM) {
 	c.mu.Lock()
@@ -136,6 +202,7 @@
 		address: address,
 		queue:   make(chan domain.Message, queueLength),
 		replace: make(chan struct{}, 1),
+		fresh:   make(chan struct{}, maxFresh),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -164,8 +231,12 @@
 	address string
 	queue   chan domain.Message
 	replace chan struct{}
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// fresh bounds the connections that carry one probe each.
+	fresh chan struct{}
+	// unsent is the batch that a replaced connection did not take.
+	unsent []domain.Message
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu      sync.Mutex
 	history *grpc.ClientConn
@@ -181,20 +252,26 @@
 func (l *link) run() {
 	delay := firstRetryDelay
 	for {
-		var first domain.Message
-		select {
-		case <-l.ctx.Done():
-			return
-		case first = <-l.queue:
+		if len(l.unsent) == 0 {
+			select {
+			case <-l.ctx.Done():
+				return
+			case first := <-l.queue:
+				l.unsent = []domain.Message{first}
+			}
 		}
-		err := l.connectAndSend(first)
+		err := l.connectAndSend()
 		if err == nil {
 			delay = firstRetryDelay
 			continue
 		}
-		if l.ctx.Err() == nil {
-			l.client.log.V(1).Info("connection ended; reconnecting", "peer", l.vm, "error", err.Error())
+		if l.ctx.Err() != nil {
+			return
 		}
+		// What a broken connection did not take is dropped, because the protocols
+		// repeat it; only a replacement keeps it.
+		l.unsent = nil
+		l.client.log.V(1).Info("connection ended; reconnecting", "peer", l.vm, "error", err.Error())
 		l.pause(delay)
 		delay = min(2*delay, lastRetryDelay)
 	}
@@ -212,7 +289,7 @@
 // connectAndSend opens one connection and sends until it is idle, fails, is
 // replaced or the link closes. It returns nil when the connection was idle or
 // replaced.
-func (l *link) connectAndSend(first domain.Message) error {
+func (l *link) connectAndSend() error {
 	conn, err := l.client.dial(l.address, maxControlFrameBytes)
 	if err != nil {
 		return err
@@ -231,7 +308,7 @@
 	}()
 	stream, err := conn.NewStream(ctx, &messageStream, messageMethod, grpc.WaitForReady(true))
 	if err == nil {
-		err = l.sendQueued(ctx, stream, first)
+		err = l.sendQueued(ctx, stream)
 	}
 	if errors.Is(context.Cause(ctx), errReplaced) {
 		return nil
@@ -239,7 +316,7 @@
 	return err
 }
 
-func (l *link) sendQueued(ctx context.Context, stream grpc.ClientStream, first domain.Message) error {
+func (l *link) sendQueued(ctx context.Context, stream grpc.ClientStream) error {
 	ended := make(chan error, 1)
 	go func() {
 		var reply []byte
@@ -248,9 +325,11 @@
 	idle := time.NewTimer(idleTimeout)
 	defer idle.Stop()
 	for {
-		if err := l.sendBatch(stream, l.collect(first)); err != nil {
+		l.collect()
+		if err := l.sendBatch(stream, l.unsent); err != nil {
 			return err
 		}
+		l.unsent = nil
 		idle.Reset(idleTimeout)
 		select {
 		case <-ctx.Done():
@@ -259,7 +338,8 @@
 			return fmt.Errorf("peer closed the stream: %w", err)
 		case <-idle.C:
 			return stream.CloseSend()
-		case first = <-l.queue:
+		case first := <-l.queue:
+			l.unsent = []domain.Message{first}
 		}
 	}
 }
@@ -274,17 +354,15 @@
 }
 
 // collect adds the messages that are queued already to the batch.
-func (l *link) collect(first domain.Message) []domain.Message {
-	batch := []domain.Message{first}
-	for len(batch) < maxBatch {
+func (l *link) collect() {
+	for len(l.unsent) < maxBatch {
 		select {
 		case m := <-l.queue:
-			batch = append(batch, m)
+			l.unsent = append(l.unsent, m)
 		default:
-			return batch
+			return
 		}
 	}
-	return batch
 }
 
 func (c *Client) frame(batch []domain.Message) ([]byte, error) {
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/mangoknot/mangoknot/adapter/codec"
 	"github.com/mangoknot/mangoknot/adapter/history"
 	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/membership"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -76,6 +78,52 @@
 	must.False(t, client.Send(domain.Send{To: "unknown", Body: &note{}}))
 }
 
+// Guards against a probe that uses the connection it is meant to check: a fresh
+// ping must arrive although the stream of the link was never opened.
+func TestFreshProbeHasItsOwnConnection(t *testing.T) {
+	c, err := codec.New(membership.Messages(), nil)
+	must.NoError(t, err)
+	received := make(chan domain.Message, 10)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	accepted := &countingListener{Listener: listener}
+	server := NewServer(c, handlerFunc(func(m domain.Message) { received <- m }), history.NewMemory(), logr.Discard()).GRPC()
+	go func() { _ = server.Serve(accepted) }()
+	t.Cleanup(server.Stop)
+	client := NewClient("a", c, insecure.NewCredentials(), logr.Discard(), func(domain.VM) {})
+	t.Cleanup(client.Close)
+	client.SetAddresses(map[domain.VM]string{"b": listener.Addr().String()})
+	for _, m := range []domain.Message{&membership.Ping{Sequence: 1}, &membership.Ping{Sequence: 2, Fresh: true}, &membership.Ack{Sequence: 3, Fresh: true}} {
+		must.True(t, client.Send(domain.Send{To: "b", Body: m}))
+		select {
+		case <-received:
+		case <-time.After(waitLimit):
+			t.Fatal("a probe did not arrive")
+		}
+	}
+	must.Eq(t, 3, int(accepted.count.Load()))
+}
+
+type countingListener struct {
+	net.Listener
+	count atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.count.Add(1)
+	}
+	return conn, err
+}
+
+type handlerFunc func(domain.Message)
+
+func (f handlerFunc) Receive(_ domain.VM, m domain.Message) bool {
+	f(m)
+	return true
+}
+
 // Guards against history errors that lose their kind between VMs.
 func TestHistoryTransfer(t *testing.T) {
 	client, _, _ := startPair(t)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -129,7 +129,7 @@
   for address in ${engine_of[$dc]}; do
     number=$((number + 1))
     op target put "engine-$dc-$number" --target-address "$address" --data-centre "$dc" --region "${region[$dc]}" \
-      --model model-a model-b --fencing >/dev/null
+      --model model-a --model model-b --fencing >/dev/null
   done
   op target put "tools-$dc" --kind service --target-address "${tool_of[$dc]}" --data-centre "$dc" --region "${region[$dc]}" >/dev/null
   services+=("tools-$dc")
