Turn measured records into a page with plots and end every measurement

Cause: a measurement printed its records and then waited for its fleet without end, so no file was written; there was no report. Change: closing a fleet is bounded, the file is a list of records, and mangoknot report writes an HTML page with a plot for each measure.

--- a/cmd/mangoknot-measure/main.go
+++ b/cmd/mangoknot-measure/main.go
@@ -40,7 +40,8 @@
 	if err != nil {
 		return err
 	}
-	data, err := json.MarshalIndent(result, "", "  ")
+	fmt.Printf("capacity, programs a second: %v; time scale %v\n", result.Capacity, result.TimeScale)
+	data, err := json.MarshalIndent(result.Records, "", "  ")
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -52,6 +52,7 @@
 	Program  *programCommand  `arg:"subcommand:program" help:"agent programs"`
 	Spend    *spendCommand    `arg:"subcommand:spend" help:"spend and forecast"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"what the VM knows of the system"`
+	Report   *reportCommand   `arg:"subcommand:report" help:"turn measured records into an HTML page with plots"`
 	Drain    *drainCommand    `arg:"subcommand:drain" help:"planned stop of the VM at the first address"`
 	Operator *operatorCommand `arg:"subcommand:operator" help:"operators' tokens"`
 }
@@ -90,7 +91,7 @@
 	if err == nil {
 		err = command.run(ctx, &session{client: client, args: &args, stdout: stdout, stderr: stderr})
 	}
-	return report(err, stderr)
+	return exitCode(err, stderr)
 }
 
 // usageError is a wrong combination of options.
@@ -98,7 +99,8 @@
 
 func (e usageError) Error() string { return e.text }
 
-func report(err error, stderr io.Writer) int {
+// exitCode prints an error and maps it to the documented exit codes.
+func exitCode(err error, stderr io.Writer) int {
 	if err == nil {
 		return ExitDone
 	}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -233,10 +233,21 @@
 	return nil
 }
 
+// closeLimit bounds the end of a fleet, so that an actor that does not end
+// costs no records.
+const closeLimit = 15 * time.Second
+
 func (f *fleet) close() {
 	f.stop()
-	<-f.ended
-	<-f.ended
+	limit := time.NewTimer(closeLimit)
+	defer limit.Stop()
+	for range 2 {
+		select {
+		case <-f.ended:
+		case <-limit.C:
+			return
+		}
+	}
 	for _, e := range f.engines {
 		_ = e.Close()
 	}
--- /dev/null
+++ b/internal/measure/record/record.go
@@ -0,0 +1,25 @@
+// Package record holds the records of a measurement, apart from the code that
+// makes them, for tools that only read them.
+package record
+
+// Record holds the measures of one run. Times are in seconds of the wall clock,
+// that is compressed by the measurement's time scale.
+type Record struct {
+	Scenario           string  `json:"scenario"`
+	Policy             string  `json:"policy"`
+	Seed               uint64  `json:"seed"`
+	ProgramLatencyMean float64 `json:"program_latency_mean_s"`
+	ProgramLatencyP95  float64 `json:"program_latency_p95_s"`
+	ProgramLatencyP99  float64 `json:"program_latency_p99_s"`
+	FirstTokenP95      float64 `json:"first_token_p95_s"`
+	WastedCacheRatio   float64 `json:"wasted_cache_ratio"`
+	WorstAccountShare  float64 `json:"worst_account_share"`
+	RefusedInsideRate  float64 `json:"refused_inside_rate"`
+	CrossRegionBytes   int64   `json:"cross_region_bytes"`
+	// Programs, Failed and Refusals explain the measures above.
+	Programs int            `json:"programs"`
+	Failed   int            `json:"failed"`
+	Refusals map[string]int `json:"refusals,omitempty"`
+	// Rate is the offered rate in programs a second.
+	Rate float64 `json:"rate"`
+}
