Check the names of peers and test mutual TLS

Cause: any VM with a certificate of the authority could send messages in the name of another one, on which votes and leases depend. The operators' client offered HTTP/2 only and then read HTTP/1, so mangoknot failed with TLS. Change: the claimed name must be the common name or a DNS name of the certificate; the client configuration leaves the protocol to its user.

--- a/adapter/certs/certs.go
+++ b/adapter/certs/certs.go
@@ -120,7 +120,6 @@
 		},
 		InsecureSkipVerify: true, // replaced by VerifyConnection below
 		VerifyConnection:   l.verify,
-		NextProtos:         []string{"h2"},
 	}
 }
 
--- a/adapter/peer/frame.go
+++ b/adapter/peer/frame.go
@@ -1,5 +1,7 @@
 // Package peer carries control messages and history bytes between VMs over
-// grpc-go. Frames are encoded by adapter/codec; grpc carries them as bytes.
+// grpc-go. Frames are encoded by adapter/codec; grpc carries them as bytes. With
+// TLS, the name that a VM claims must be the common name or a DNS name of its
+// certificate.
 package peer
 
 import (
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -10,8 +10,12 @@
 
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/mangoknot/mangoknot/adapter/certs"
+	"github.com/mangoknot/mangoknot/adapter/certs/certtest"
 	"github.com/mangoknot/mangoknot/adapter/codec"
 	"github.com/mangoknot/mangoknot/adapter/history"
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -124,6 +128,34 @@
 	return true
 }
 
+// Guards against a VM that speaks for another one: with TLS, the claimed name
+// must be that of the certificate.
+func TestPeerNameMatchesCertificate(t *testing.T) {
+	c, err := codec.New([]domain.Message{&note{}}, nil)
+	must.NoError(t, err)
+	authority := certtest.NewAuthority(t)
+	load := func(name string) *certs.Loader {
+		loader, err := certs.NewLoader(authority.Issue(t, t.TempDir(), name), time.Now)
+		must.NoError(t, err)
+		return loader
+	}
+	received := make(inbox, 10)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := NewServer(c, received, history.NewMemory(), logr.Discard()).GRPC(grpc.Creds(credentials.NewTLS(load("b").Server())))
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	send := func(claimed domain.VM, number int) {
+		client := NewClient(claimed, c, credentials.NewTLS(load("a").Client()), logr.Discard(), func(domain.VM) {})
+		t.Cleanup(client.Close)
+		client.SetAddresses(map[domain.VM]string{"b": listener.Addr().String()})
+		must.True(t, client.Send(domain.Send{To: "b", Body: &note{number}}))
+	}
+	send("impostor", 1)
+	send("a", 2)
+	must.Eq(t, 2, received.next(t))
+}
+
 // Guards against history errors that lose their kind between VMs.
 func TestHistoryTransfer(t *testing.T) {
 	client, _, _ := startPair(t)
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
 	"github.com/mangoknot/mangoknot/adapter/codec"
@@ -105,7 +108,31 @@
 	if len(values) != 1 || values[0] == "" {
 		return "", status.Error(codes.InvalidArgument, "peer: the stream names no sending VM")
 	}
-	return domain.VM(values[0]), nil
+	vm := domain.VM(values[0])
+	if err := checkCertificate(ctx, vm); err != nil {
+		return "", err
+	}
+	return vm, nil
+}
+
+// checkCertificate refuses a VM that claims another name than its certificate
+// has, because votes and leases depend on the sender's name. Without TLS there
+// is no certificate, and the network has to be trusted.
+func checkCertificate(ctx context.Context, vm domain.VM) error {
+	sender, ok := peer.FromContext(ctx)
+	if !ok {
+		return nil
+	}
+	info, ok := sender.AuthInfo.(credentials.TLSInfo)
+	if !ok {
+		return nil
+	}
+	for _, certificate := range info.State.PeerCertificates[:min(1, len(info.State.PeerCertificates))] {
+		if certificate.Subject.CommonName == string(vm) || slices.Contains(certificate.DNSNames, string(vm)) {
+			return nil
+		}
+	}
+	return status.Errorf(codes.PermissionDenied, "peer: the certificate does not name VM %s; issue one with the VM's name as common name or DNS name", vm)
 }
 
 type unaryMethod func(ctx context.Context, request []byte) ([]byte, error)
