Use one type for the usage of a call

Cause: four packages had a type of the same fields and converted between them. Change: domain.Usage is the only one. Conclusion: the tests pass without conversions.

--- a/adapter/target/call.go
+++ b/adapter/target/call.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/config"
+	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -54,7 +55,7 @@
 	connection *connection
 	resumes    int
 	bytes      int
-	usage      *port.Usage
+	usage      *domain.Usage
 	ended      error
 	// stopWatch takes back the cancel that follows the end of the context.
 	stopWatch  func() bool
@@ -322,9 +323,9 @@
 }
 
 // Usage implements port.Stream.
-func (s *stream) Usage() (port.Usage, bool) {
+func (s *stream) Usage() (domain.Usage, bool) {
 	if s.usage == nil {
-		return port.Usage{}, false
+		return domain.Usage{}, false
 	}
 	return *s.usage, true
 }
--- a/adapter/target/events.go
+++ b/adapter/target/events.go
@@ -11,7 +11,6 @@
 	"strconv"
 
 	"github.com/mangoknot/mangoknot/core/domain"
-	"github.com/mangoknot/mangoknot/port"
 )
 
 const (
@@ -146,7 +145,7 @@
 }
 
 // usageOf returns the usage inside a payload, if it holds one.
-func usageOf(payload []byte) *port.Usage {
+func usageOf(payload []byte) *domain.Usage {
 	if !bytes.Contains(payload, []byte(`"usage"`)) {
 		return nil
 	}
@@ -163,5 +162,5 @@
 		return nil
 	}
 	u := answer.Usage
-	return &port.Usage{Prompt: u.Prompt, Cached: u.Details.Cached, Generated: u.Completion}
+	return &domain.Usage{Prompt: u.Prompt, Cached: u.Details.Cached, Generated: u.Completion}
 }
--- a/adapter/target/target_test.go
+++ b/adapter/target/target_test.go
@@ -96,7 +96,7 @@
 	must.True(b.t, ok)
 	want, err := b.tunes.Answer(body)
 	must.NoError(b.t, err)
-	must.Eq(b.t, port.Usage{Prompt: domain.Tokens(want.PromptTokens), Cached: usage.Cached, Generated: domain.Tokens(len(want.Tokens))}, usage)
+	must.Eq(b.t, domain.Usage{Prompt: domain.Tokens(want.PromptTokens), Cached: usage.Cached, Generated: domain.Tokens(len(want.Tokens))}, usage)
 	return payloads
 }
 
--- a/core/controller/calls.go
+++ b/core/controller/calls.go
@@ -232,7 +232,7 @@
 		return
 	}
 	c.scheduler.FirstTokenAfter(m.Call, m.FirstToken)
-	c.scheduler.Finished(c.now, m.Call, schedule.Usage{Prompt: m.Usage.Prompt, Cached: m.Usage.Cached, Generated: m.Usage.Generated})
+	c.scheduler.Finished(c.now, m.Call, m.Usage)
 	delete(c.running, m.Call)
 }
 
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -14,7 +14,6 @@
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/entry"
-	"github.com/mangoknot/mangoknot/core/ledger"
 	"github.com/mangoknot/mangoknot/core/program"
 )
 
@@ -315,7 +314,7 @@
 		if v.process == process {
 			v.step(FinishCall{Finish: program.FinishCall{
 				Call: start.Call, Program: start.Program, Attempt: start.Attempt, FirstToken: d / 2,
-				Usage: ledger.Usage{Prompt: 100, Generated: 20}, Turn: turnOf(start.Call),
+				Usage: domain.Usage{Prompt: 100, Generated: 20}, Turn: turnOf(start.Call),
 			}})
 		}
 	})
--- a/core/ledger/money.go
+++ b/core/ledger/money.go
@@ -12,14 +12,9 @@
 // tokensPerPrice is the number of tokens that a price covers.
 const tokensPerPrice = 1_000_000
 
-// Usage counts the tokens of one call. Cached tokens are part of the prompt.
-type Usage struct {
-	Prompt, Cached, Generated domain.Tokens
-}
-
 // Cost returns the price of a call, rounded up once to a micro. Counts below
 // zero count as zero and results beyond the range of Micros are cut off there.
-func Cost(m *config.ModelSpec, u Usage) domain.Micros {
+func Cost(m *config.ModelSpec, u domain.Usage) domain.Micros {
 	prompt := max(u.Prompt, 0)
 	cached := min(max(u.Cached, 0), prompt)
 	var s sum
@@ -34,7 +29,7 @@
 func WorstCase(m *config.ModelSpec, prompt, limit domain.Tokens) domain.Micros {
 	price := *m
 	price.PromptPrice = max(m.PromptPrice, m.CachedPrice)
-	return Cost(&price, Usage{Prompt: prompt, Generated: limit})
+	return Cost(&price, domain.Usage{Prompt: prompt, Generated: limit})
 }
 
 // sum adds products in 128 bits, because one product of a token count and a
--- a/core/ledger/money_test.go
+++ b/core/ledger/money_test.go
@@ -17,7 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(name string) int64 { return rapid.Int64Min(0).Draw(t, name) }
 		m := &config.ModelSpec{PromptPrice: domain.Micros(draw("prompt price")), CachedPrice: domain.Micros(draw("cached price")), GeneratedPrice: domain.Micros(draw("generated price"))}
-		u := Usage{Prompt: domain.Tokens(draw("prompt")), Generated: domain.Tokens(draw("generated"))}
+		u := domain.Usage{Prompt: domain.Tokens(draw("prompt")), Generated: domain.Tokens(draw("generated"))}
 		u.Cached = domain.Tokens(rapid.Int64Range(0, int64(u.Prompt)).Draw(t, "cached"))
 		want := new(big.Int)
 		add := func(count domain.Tokens, price domain.Micros) {
--- a/core/program/example_test.go
+++ b/core/program/example_test.go
@@ -56,7 +56,7 @@
 		use(e)
 	}
 	use(store.Step(now, &program.FinishCall{
-		Call: "c1", Entry: "e1", Program: id, Attempt: 1, Usage: ledger.Usage{Prompt: 10, Generated: 5}, Turn: program.HistoryRef{Length: 1},
+		Call: "c1", Entry: "e1", Program: id, Attempt: 1, Usage: domain.Usage{Prompt: 10, Generated: 5}, Turn: program.HistoryRef{Length: 1},
 	}))
 	for _, p := range store.Programs("acme", 10) {
 		fmt.Println(p.Program.Name, p.Turns, "turn")
--- a/core/program/finish.go
+++ b/core/program/finish.go
@@ -65,7 +65,7 @@
 
 // cost prices a served call. A model that was removed meanwhile has no price
 // and its last calls are not charged.
-func (s *Store) cost(c *call, u ledger.Usage) domain.Micros {
+func (s *Store) cost(c *call, u domain.Usage) domain.Micros {
 	if c.Model == "" {
 		return s.worst(c)
 	}
--- a/core/program/messages.go
+++ b/core/program/messages.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
-	"github.com/mangoknot/mangoknot/core/ledger"
 )
 
 // Fingerprint is a SHA-256 of account, model or route, and body.
@@ -74,7 +73,7 @@
 	Entry   domain.VM
 	Program domain.ProgramID
 	Attempt uint32
-	Usage   ledger.Usage
+	Usage   domain.Usage
 	Turn    HistoryRef
 	// Answer is set for calls with an idempotency key.
 	Answer *Answer
--- a/core/program/rig_test.go
+++ b/core/program/rig_test.go
@@ -171,7 +171,7 @@
 func finish(b *BeginCall, attempt uint32, generated domain.Tokens) *FinishCall {
 	return &FinishCall{
 		Call: b.Call, Entry: b.Entry, Program: b.Program, Attempt: attempt,
-		Usage:  ledger.Usage{Prompt: 10, Generated: generated},
+		Usage:  domain.Usage{Prompt: 10, Generated: generated},
 		Turn:   HistoryRef{SHA256: sha256.Sum256([]byte(b.Call)), Length: 7},
 		Answer: &Answer{SHA256: sha256.Sum256([]byte(b.Call)), Length: 9},
 	}
--- a/core/schedule/baseline_test.go
+++ b/core/schedule/baseline_test.go
@@ -42,7 +42,7 @@
 		ended := 0
 		for id, target := range placed {
 			if target != "a" && ended < 2 {
-				s.Finished(origin, id, Usage{Prompt: 10, Generated: 10})
+				s.Finished(origin, id, domain.Usage{Prompt: 10, Generated: 10})
 				ended++
 			}
 		}
--- a/core/schedule/doc.go
+++ b/core/schedule/doc.go
@@ -115,9 +115,6 @@
 	Cached domain.Tokens
 }
 
-// Usage is the real usage of a finished call.
-type Usage struct{ Prompt, Cached, Generated domain.Tokens }
-
 // FailureKind says how a call failed.
 type FailureKind int
 
--- a/core/schedule/example_test.go
+++ b/core/schedule/example_test.go
@@ -25,7 +25,7 @@
 		for _, p := range s.Dispatch(now) {
 			fmt.Println(p.Call, "on", p.Target)
 			now = now.Add(time.Second)
-			s.Finished(now, p.Call, schedule.Usage{})
+			s.Finished(now, p.Call, domain.Usage{})
 		}
 	}
 	// Output:
--- a/core/schedule/policy_test.go
+++ b/core/schedule/policy_test.go
@@ -154,7 +154,7 @@
 				if now < modelTime {
 					served[p.account] += float64(p.turns[p.next].added + c.generated)
 				}
-				s.Finished(at, c.id, Usage{Prompt: c.prompt, Cached: c.cached, Generated: c.generated})
+				s.Finished(at, c.id, domain.Usage{Prompt: c.prompt, Cached: c.cached, Generated: c.generated})
 				p.history = c.prompt + c.generated
 				p.at, p.inFlight = now+p.turns[p.next].pause, false
 				p.next++
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -308,7 +308,7 @@
 }
 
 // Finished ends a call and charges its real usage.
-func (s *Scheduler) Finished(now time.Time, id domain.CallID, u Usage) {
+func (s *Scheduler) Finished(now time.Time, id domain.CallID, u domain.Usage) {
 	c := s.calls[id]
 	if c == nil || c.state != stateRunning {
 		return
@@ -326,7 +326,7 @@
 	s.pause(now, prog, t, u.Prompt+u.Generated)
 }
 
-func (s *Scheduler) realCharge(c *call, u Usage) float64 {
+func (s *Scheduler) realCharge(c *call, u domain.Usage) float64 {
 	if c.Pool.Service != "" {
 		return 1
 	}
@@ -345,7 +345,7 @@
 	return float64(c.Prompt-cached) + generated
 }
 
-func (s *Scheduler) measure(now time.Time, c *call, u Usage) {
+func (s *Scheduler) measure(now time.Time, c *call, u domain.Usage) {
 	t := c.target
 	t.callTime += smoothing * (now.Sub(c.startedAt).Seconds() - t.callTime)
 	if c.first.IsZero() || u.Generated < 2 {
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -72,7 +72,7 @@
 			queued[c.Program.Account]--
 			queue = append(queue, running{p.Call, c})
 		}
-		u := Usage{Prompt: 1000, Generated: domain.Tokens(r.IntN(200))}
+		u := domain.Usage{Prompt: 1000, Generated: domain.Tokens(r.IntN(200))}
 		if queue[0].call.Program.Account == "small" {
 			u.Generated *= 10
 		}
@@ -98,7 +98,7 @@
 		old.ProgramStarted = origin
 		s.Enqueue(origin, old)
 		s.Dispatch(origin)
-		s.Finished(origin, old.ID, Usage{Prompt: 900_000, Generated: 200_000})
+		s.Finished(origin, old.ID, domain.Usage{Prompt: 900_000, Generated: 200_000})
 		s.Enqueue(origin, testCall("blocker", "a", "old"))
 		running := s.Dispatch(origin)[0].Call
 		old.ID = "second"
@@ -110,7 +110,7 @@
 				c.ProgramStarted = after(i)
 				s.Enqueue(after(i), c)
 			}
-			s.Finished(after(i), running, Usage{Prompt: 1000, Generated: 10})
+			s.Finished(after(i), running, domain.Usage{Prompt: 1000, Generated: 10})
 			running = s.Dispatch(after(i))[0].Call
 			if c := s.calls[running]; running != "second" {
 				youngest = max(youngest, c.queuedAt.Sub(origin))
@@ -133,7 +133,7 @@
 	a.Leaving = true
 	s.SetTargets(origin, []TargetInfo{a, b})
 	for id := range first {
-		s.Finished(origin, id, Usage{Prompt: 1000, Generated: 10})
+		s.Finished(origin, id, domain.Usage{Prompt: 1000, Generated: 10})
 	}
 	for i := range 20 { // the programs' caches are on both targets
 		now := after(time.Duration(i) * time.Second)
@@ -143,7 +143,7 @@
 			if i%5 == 0 {
 				must.Nil(t, s.Failed(now, id, FailureNotRun))
 			} else {
-				s.Finished(now, id, Usage{Prompt: 1000, Generated: 10})
+				s.Finished(now, id, domain.Usage{Prompt: 1000, Generated: 10})
 			}
 		}
 	}
@@ -196,7 +196,7 @@
 		running[id] = target
 	}
 	for id := range running {
-		s.Finished(after(time.Second), id, Usage{Prompt: 1000, Generated: 10})
+		s.Finished(after(time.Second), id, domain.Usage{Prompt: 1000, Generated: 10})
 	}
 	for i := range 6 {
 		s.Enqueue(after(time.Second), testCall(fmt.Sprint("more", i), "x", fmt.Sprint(i)))
@@ -287,7 +287,7 @@
 	run := func(now time.Time, id, program string) {
 		s.Enqueue(now, testCall(id, "a", program))
 		s.Dispatch(now)
-		s.Finished(now, domain.CallID(id), Usage{Prompt: 3000, Generated: 10})
+		s.Finished(now, domain.CallID(id), domain.Usage{Prompt: 3000, Generated: 10})
 	}
 	for i := range 8 { // slow returns after 60 s, fast after 1 s
 		run(after(time.Duration(i)*time.Minute), fmt.Sprint("s", i), "slow")
@@ -345,7 +345,7 @@
 				}
 				for id, c := range s.calls {
 					if c.state == stateRunning && r.IntN(20) == 0 {
-						s.Finished(now, id, Usage{Prompt: 1000, Generated: 10})
+						s.Finished(now, id, domain.Usage{Prompt: 1000, Generated: 10})
 					}
 				}
 				for _, send := range s.Sends() {
@@ -424,7 +424,7 @@
 		s.Enqueue(now, c)
 		for _, p := range s.Dispatch(now) {
 			s.FirstToken(now, p.Call)
-			s.Finished(now, p.Call, Usage{Prompt: 1000, Cached: p.Cached, Generated: 50})
+			s.Finished(now, p.Call, domain.Usage{Prompt: 1000, Cached: p.Cached, Generated: 50})
 		}
 		if len(s.orders) > 100 {
 			s.Orders()
--- a/node/call.go
+++ b/node/call.go
@@ -208,7 +208,7 @@
 		finish := *result.finish
 		finish.Call, finish.Program, finish.Attempt = start.Call, start.Program, start.Attempt
 		finish.FirstToken = result.timing.firstToken
-		c.usage = domain.Usage{Prompt: finish.Usage.Prompt, Cached: finish.Usage.Cached, Generated: finish.Usage.Generated}
+		c.usage = finish.Usage
 		c.node.mailbox.deliver(controller.FinishCall{Finish: finish})
 		return
 	}
--- a/node/chat.go
+++ b/node/chat.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
-	"github.com/mangoknot/mangoknot/core/ledger"
 	"github.com/mangoknot/mangoknot/core/program"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -80,7 +79,7 @@
 
 // store keeps the turn on the holders of the shard before the owner is told,
 // so that an acknowledged turn is on two VMs.
-func (r *chatRunner) store(ctx context.Context, start *program.StartCall, usage port.Usage, t timing) attemptResult {
+func (r *chatRunner) store(ctx context.Context, start *program.StartCall, usage domain.Usage, t timing) attemptResult {
 	data, after, err := r.exchange.Turn(port.Conversation{Digest: start.Conversation.Digest, Messages: int(start.Conversation.Messages)})
 	if err != nil {
 		return attemptResult{fail: program.FailTimedOut, passed: true, final: domain.Unknown(domain.ReasonTargetFailed, "the engine's answer is not whole; send the request again")}
@@ -90,7 +89,7 @@
 		return attemptResult{fail: program.FailCancelled, passed: true, final: err}
 	}
 	return attemptResult{timing: t, finish: &program.FinishCall{
-		Usage:        ledger.Usage{Prompt: usage.Prompt, Cached: usage.Cached, Generated: usage.Generated},
+		Usage:        usage,
 		Turn:         program.HistoryRef{SHA256: ref.SHA256, Length: uint32(ref.Length)},
 		Answer:       &program.Answer{SHA256: ref.SHA256, Length: uint32(ref.Length)},
 		Conversation: program.Conversation{Digest: after.Digest, Messages: uint32(after.Messages)},
--- a/port/targets.go
+++ b/port/targets.go
@@ -33,7 +33,7 @@
 	// Next returns the next event, io.EOF after the whole answer, or a *Failure.
 	Next() (Event, error)
 	// Usage returns the usage that the engine reported, if it has.
-	Usage() (Usage, bool)
+	Usage() (domain.Usage, bool)
 	// Close ends the stream. It is called in any case.
 	Close()
 }
@@ -45,11 +45,6 @@
 	Data   []byte
 }
 
-// Usage counts the tokens of a call.
-type Usage struct {
-	Prompt, Cached, Generated domain.Tokens
-}
-
 // Header holds HTTP header values by canonical name, as http.Header does.
 type Header map[string][]string
 
