Open all ports of a measured fleet before its first VM starts

Cause: a port that was free a moment ago was taken by a connection, and the fleet of one policy did not start. Change: the fleet keeps its listeners open and hands them to the daemons. Conclusion: the race between choosing and using a port is gone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,7 +69,11 @@
 // New loads the durable state, opens the listeners and wires the parts. The
 // settings must have passed their check.
 func New(s settings.Settings, log logr.Logger) (*Daemon, error) {
-	return NewExperiment(s, log, Experiment{})
+	listeners, err := Listen(s)
+	if err != nil {
+		return nil, err
+	}
+	return NewOn(s, listeners, log, Experiment{})
 }
 
 // Experiment holds options that no setting reaches. Only measurements use them.
@@ -78,22 +82,9 @@
 	Policy schedule.Policy
 }
 
-// NewExperiment is New with options for experiments.
-func NewExperiment(s settings.Settings, log logr.Logger, experiment Experiment) (*Daemon, error) {
-	listeners, err := Listen(s)
-	if err != nil {
-		return nil, err
-	}
-	return newOn(s, listeners, log, experiment)
-}
-
 // NewOn is New on listeners that are open already, so that settings of several
 // VMs can name ports that the system chose. It closes them when it fails.
-func NewOn(s settings.Settings, listeners Listeners, log logr.Logger) (*Daemon, error) {
-	return newOn(s, listeners, log, Experiment{})
-}
-
-func newOn(s settings.Settings, listeners Listeners, log logr.Logger, experiment Experiment) (*Daemon, error) {
+func NewOn(s settings.Settings, listeners Listeners, log logr.Logger, experiment Experiment) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, Metrics: metrics.New(), listeners: listeners, experiment: experiment}
 	if err := d.wire(); err != nil {
 		listeners.close()
--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -218,7 +218,7 @@
 			one.Join = strings.Join(members, ",")
 		}
 		must.NoError(t, one.Check())
-		d, err := daemon.NewOn(one, open[i], log)
+		d, err := daemon.NewOn(one, open[i], log, daemon.Experiment{})
 		must.NoError(t, err)
 		s.vms = append(s.vms, startVM(t, one.VM, d, nil))
 	}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -141,25 +141,31 @@
 	return out
 }
 
+// anyPort lets the system choose a free port of the loopback interface.
+const anyPort = "127.0.0.1:0"
+
 func accountName(i int) domain.Account { return domain.Account(fmt.Sprintf("account-%d", i)) }
 
 func (f *fleet) startDaemons(ctx context.Context, policy schedule.Policy) error {
 	type place struct {
-		name, address string
-		dc            domain.DataCentre
-		voter         bool
+		name      string
+		listeners daemon.Listeners
+		dc        domain.DataCentre
+		voter     bool
 	}
 	var places []place
 	voterList := ""
 	for i := range vmsPerCentre * len(centres) {
-		address, err := freeAddress()
+		// All ports are open before the first VM starts, so that none is taken by
+		// a connection meanwhile.
+		listeners, err := daemon.Listen(settings.Settings{Listen: anyPort, OperatorListen: anyPort, PeerListen: anyPort})
 		if err != nil {
 			return err
 		}
-		p := place{fmt.Sprintf("vm-%d", i), address, centres[i%len(centres)], i < len(centres)}
+		p := place{fmt.Sprintf("vm-%d", i), listeners, centres[i%len(centres)], i < len(centres)}
 		places = append(places, p)
 		if p.voter {
-			voterList += "," + p.name + "=" + p.address
+			voterList += "," + p.name + "=" + listeners.Peers.Addr().String()
 		}
 	}
 	var stopped context.Context
@@ -173,13 +179,13 @@
 				continue
 			}
 			s := settings.Settings{
-				VM: p.name, DataCentre: string(p.dc), Region: string(regions[p.dc]), Listen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
-				PeerListen: p.address, Voters: voterList[1:], Homes: "dc-1,dc-2,dc-3", Insecure: true, CutOffKeys: "serve", DrainDeadline: time.Second,
+				VM: p.name, DataCentre: string(p.dc), Region: string(regions[p.dc]), Listen: anyPort, OperatorListen: anyPort,
+				PeerListen: p.listeners.Peers.Addr().String(), Voters: voterList[1:], Homes: "dc-1,dc-2,dc-3", Insecure: true, CutOffKeys: "serve", DrainDeadline: time.Second,
 			}
 			if p.voter {
 				s.DataDir = filepath.Join(f.folder, p.name)
 			}
-			d, err := daemon.NewExperiment(s, logr.Discard(), daemon.Experiment{Policy: policy})
+			d, err := daemon.NewOn(s, p.listeners, logr.Discard(), daemon.Experiment{Policy: policy})
 			if err != nil {
 				return err
 			}
@@ -195,16 +201,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // apply repeats a change until the voters have a leader.
 func (f *fleet) apply(ctx context.Context, number int, command config.Command) error {
 	change := config.Change{Operation: domain.OperationID(fmt.Sprintf("measure-%d", number)), Operator: "measure", Command: command}
