Count the stored history in a prompt and learn the scale of estimates

Cause: a call that sends only new messages was reserved without the stored history that goes before them, so its charge was cut off at a reservation that was too low. The entry VM estimates 2 bytes for a token on purpose, and the scheduler took prompts for twice as large as they are and held calls back. Change: the owner adds the stored turns to the estimate; the scheduler scales estimates by the smoothed ratio of usage and estimate of each pool.

--- a/core/program/begin.go
+++ b/core/program/begin.go
@@ -133,8 +133,8 @@
 		return domain.NotRun(domain.ReasonModelUnknown, "no model %q is configured; list the models", c.Model)
 	case !preset.AllowsModel(c.Model):
 		return domain.NotRun(domain.ReasonModelNotAllowed, "the preset in force does not allow model %s; use another model or retry later", c.Model)
-	case m.MaxContext > 0 && c.PromptTokens > m.MaxContext:
-		return domain.NotRun(domain.ReasonTooLarge, "the prompt has about %d tokens and the model takes %d; shorten it", c.PromptTokens, m.MaxContext)
+	case m.MaxContext > 0 && s.prompt(c) > m.MaxContext:
+		return domain.NotRun(domain.ReasonTooLarge, "the prompt has about %d tokens and the model takes %d; shorten it", s.prompt(c), m.MaxContext)
 	}
 	if limit := preset.MaxGeneratedTokens; limit > 0 && (c.TokenLimit <= 0 || c.TokenLimit > limit) {
 		c.TokenLimit = limit
@@ -202,12 +202,32 @@
 	return limit
 }
 
+// historyBytesPerToken errs towards many tokens, as the entry VM's estimate of
+// the messages does.
+const historyBytesPerToken = 2
+
+// prompt returns the estimated prompt tokens of a call with the stored history
+// that goes before new messages. Without it, the reservation would be too low
+// and cut the charge off.
+func (s *Store) prompt(c *call) domain.Tokens {
+	tokens := c.PromptTokens
+	if !c.NewMessagesOnly {
+		return tokens
+	}
+	if p := s.programs[c.Program]; p != nil {
+		for _, turn := range p.turns {
+			tokens += domain.Tokens(turn.Length) / historyBytesPerToken
+		}
+	}
+	return tokens
+}
+
 // worst returns the worst-case cost of a call. A model or route that is no
 // longer configured costs nothing and has no target.
 func (s *Store) worst(c *call) domain.Micros {
 	if c.Model != "" {
 		if m := s.view.Model(c.Model); m != nil {
-			return ledger.WorstCase(m, c.PromptTokens, c.TokenLimit)
+			return ledger.WorstCase(m, s.prompt(c), c.TokenLimit)
 		}
 	} else if r := s.view.Route(c.Route); r != nil {
 		return r.Price
@@ -249,7 +269,7 @@
 func (s *Store) readyCall(now time.Time, c *call) Ready {
 	_, alone, _ := s.vm.Suspicion(now, c.Fingerprint)
 	return Ready{
-		Call: c.Call, Program: c.Program, Model: c.Model, Route: c.Route, Prompt: c.PromptTokens, TokenLimit: c.TokenLimit,
+		Call: c.Call, Program: c.Program, Model: c.Model, Route: c.Route, Prompt: s.prompt(c), TokenLimit: c.TokenLimit,
 		Arrived: c.Arrived, Alone: alone, Avoid: c.avoid, Targets: slices.Clone(c.program.targets),
 	}
 }
--- /dev/null
+++ b/core/program/prompt_test.go
@@ -0,0 +1,23 @@
+package program
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a reservation without the stored history, which would cut off
+// the charge of a call that sends only new messages.
+func TestPromptCountsStoredHistory(t *testing.T) {
+	r := newRig(t, settings(nil))
+	first := begin("1", "p")
+	r.step(first)
+	must.True(t, r.place("t1", true))
+	done := finish(first, 1, 1)
+	done.Turn.Length = 1000
+	r.step(done)
+	next := begin("2", "p")
+	next.NewMessagesOnly = true
+	r.step(next)
+	must.Eq(t, next.PromptTokens+1000/historyBytesPerToken, r.store.prompt(r.store.calls[next.Call]))
+}
--- a/core/schedule/queue.go
+++ b/core/schedule/queue.go
@@ -21,15 +21,17 @@
 // call is a call with its position in the scheduler.
 type call struct {
 	Call
-	state    callState
-	flow     *flow
-	queuedAt time.Time
-	deadline time.Time
-	due      time.Time // the next timer: deadline, retry or end of parking
-	key      float64   // order inside the account, in seconds
-	attempt  int
-	failed   []*target // targets of failed attempts
-	reached  bool      // a target may have received the call
+	// estimated is the prompt estimate of the entry VM.
+	estimated domain.Tokens
+	state     callState
+	flow      *flow
+	queuedAt  time.Time
+	deadline  time.Time
+	due       time.Time // the next timer: deadline, retry or end of parking
+	key       float64   // order inside the account, in seconds
+	attempt   int
+	failed    []*target // targets of failed attempts
+	reached   bool      // a target may have received the call
 
 	target           *target
 	cached           domain.Tokens
@@ -74,6 +76,9 @@
 	// loaded first.
 	open  [distances]indexed[*slot]
 	slots []*slot
+	// promptScale is the smoothed ratio of a prompt's real tokens and its
+	// estimate, which errs high for the sake of reservations.
+	promptScale float64
 	// near lists the slots of targets in the scheduler's own data centre.
 	near    []*slot
 	virtual float64
@@ -86,7 +91,7 @@
 }
 
 func newPool(id PoolID) *pool {
-	p := &pool{id: id, flows: map[domain.Account]*flow{}}
+	p := &pool{id: id, flows: map[domain.Account]*flow{}, promptScale: 1}
 	p.ready = indexed[*flow]{
 		less: func(a, b *flow) bool {
 			if a.virtual != b.virtual {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -211,7 +211,9 @@
 		return
 	}
 	p := s.pool(in.Pool)
-	c := &call{Call: in, flow: p.flow(s.account(in.Program.Account)), queuedAt: now, deadline: now.Add(s.config.QueueTimeout), queueIndex: -1, timerIndex: -1}
+	estimated := in.Prompt
+	in.Prompt = domain.Tokens(float64(in.Prompt) * p.promptScale)
+	c := &call{Call: in, estimated: estimated, flow: p.flow(s.account(in.Program.Account)), queuedAt: now, deadline: now.Add(s.config.QueueTimeout), queueIndex: -1, timerIndex: -1}
 	s.calls[in.ID] = c
 	prog := s.program(c)
 	s.resume(now, prog)
@@ -314,6 +316,7 @@
 		return
 	}
 	t, real := c.target, s.realCharge(c, u)
+	c.flow.pool.learnScale(c.estimated, u.Prompt)
 	c.flow.pay(real - c.charge)
 	c.flow.generated += smoothing * (float64(u.Generated) - c.flow.generated)
 	c.flow.account.retries.finished()
@@ -333,6 +336,17 @@
 	return float64(max(u.Prompt-u.Cached, 0) + u.Generated)
 }
 
+// learnScale follows the ratio of real and estimated prompt tokens. Without it,
+// prompts that look twice as large fill the caches on paper and hold calls back.
+func (p *pool) learnScale(estimated, real domain.Tokens) {
+	const least, most = 0.1, 2
+	if estimated <= 0 || real <= 0 {
+		return
+	}
+	ratio := min(max(float64(real)/float64(estimated), least), most)
+	p.promptScale += smoothing * (ratio - p.promptScale)
+}
+
 // charge estimates what a call will use.
 func (s *Scheduler) charge(c *call, cached domain.Tokens) float64 {
 	if c.Pool.Service != "" {
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -313,13 +313,13 @@
 		m := NewWindowManager(info, origin)
 		var vms []*Scheduler
 		now, queued, widest := origin, 0, 0
-		type letter struct {
+		type envelope struct {
 			vm  int
 			at  time.Time
 			msg domain.Message
 			up  bool
 		}
-		var mail []letter
+		var pending []envelope
 		for range 1500 {
 			now = now.Add(20 * time.Millisecond)
 			if len(vms) < 5 && r.IntN(100) == 0 {
@@ -349,7 +349,7 @@
 					}
 				}
 				for _, send := range s.Sends() {
-					mail = append(mail, letter{i, now.Add(time.Duration(r.IntN(200)) * time.Millisecond), send.Body, true})
+					pending = append(pending, envelope{i, now.Add(time.Duration(r.IntN(200)) * time.Millisecond), send.Body, true})
 				}
 				tg := s.targets["t"]
 				if now.Before(tg.lease.until) {
@@ -358,16 +358,16 @@
 			}
 			widest = max(widest, m.Window())
 			must.LessEq(t, widest, sum)
-			rest := mail
-			mail = nil
+			rest := pending
+			pending = nil
 			for _, l := range rest {
 				switch {
 				case l.at.After(now):
-					mail = append(mail, l)
+					pending = append(pending, l)
 				case r.Float64() < loss || vms[l.vm] == nil:
 				case l.up:
 					for _, send := range m.Step(now, domain.VM(fmt.Sprint(l.vm)), l.msg) {
-						mail = append(mail, letter{l.vm, now.Add(time.Duration(r.IntN(200)) * time.Millisecond), send.Body, false})
+						pending = append(pending, envelope{l.vm, now.Add(time.Duration(r.IntN(200)) * time.Millisecond), send.Body, false})
 					}
 				default:
 					vms[l.vm].Step(now, "m", l.msg)
@@ -438,3 +438,20 @@
 	b.Run("8 accounts, 15 targets", func(b *testing.B) { benchmarkDecisions(b, 8, 15) })
 	b.Run("1800 accounts, 3000 targets", func(b *testing.B) { benchmarkDecisions(b, 1800, 3000) })
 }
+
+// Guards against prompts that look larger than they are and so hold calls back:
+// the scheduler must learn how far the entry VM's estimate is from the usage.
+func TestPromptEstimateIsLearned(t *testing.T) {
+	s := testScheduler(config.OrderArrival, engine("e", 4))
+	for i := range 50 {
+		c := testCall(fmt.Sprint(i), "a", fmt.Sprint(i))
+		c.Prompt = 2000
+		s.Enqueue(after(time.Duration(i)*time.Second), c)
+		must.SliceLen(t, 1, s.Dispatch(after(time.Duration(i)*time.Second)))
+		s.Finished(after(time.Duration(i)*time.Second+time.Millisecond), c.ID, domain.Usage{Prompt: 1000, Generated: 10})
+	}
+	c := testCall("last", "a", "last")
+	c.Prompt = 2000
+	s.Enqueue(after(time.Minute), c)
+	must.Between(t, 950, s.calls[c.ID].Prompt, 1100)
+}
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -27,7 +27,7 @@
 	holderVM     [testDataCentres]int
 	epoch        domain.Epoch
 	limit        Limit
-	mail         []letter
+	pending      []envelope
 	loss, double float64
 	slow         float64 // part of the messages that take up to maxDelay
 	maxDelay     time.Duration
@@ -39,7 +39,7 @@
 	refused      int
 }
 
-type letter struct {
+type envelope struct {
 	from, to int
 	at       time.Duration
 	body     domain.Message
@@ -104,7 +104,7 @@
 				if n.rand.Float64() < n.slow {
 					delay = n.maxDelay
 				}
-				n.mail = append(n.mail, letter{from, to, n.now + time.Duration(n.rand.Int64N(int64(delay))) + 1, s.Body})
+				n.pending = append(n.pending, envelope{from, to, n.now + time.Duration(n.rand.Int64N(int64(delay))) + 1, s.Body})
 			}
 		}
 	}
@@ -138,11 +138,11 @@
 // advance moves time by one step of 5 ms and delivers what is due.
 func (n *network) advance() {
 	n.now += 5 * time.Millisecond
-	mail := n.mail
-	n.mail = nil
-	for _, l := range mail {
+	pending := n.pending
+	n.pending = nil
+	for _, l := range pending {
 		if l.at > n.now {
-			n.mail = append(n.mail, l)
+			n.pending = append(n.pending, l)
 			continue
 		}
 		at, from := n.local(l.to), vmName(l.from)
