Pause targets that died or cannot be reached

Change: a crash or a failed connection pauses the target for 0.5 s, doubled with each failure in a row up to 8 s; connection failures have a kind of their own.

--- a/core/controller/calls.go
+++ b/core/controller/calls.go
@@ -272,6 +272,8 @@
 	switch kind {
 	case program.FailCrashed:
 		return schedule.FailureCrash
+	case program.FailUnreachable:
+		return schedule.FailureUnreachable
 	case program.FailRefused, program.FailNotSent:
 		return schedule.FailureNotRun
 	default:
--- a/core/program/finish.go
+++ b/core/program/finish.go
@@ -110,7 +110,7 @@
 	if retry {
 		again := &call{
 			BeginCall: c.BeginCall, program: p, attempt: c.attempt, avoid: c.target,
-			mayHaveRun: c.mayHaveRun || m.Kind != FailRefused,
+			mayHaveRun: c.mayHaveRun || m.Kind != FailRefused && m.Kind != FailUnreachable,
 		}
 		s.wait(again)
 		p.queue = slices.Insert(p.queue, 0, again)
@@ -129,7 +129,7 @@
 func (s *Store) failure(now time.Time, c *call, m *FailCall) (refusal *domain.Refusal, retry bool) {
 	left := c.attempt < maxAttempts && !m.Passed
 	switch m.Kind {
-	case FailRefused:
+	case FailRefused, FailUnreachable:
 		return domain.NotRun(domain.ReasonTargetFailed, "the target refused the call; retry later").After(time.Second), left
 	case FailNotSent:
 		return domain.NotRun(domain.ReasonUnreachable, "the owner of the program answered too late; send the call again").After(time.Second), false
--- a/core/program/messages.go
+++ b/core/program/messages.go
@@ -95,6 +95,8 @@
 	FailTimedOut FailKind = "timed_out"
 	// FailRefused says that the target refused the call without running it.
 	FailRefused FailKind = "refused"
+	// FailUnreachable says that no connection to the target could be made.
+	FailUnreachable FailKind = "unreachable"
 	// FailNotSent says that the entry VM did not send the call.
 	FailNotSent FailKind = "not_sent"
 	// FailCallerGone says that the caller closed its connection.
--- a/core/schedule/dispatch.go
+++ b/core/schedule/dispatch.go
@@ -13,6 +13,7 @@
 // valid until the next Dispatch.
 func (s *Scheduler) Dispatch(now time.Time) []Placement {
 	s.runTimers(now)
+	s.resumeTargets(now)
 	for len(s.dirty) > 0 {
 		p := s.dirty[len(s.dirty)-1]
 		s.dirty = s.dirty[:len(s.dirty)-1]
--- a/core/schedule/doc.go
+++ b/core/schedule/doc.go
@@ -122,6 +122,8 @@
 const (
 	// FailureNotRun says that the target has not received the call.
 	FailureNotRun FailureKind = iota
+	// FailureUnreachable says that no connection to the target could be made.
+	FailureUnreachable
 	// FailureError says that the target reported an error.
 	FailureError
 	// FailureCrash says that the target died or the connection broke.
--- a/core/schedule/retry.go
+++ b/core/schedule/retry.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -40,6 +41,34 @@
 	return true
 }
 
+// Times for which a target that died or cannot be reached gets no call. Without
+// a pause its calls fail at once, so it looks idle and attracts more of them.
+const (
+	suspendBase = 500 * time.Millisecond
+	suspendMost = 8 * time.Second
+)
+
+// suspend doubles the pause with each failure in a row.
+func (s *Scheduler) suspend(now time.Time, t *target) {
+	if now.Before(t.suspendedUntil) {
+		return
+	}
+	t.suspendedUntil = now.Add(min(suspendBase<<min(t.failures, 8), suspendMost))
+	t.failures++
+	s.suspended = append(s.suspended, t)
+}
+
+// resumeTargets offers the places of targets whose pause has ended.
+func (s *Scheduler) resumeTargets(now time.Time) {
+	s.suspended = slices.DeleteFunc(s.suspended, func(t *target) bool {
+		ended := !now.Before(t.suspendedUntil)
+		if ended {
+			s.freed(now, t)
+		}
+		return ended
+	})
+}
+
 // Failed ends an attempt of a call. It returns nil when the call is queued for
 // a retry, and otherwise the refusal that ends it.
 func (s *Scheduler) Failed(now time.Time, id domain.CallID, kind FailureKind) *domain.Refusal {
@@ -48,7 +77,10 @@
 		return nil
 	}
 	t := c.target
-	c.reached = c.reached || kind != FailureNotRun
+	c.reached = c.reached || kind != FailureNotRun && kind != FailureUnreachable
+	if kind == FailureCrash || kind == FailureUnreachable {
+		s.suspend(now, t)
+	}
 	c.flow.pay(-c.charge)
 	if kind == FailureCrash {
 		s.cache.clear(t, now)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -24,11 +24,13 @@
 	dirty    []*pool          // pools to look at in the next Dispatch
 	leased   indexed[*target] // targets whose permits are renewed, the next request first
 	aside    []*call
-	placed   []Placement
-	spare    []Placement // the result of the last Dispatch, to be reused
-	expired  []Expiry
-	orders   []Order
-	sends    []domain.Send
+	// suspended lists the targets that pause after a failure.
+	suspended []*target
+	placed    []Placement
+	spare     []Placement // the result of the last Dispatch, to be reused
+	expired   []Expiry
+	orders    []Order
+	sends     []domain.Send
 }
 
 // Expiry ends a call that waited too long.
@@ -299,6 +301,11 @@
 			wake = at
 		}
 	}
+	for _, t := range s.suspended {
+		if wake.IsZero() || t.suspendedUntil.Before(wake) {
+			wake = t.suspendedUntil
+		}
+	}
 	return wake
 }
 
@@ -317,6 +324,7 @@
 	}
 	t, real := c.target, s.realCharge(c, u)
 	c.flow.pool.learnScale(c.estimated, u.Prompt)
+	t.failures, t.suspendedUntil = 0, time.Time{}
 	c.flow.pay(real - c.charge)
 	c.flow.generated += smoothing * (float64(u.Generated) - c.flow.generated)
 	c.flow.account.retries.finished()
--- a/core/schedule/target.go
+++ b/core/schedule/target.go
@@ -41,9 +41,13 @@
 	// reserved keeps the target for a crash suspect until that call has ended.
 	reserved *call
 	load     float64 // key in the pools' indexes
-	external int     // calls in flight of other VMs, as last known
-	prefixes prefixes
-	paused   pausedSet
+	// failures counts those in a row, and suspendedUntil ends the pause after
+	// the last one.
+	failures       int
+	suspendedUntil time.Time
+	external       int // calls in flight of other VMs, as last known
+	prefixes       prefixes
+	paused         pausedSet
 	// prefill is the measured speed in tokens a second, callTime the smoothed
 	// duration of a call in seconds.
 	prefill, callTime float64
@@ -52,7 +56,7 @@
 // capacity returns the calls that may be in flight from this scheduler.
 func (t *target) capacity(now time.Time) int {
 	switch {
-	case t.info.Leaving || t.reserved != nil:
+	case t.info.Leaving || t.reserved != nil || now.Before(t.suspendedUntil):
 		return 0
 	case t.info.Manager == "":
 		return t.window.permits()
