--- a/port/doc.go
+++ b/port/doc.go
@@ -1,4 +1,4 @@
 // Package port holds the interfaces that the node needs from the outside:
-// clock, disk, peers, targets, engine orders, VM list, weight store, metrics
-// and history store.
+// clock, disk, peers, targets, engine orders, VM list, metrics and history
+// store.
 package port
