--- a/adapter/httpapi/chat.go
+++ b/adapter/httpapi/chat.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 
+	"github.com/mangoknot/mangoknot/adapter/jsonhttp"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -167,22 +168,18 @@
 	return sum
 }
 
-func (a *API) chat(w http.ResponseWriter, r *http.Request) {
-	identity := identityOf(r.Context())
+func (a *API) chat(w http.ResponseWriter, r *http.Request, identity port.Identity) error {
 	headers, err := readCallHeaders(r.Header)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	body, err := a.readBody(w, r)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	request, err := parseChat(body)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	spec := port.CallSpec{
 		Identity:        identity,
@@ -199,6 +196,7 @@
 	if err := a.node.Chat(r.Context(), spec, exchange); err != nil {
 		a.endChat(w, identity, exchange, err)
 	}
+	return nil
 }
 
 // endChat reports a failed call: as an HTTP status while nothing was written,
@@ -242,10 +240,11 @@
 	OwnedBy string `json:"owned_by"`
 }
 
-func (a *API) models(w http.ResponseWriter, _ *http.Request) {
+func (a *API) models(w http.ResponseWriter, _ *http.Request, _ port.Identity) error {
 	list := modelList{Object: "list", Data: []modelEntry{}}
 	for _, model := range a.node.View().Models() {
 		list.Data = append(list.Data, modelEntry{ID: string(model.Name), Object: "model", OwnedBy: "mangoknot"})
 	}
-	writeJSON(w, http.StatusOK, list)
+	jsonhttp.Write(w, http.StatusOK, list)
+	return nil
 }
--- a/adapter/httpapi/exchange.go
+++ b/adapter/httpapi/exchange.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"time"
 
+	"github.com/mangoknot/mangoknot/adapter/jsonhttp"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -51,10 +53,7 @@
 		}
 		messages = append(stored, messages...)
 	}
-	fields := make(map[string]json.RawMessage, len(e.request.raw)+4)
-	for name, value := range e.request.raw {
-		fields[name] = value
-	}
+	fields := maps.Clone(e.request.raw)
 	delete(fields, "max_completion_tokens")
 	set := func(name string, value any) error {
 		data, err := json.Marshal(value)
@@ -193,7 +192,7 @@
 		return err
 	}
 	e.started = true
-	writeJSON(e.w, http.StatusOK, chatCompletion{
+	jsonhttp.Write(e.w, http.StatusOK, chatCompletion{
 		ID: e.id, Object: "chat.completion", Created: e.created, Model: string(e.request.model),
 		Choices: []chatChoice{{Message: answer, FinishReason: e.finish}},
 		Usage:   e.usage,
--- a/adapter/httpapi/programs.go
+++ b/adapter/httpapi/programs.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/mangoknot/mangoknot/adapter/jsonhttp"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -40,34 +41,30 @@
 	return name, nil
 }
 
-func (a *API) getProgram(w http.ResponseWriter, r *http.Request) {
-	identity := identityOf(r.Context())
+func (a *API) getProgram(w http.ResponseWriter, r *http.Request, identity port.Identity) error {
 	name, err := pathProgram(r)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	status, err := a.node.GetProgram(r.Context(), identity, name)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
-	writeJSON(w, http.StatusOK, programBodyOf(status))
+	jsonhttp.Write(w, http.StatusOK, programBodyOf(status))
+	return nil
 }
 
-func (a *API) endProgram(w http.ResponseWriter, r *http.Request) {
-	identity := identityOf(r.Context())
+func (a *API) endProgram(w http.ResponseWriter, r *http.Request, identity port.Identity) error {
 	name, err := pathProgram(r)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	status, err := a.node.EndProgram(r.Context(), identity, name)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
-	writeJSON(w, http.StatusOK, programBodyOf(status))
+	jsonhttp.Write(w, http.StatusOK, programBodyOf(status))
+	return nil
 }
 
 type historyBody struct {
@@ -75,25 +72,22 @@
 	Messages []json.RawMessage `json:"messages"`
 }
 
-func (a *API) history(w http.ResponseWriter, r *http.Request) {
-	identity := identityOf(r.Context())
+func (a *API) history(w http.ResponseWriter, r *http.Request, identity port.Identity) error {
 	name, err := pathProgram(r)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	turns, err := a.node.History(r.Context(), identity, name)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	messages, err := conversation(turns)
 	if err != nil {
-		a.refuse(w, identity, domain.NotRun(domain.ReasonHistoryCorrupt, "a stored turn is not readable; ask the operator to check the shard's other copy"))
-		return
+		return domain.NotRun(domain.ReasonHistoryCorrupt, "a stored turn is not readable; ask the operator to check the shard's other copy")
 	}
 	if messages == nil {
 		messages = []json.RawMessage{}
 	}
-	writeJSON(w, http.StatusOK, historyBody{Name: string(name), Messages: messages})
+	jsonhttp.Write(w, http.StatusOK, historyBody{Name: string(name), Messages: messages})
+	return nil
 }
--- a/adapter/httpapi/refusal.go
+++ b/adapter/httpapi/refusal.go
@@ -1,11 +1,9 @@
 package httpapi
 
 import (
-	"encoding/json"
-	"math"
 	"net/http"
-	"strconv"
 
+	"github.com/mangoknot/mangoknot/adapter/jsonhttp"
 	"github.com/mangoknot/mangoknot/core/domain"
 )
 
@@ -74,26 +72,13 @@
 func writeRefusal(w http.ResponseWriter, r *domain.Refusal) {
 	header := w.Header()
 	header.Set(outcomeHeader, r.Outcome.String())
-	if r.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
-	}
+	jsonhttp.SetRetryAfter(header, r.RetryAfter)
 	// Clients of the OpenAI protocol repeat 409, 429 and 5xx on their own. A
 	// repeat of a refusal that waiting does not help only adds load.
 	if r.RetryAfter == 0 {
 		header.Set("X-Should-Retry", "false")
 	}
-	writeJSON(w, statusOf(r.Reason), bodyOf(r))
-}
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		http.Error(w, "encode answer", http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(append(data, '\n'))
+	jsonhttp.Write(w, statusOf(r.Reason), bodyOf(r))
 }
 
 func writeText(w http.ResponseWriter, status int, text string) {
--- a/adapter/httpapi/request.go
+++ b/adapter/httpapi/request.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 	"unicode/utf8"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -151,7 +152,7 @@
 		return
 	}
 	// A recorder in a test has no deadline.
-	_ = http.NewResponseController(w).SetReadDeadline(deadlineAfter(a.limits.ReadTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(a.limits.ReadTimeout))
 }
 
 // readBody reads a bounded body within the read timeout. The deadline is
@@ -159,7 +160,7 @@
 func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.BodyBytes))
 	if err == nil {
-		_ = http.NewResponseController(w).SetReadDeadline(noDeadline)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/adapter/httpapi/server.go
+++ b/adapter/httpapi/server.go
@@ -1,7 +1,6 @@
 package httpapi
 
 import (
-	"context"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -114,23 +113,20 @@
 	})
 }
 
-type identityKey struct{}
-
-// identityOf returns the identity that keyed stored in the context.
-func identityOf(ctx context.Context) port.Identity {
-	identity, _ := ctx.Value(identityKey{}).(port.Identity)
-	return identity
-}
+// keyedHandler answers a request of an identified caller, or returns the error
+// that refuses it.
+type keyedHandler func(w http.ResponseWriter, r *http.Request, identity port.Identity) error
 
 // keyed admits requests with a valid key only.
-func (a *API) keyed(next http.HandlerFunc) http.HandlerFunc {
+func (a *API) keyed(next keyedHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		identity, err := a.identify(r)
+		if err == nil {
+			err = next(w, r, identity)
+		}
 		if err != nil {
-			a.refuse(w, port.Identity{}, err)
-			return
+			a.refuse(w, identity, err)
 		}
-		next(w, r.WithContext(context.WithValue(r.Context(), identityKey{}, identity)))
 	}
 }
 
--- a/adapter/httpapi/services.go
+++ b/adapter/httpapi/services.go
@@ -80,17 +80,14 @@
 	writePlain(w, answer)
 }
 
-func (a *API) keyedService(w http.ResponseWriter, r *http.Request) {
-	identity := identityOf(r.Context())
+func (a *API) keyedService(w http.ResponseWriter, r *http.Request, identity port.Identity) error {
 	headers, err := readCallHeaders(r.Header)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	request, err := a.plainRequest(w, r)
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	spec := port.CallSpec{
 		Identity:       identity,
@@ -102,11 +99,11 @@
 	}
 	answer, program, err := a.node.Service(r.Context(), spec, request, serviceExchange{})
 	if err != nil {
-		a.refuse(w, identity, err)
-		return
+		return err
 	}
 	w.Header().Set(programHeader, string(program.Name))
 	writePlain(w, answer)
+	return nil
 }
 
 // storedAnswer is the stored form of a plain service's answer. It is a turn
--- a/adapter/operatorapi/server.go
+++ b/adapter/operatorapi/server.go
@@ -10,15 +10,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/mangoknot/mangoknot/adapter/jsonhttp"
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/port"
@@ -135,7 +134,7 @@
 const operatorHeader = "Mangoknot-Operator"
 
 func (a *API) state(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, stateOf(a.node.View()))
+	jsonhttp.Write(w, http.StatusOK, stateOf(a.node.View()))
 }
 
 func (a *API) status(w http.ResponseWriter, r *http.Request) {
@@ -272,7 +271,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, body)
+	jsonhttp.Write(w, http.StatusOK, body)
 }
 
 func writeError(w http.ResponseWriter, err error) {
@@ -293,19 +292,6 @@
 	case domain.ReasonRouteUnknown:
 		status = http.StatusNotFound
 	}
-	if refusal.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
-	}
-	writeJSON(w, status, ErrorAnswer{Code: refusal.Reason, Message: refusal.Remedy, Outcome: refusal.Outcome.String()})
-}
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		http.Error(w, "encode answer", http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(append(data, '\n'))
+	jsonhttp.SetRetryAfter(w.Header(), refusal.RetryAfter)
+	jsonhttp.Write(w, status, ErrorAnswer{Code: refusal.Reason, Message: refusal.Remedy, Outcome: refusal.Outcome.String()})
 }
--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -71,9 +71,7 @@
 
 // Send implements port.Peers.
 func (c *Client) Send(s domain.Send) bool {
-	c.mu.Lock()
-	l := c.links[s.To]
-	c.mu.Unlock()
+	l := c.link(s.To)
 	if l != nil && wantsFresh(s.Body) {
 		return l.sendFresh(s.Body)
 	}
@@ -88,6 +86,13 @@
 	return false
 }
 
+// link returns the connection to a VM, or nil for one without an address.
+func (c *Client) link(vm domain.VM) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.links[vm]
+}
+
 // wantsFresh says whether a message must go over a connection of its own: a
 // probe that tells a silent connection from a dead VM.
 func wantsFresh(m domain.Message) bool {
@@ -148,9 +153,7 @@
 
 // Replace implements port.Peers. Queued messages are kept.
 func (c *Client) Replace(vm domain.VM) {
-	c.mu.Lock()
-	l := c.links[vm]
-	c.mu.Unlock()
+	l := c.link(vm)
 	if l == nil {
 		return
 	}
@@ -422,9 +425,7 @@
 }
 
 func (c *Client) invoke(ctx context.Context, vm domain.VM, method string, request historyRequest) ([]byte, error) {
-	c.mu.Lock()
-	l := c.links[vm]
-	c.mu.Unlock()
+	l := c.link(vm)
 	if l == nil {
 		return nil, fmt.Errorf("peer: no address is known for VM %q; check that it is registered", vm)
 	}
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -135,54 +135,44 @@
 	return status.Errorf(codes.PermissionDenied, "peer: the certificate does not name VM %s; issue one with the VM's name as common name or DNS name", vm)
 }
 
-type unaryMethod func(ctx context.Context, request []byte) ([]byte, error)
+type unaryMethod func(ctx context.Context, request historyRequest) ([]byte, error)
 
-// unary adapts a method on bytes to grpc's handler shape.
+// unary adapts a method to grpc's handler shape: it decodes the request and
+// gives errors the status of their kind.
 func unary(method unaryMethod) func(any, context.Context, func(any) error, grpc.UnaryServerInterceptor) (any, error) {
 	return func(_ any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
-		var request []byte
-		if err := decode(&request); err != nil {
+		var data []byte
+		if err := decode(&data); err != nil {
 			return nil, err
 		}
+		var request historyRequest
+		if err := decodePlain(data, &request); err != nil {
+			return nil, status.Error(codes.InvalidArgument, err.Error())
+		}
 		reply, err := method(ctx, request)
 		if err != nil {
-			return nil, err
+			return nil, historyStatus(err)
 		}
 		return &reply, nil
 	}
 }
 
-func (s *Server) putHistory(ctx context.Context, request []byte) ([]byte, error) {
-	var put historyRequest
-	if err := decodePlain(request, &put); err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
-	}
-	return nil, historyStatus(s.history.Put(ctx, put.Ref, put.Data))
+func (s *Server) putHistory(ctx context.Context, put historyRequest) ([]byte, error) {
+	return nil, s.history.Put(ctx, put.Ref, put.Data)
 }
 
-func (s *Server) getHistory(ctx context.Context, request []byte) ([]byte, error) {
-	var get historyRequest
-	if err := decodePlain(request, &get); err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
-	}
-	data, err := s.history.Get(ctx, get.Ref)
-	return data, historyStatus(err)
+func (s *Server) getHistory(ctx context.Context, get historyRequest) ([]byte, error) {
+	return s.history.Get(ctx, get.Ref)
 }
 
-func (s *Server) deleteHistory(ctx context.Context, request []byte) ([]byte, error) {
-	var del historyRequest
-	if err := decodePlain(request, &del); err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
-	}
-	return nil, historyStatus(s.history.Delete(ctx, del.Ref.Program))
+func (s *Server) deleteHistory(ctx context.Context, del historyRequest) ([]byte, error) {
+	return nil, s.history.Delete(ctx, del.Ref.Program)
 }
 
 // historyStatus keeps the error kinds apart on the wire.
 func historyStatus(err error) error {
 	var corrupt *port.CorruptHistoryError
 	switch {
-	case err == nil:
-		return nil
 	case errors.Is(err, port.ErrHistoryMissing):
 		return status.Error(codes.NotFound, err.Error())
 	case errors.As(err, &corrupt):
--- a/adapter/target/target.go
+++ b/adapter/target/target.go
@@ -4,6 +4,7 @@
 package target
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -52,29 +53,22 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.DialTimeout, 2*time.Second)
-	setDefault(&s.ControlTimeout, 2*time.Second)
-	setDefault(&s.Silence, 2*time.Second)
-	setDefault(&s.CallTimeout, 30*time.Minute)
-	setDefault(&s.ConnectionsPerTarget, 256)
-	setDefault(&s.MaxRequest, 16<<20)
-	setDefault(&s.MaxEvent, 4<<20)
-	setDefault(&s.MaxAnswer, 64<<20)
-	setDefault(&s.MaxControl, 1<<20)
-	setDefault(&s.LoadInterval, 500*time.Millisecond)
-	setDefault(&s.RetryDelay, 500*time.Millisecond)
-	setDefault(&s.WatchSilence, 5*time.Second)
-	setDefault(&s.MaxResumes, 3)
+	s.DialTimeout = cmp.Or(s.DialTimeout, 2*time.Second)
+	s.ControlTimeout = cmp.Or(s.ControlTimeout, 2*time.Second)
+	s.Silence = cmp.Or(s.Silence, 2*time.Second)
+	s.CallTimeout = cmp.Or(s.CallTimeout, 30*time.Minute)
+	s.ConnectionsPerTarget = cmp.Or(s.ConnectionsPerTarget, 256)
+	s.MaxRequest = cmp.Or(s.MaxRequest, 16<<20)
+	s.MaxEvent = cmp.Or(s.MaxEvent, 4<<20)
+	s.MaxAnswer = cmp.Or(s.MaxAnswer, 64<<20)
+	s.MaxControl = cmp.Or(s.MaxControl, 1<<20)
+	s.LoadInterval = cmp.Or(s.LoadInterval, 500*time.Millisecond)
+	s.RetryDelay = cmp.Or(s.RetryDelay, 500*time.Millisecond)
+	s.WatchSilence = cmp.Or(s.WatchSilence, 5*time.Second)
+	s.MaxResumes = cmp.Or(s.MaxResumes, 3)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Lookup returns a target of the configuration snapshot, or nil.
 type Lookup func(domain.Target) *config.TargetSpec
 
--- a/core/config/spec.go
+++ b/core/config/spec.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -83,15 +84,7 @@
 
 // AllowsModel says whether calls of the model may run under the preset.
 func (p *PresetSpec) AllowsModel(model domain.ModelName) bool {
-	if len(p.AllowedModels) == 0 {
-		return true
-	}
-	for _, allowed := range p.AllowedModels {
-		if allowed == model {
-			return true
-		}
-	}
-	return false
+	return len(p.AllowedModels) == 0 || slices.Contains(p.AllowedModels, model)
 }
 
 // ModelSpec holds a model's prices for 1,000,000 tokens and its context size.
@@ -145,12 +138,7 @@
 
 // Serves says whether the target is an engine that has the model loaded.
 func (t *TargetSpec) Serves(model domain.ModelName) bool {
-	for _, m := range t.Models {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(t.Models, model)
 }
 
 // VMSpec registers a VM of the system.
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -119,14 +119,7 @@
 func (v *View) Assignments() []Assignment { return v.assignmentList }
 
 func sortedAssignments(m map[domain.ShardID]Assignment) []Assignment {
-	out := slices.Collect(maps.Values(m))
-	slices.SortFunc(out, func(a, b Assignment) int {
-		if a.Shard.Less(b.Shard) {
-			return -1
-		}
-		return 1
-	})
-	return out
+	return slices.SortedFunc(maps.Values(m), func(a, b Assignment) int { return a.Shard.Compare(b.Shard) })
 }
 
 // Homes returns the data centres that home programs without a suffix, sorted.
--- a/core/controller/agreement.go
+++ b/core/controller/agreement.go
@@ -134,7 +134,7 @@
 // leaderChanged tells the other parts who leads, as far as agreement knows.
 func (c *Controller) leaderChanged() {
 	status := c.raft.Status()
-	if !slices.Contains(status.Members.Voters, c.config.VM) {
+	if !c.isVoter() {
 		return
 	}
 	if status.Leader != "" {
--- a/core/controller/calls.go
+++ b/core/controller/calls.go
@@ -79,17 +79,28 @@
 func (c *Controller) entryRefusal(in BeginCall) *domain.Refusal {
 	switch {
 	case !c.traffic.Serving:
-		return domain.NotRun(domain.ReasonOverloaded, "the VM is starting; send the request again").After(time.Second)
+		return Starting()
 	case c.traffic.Isolated:
-		return domain.NotRun(domain.ReasonIsolated, "the VM is cut off from the other VMs and cannot check keys; send the request again to another VM").After(time.Second)
+		return Isolated()
 	case c.traffic.Withdrawn[in.Key]:
-		return keyWithdrawn()
+		return KeyWithdrawn()
 	default:
 		return nil
 	}
 }
 
-func keyWithdrawn() *domain.Refusal {
+// Starting refuses a request on a VM that does not serve yet.
+func Starting() *domain.Refusal {
+	return domain.NotRun(domain.ReasonOverloaded, "the VM is starting; send the request again").After(time.Second)
+}
+
+// Isolated refuses a keyed request on a VM that cannot check keys.
+func Isolated() *domain.Refusal {
+	return domain.NotRun(domain.ReasonIsolated, "the VM is cut off from the other VMs and cannot check keys; send the request again to another VM").After(time.Second)
+}
+
+// KeyWithdrawn refuses a request with a withdrawn key.
+func KeyWithdrawn() *domain.Refusal {
 	return domain.NotRun(domain.ReasonKeyWithdrawn, "the key was withdrawn; ask the operator for a new one")
 }
 
@@ -161,9 +172,9 @@
 		switch {
 		case caller.key != key:
 		case caller.admitting:
-			c.endAdmitting(id, keyWithdrawn())
+			c.endAdmitting(id, KeyWithdrawn())
 		default:
-			c.applyEntry(c.calls.Cancel(id, keyWithdrawn()))
+			c.applyEntry(c.calls.Cancel(id, KeyWithdrawn()))
 		}
 	}
 }
@@ -194,7 +205,7 @@
 // dispatch starts the calls that the scheduler has places for.
 func (c *Controller) dispatch() {
 	placed := c.scheduler.Dispatch(c.now)
-	for _, p := range append([]schedule.Placement(nil), placed...) {
+	for _, p := range slices.Clone(placed) {
 		c.place(p)
 	}
 	for _, expired := range c.scheduler.Expired() {
@@ -248,10 +259,7 @@
 	fail.Crash = c.crashNumber(m.Target)
 	refusal := c.scheduler.Failed(c.now, m.Call, failureKind(m.Kind))
 	effects := owned.store.Step(c.now, &fail)
-	retry := false
-	for _, r := range effects.Ready {
-		retry = retry || r.Call == m.Call
-	}
+	retry := slices.ContainsFunc(effects.Ready, func(r program.Ready) bool { return r.Call == m.Call })
 	if !retry {
 		c.scheduler.Cancel(c.now, m.Call)
 		delete(c.running, m.Call)
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -8,6 +8,7 @@
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/entry"
+	"github.com/mangoknot/mangoknot/core/ledger"
 	"github.com/mangoknot/mangoknot/core/membership"
 	"github.com/mangoknot/mangoknot/core/program"
 	"github.com/mangoknot/mangoknot/core/raft"
@@ -319,7 +320,7 @@
 	return slices.Concat(
 		[]domain.Message{&ShardMessage{}, &OwnerReady{}, &BootstrapQuery{}, &BootstrapReply{}, &VoterRequest{}, &VoterReply{}, &QueryMessage{}, &QueryAnswer{}},
 		raft.Messages(), relay.Messages(), membership.Messages(), shard.Messages(), program.Messages(),
-		ledgerMessages(), share.Messages(), schedule.Messages(),
+		ledger.Messages(), share.Messages(), schedule.Messages(),
 	)
 }
 
@@ -327,6 +328,6 @@
 func Records() []domain.Record {
 	return slices.Concat(
 		[]domain.Record{&WithdrawnKey{}},
-		config.Records(), raft.Records(), shard.Records(), program.Records(), ledgerRecords(),
+		config.Records(), raft.Records(), shard.Records(), program.Records(), ledger.Records(),
 	)
 }
--- a/core/controller/lifecycle.go
+++ b/core/controller/lifecycle.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -75,12 +76,7 @@
 }
 
 func (c *Controller) isVoter() bool {
-	for _, voter := range c.raft.Status().Members.Voters {
-		if voter == c.config.VM {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.raft.Status().Members.Voters, c.config.VM)
 }
 
 // noteLeader remembers when a VM that is not a voter last followed a voter.
--- a/core/controller/operators.go
+++ b/core/controller/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/mangoknot/mangoknot/core/config"
@@ -46,11 +47,7 @@
 // withdrawKey refuses a key on this VM at once and spreads the withdrawal. It
 // needs no majority; the log follows when it can.
 func (c *Controller) withdrawKey(in WithdrawKey) {
-	known := false
-	for _, key := range c.state.View().Keys() {
-		known = known || key.ID == in.Key
-	}
-	if !known {
+	if !slices.ContainsFunc(c.state.View().Keys(), func(k config.KeySpec) bool { return k.ID == in.Key }) {
 		c.reply(in.Ticket, ChangeReply{Refusal: domain.NotRun(domain.ReasonBadRequest, "key %q does not exist; list the keys to find its id", in.Key)}, true)
 		return
 	}
--- a/core/controller/owner.go
+++ b/core/controller/owner.go
@@ -8,7 +8,6 @@
 
 	"github.com/mangoknot/mangoknot/core/config"
 	"github.com/mangoknot/mangoknot/core/domain"
-	"github.com/mangoknot/mangoknot/core/ledger"
 	"github.com/mangoknot/mangoknot/core/membership"
 	"github.com/mangoknot/mangoknot/core/program"
 	"github.com/mangoknot/mangoknot/core/shard"
@@ -30,17 +29,8 @@
 	compacted uint64
 }
 
-func ledgerMessages() []domain.Message { return ledger.Messages() }
-
-func ledgerRecords() []domain.Record { return ledger.Records() }
-
 func (c *Controller) ownedIDs() []domain.ShardID {
-	return slices.SortedFunc(maps.Keys(c.stores), func(a, b domain.ShardID) int {
-		if a.Less(b) {
-			return -1
-		}
-		return 1
-	})
+	return slices.SortedFunc(maps.Keys(c.stores), domain.ShardID.Compare)
 }
 
 // applyShards carries out the effects of ownership and replication, in their
--- a/core/domain/identifiers.go
+++ b/core/domain/identifiers.go
@@ -3,6 +3,7 @@
 package domain
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -52,7 +53,7 @@
 	if m < 0 {
 		sign, m = "-", -m
 	}
-	return fmt.Sprintf("%s%d.%06d", sign, int64(m)/1_000_000, int64(m)%1_000_000)
+	return fmt.Sprintf("%s%d.%06d", sign, m/microsPerUnit, m%microsPerUnit)
 }
 
 // ProgramID identifies a program. Names of two client accounts never meet.
@@ -98,12 +99,9 @@
 // String prints the identifier as data-centre/number.
 func (s ShardID) String() string { return fmt.Sprintf("%s/%d", s.DataCentre, s.Number) }
 
-// Less orders shards by data centre, then number.
-func (s ShardID) Less(other ShardID) bool {
-	if s.DataCentre != other.DataCentre {
-		return s.DataCentre < other.DataCentre
-	}
-	return s.Number < other.Number
+// Compare orders shards by data centre, then number.
+func (s ShardID) Compare(other ShardID) int {
+	return cmp.Or(cmp.Compare(s.DataCentre, other.DataCentre), cmp.Compare(s.Number, other.Number))
 }
 
 // homeSeparator separates a program's name from the data centre that homes it.
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -370,11 +371,5 @@
 }
 
 func hashText(text string) string {
-	const digits = "0123456789abcdef"
-	sum := domain.Hash64("idempotency", text)
-	out := make([]byte, 0, 16)
-	for shift := 60; shift >= 0; shift -= 4 {
-		out = append(out, digits[sum>>shift&15])
-	}
-	return string(out)
+	return fmt.Sprintf("%016x", domain.Hash64("idempotency", text))
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -327,28 +328,13 @@
 }
 
 func (r *root) sorted() []*peer {
-	out := make([]*peer, 0, len(r.peers))
-	for _, p := range r.peers {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *peer) int {
-		if a.Shard.Less(b.Shard) {
-			return -1
-		}
-		return 1
-	})
-	return out
+	return slices.SortedFunc(maps.Values(r.peers), func(a, b *peer) int { return a.Shard.Compare(b.Shard) })
 }
 
 func sortedKeys[V any](m map[key]V) []key {
-	out := make([]key, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.SortFunc(out, func(a, b key) int {
+	return slices.SortedFunc(maps.Keys(m), func(a, b key) int {
 		return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.month, b.month))
 	})
-	return out
 }
 
 // Charged returns the account's charges of the month in this shard.
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -99,14 +99,14 @@
 // New returns a membership that knows only itself. Self.Incarnation must be
 // above that of every earlier process of the VM, for example its start time.
 func New(c Config, self Member, now time.Time) *Membership {
-	setDefault(&c.Interval, DefaultInterval)
-	setDefault(&c.Timeout, DefaultTimeout)
-	setDefault(&c.Retry, DefaultRetry)
-	setDefault(&c.Suspect, DefaultSuspect)
-	setDefault(&c.Dead, DefaultDead)
-	setDefault(&c.Monitors, DefaultMonitors)
-	setDefault(&c.Helpers, DefaultHelpers)
-	setDefault(&c.MaxUpdates, DefaultMaxUpdates)
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.Retry = cmp.Or(c.Retry, DefaultRetry)
+	c.Suspect = cmp.Or(c.Suspect, DefaultSuspect)
+	c.Dead = cmp.Or(c.Dead, DefaultDead)
+	c.Monitors = cmp.Or(c.Monitors, DefaultMonitors)
+	c.Helpers = cmp.Or(c.Helpers, DefaultHelpers)
+	c.MaxUpdates = cmp.Or(c.MaxUpdates, DefaultMaxUpdates)
 	m := &Membership{
 		config:  c,
 		self:    self.VM,
@@ -123,12 +123,6 @@
 	return m
 }
 
-func setDefault[T time.Duration | int](value *T, other T) {
-	if *value == 0 {
-		*value = other
-	}
-}
-
 // Members returns all known members in the order of their names, with this VM.
 func (m *Membership) Members() []Member {
 	out := make([]Member, 0, len(m.members))
--- a/core/program/begin.go
+++ b/core/program/begin.go
@@ -28,7 +28,7 @@
 		return
 	}
 	if d := s.done[m.Call]; d != nil {
-		s.replyDone(m.Entry, d, nil, e)
+		s.replyDone(m.Entry, d, e)
 		return
 	}
 	if m.Key != "" && s.knownKey(m, e) {
@@ -76,12 +76,12 @@
 	return true
 }
 
-func (s *Store) replyDone(to domain.VM, d *DoneState, stored *Answer, e *Effects) {
+func (s *Store) replyDone(to domain.VM, d *DoneState, e *Effects) {
 	if d.Refusal != nil {
 		e.reply(to, &CallRefused{Call: d.Call, Program: d.Program, Refusal: *d.Refusal})
 		return
 	}
-	e.reply(to, &CallCommitted{Call: d.Call, Program: d.Program, Turn: d.Turn, Charge: d.Charge, Stored: stored})
+	e.reply(to, &CallCommitted{Call: d.Call, Program: d.Program, Turn: d.Turn, Charge: d.Charge})
 }
 
 // admit checks what does not depend on earlier calls of the program, and finds
@@ -270,7 +270,7 @@
 	_, alone, _ := s.vm.Suspicion(now, c.Fingerprint)
 	return Ready{
 		Call: c.Call, Program: c.Program, Model: c.Model, Route: c.Route, Prompt: s.prompt(c), TokenLimit: c.TokenLimit,
-		Arrived: c.Arrived, Alone: alone, Avoid: c.avoid, Targets: slices.Clone(c.program.targets),
+		Arrived: c.Arrived, Alone: alone,
 	}
 }
 
--- a/core/program/finish.go
+++ b/core/program/finish.go
@@ -33,7 +33,7 @@
 // answerEnded answers a report about a call that is not in flight.
 func (s *Store) answerEnded(id domain.CallID, entry domain.VM, p domain.ProgramID, e *Effects) {
 	if d := s.done[id]; d != nil {
-		s.replyDone(entry, d, nil, e)
+		s.replyDone(entry, d, e)
 		return
 	}
 	refusal := domain.Unknown(domain.ReasonOutcomeUnknown, "the call is not in flight at the owner of its program; check its effect before sending it again")
@@ -52,7 +52,7 @@
 		Program: p.id, Call: c.Call, Attempt: c.attempt, Turn: m.Turn, Answer: m.Answer, Conversation: m.Conversation,
 		Charge: ledger.Settle(c.reservation, s.cost(c, m.Usage)), At: now,
 	})
-	s.replyDone(c.Entry, s.done[c.Call], nil, e)
+	s.replyDone(c.Entry, s.done[c.Call], e)
 	if s.vm.clear(c.Fingerprint) {
 		e.Broadcast = append(e.Broadcast, &Cleared{c.Fingerprint})
 	}
@@ -109,7 +109,7 @@
 	})
 	if retry {
 		again := &call{
-			BeginCall: c.BeginCall, program: p, attempt: c.attempt, avoid: c.target,
+			BeginCall: c.BeginCall, program: p, attempt: c.attempt,
 			mayHaveRun: c.mayHaveRun || m.Kind != FailRefused && m.Kind != FailUnreachable,
 		}
 		s.wait(again)
--- a/core/program/store.go
+++ b/core/program/store.go
@@ -68,10 +68,6 @@
 	Arrived    time.Time
 	// Alone asks for a target with nothing else in flight until the call ends.
 	Alone bool
-	// Avoid names the target that failed the last attempt.
-	Avoid domain.Target
-	// Targets lists the targets that have run calls of the program.
-	Targets []domain.Target
 }
 
 // Release orders a target to free the memory of an ended program.
@@ -97,7 +93,6 @@
 	state   state
 	attempt uint32
 	target  domain.Target
-	avoid   domain.Target
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun  bool
 	hold        ledger.Reservation
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -73,7 +73,6 @@
 	Leader                 domain.VM
 	Last, Commit, Snapshot Index
 	Members                Members
-	Match                  map[domain.VM]Index // only at the leader
 	Fenced                 bool
 	Failed                 error
 }
@@ -157,17 +156,10 @@
 
 // Status returns a description of the current state.
 func (r *Raft) Status() Status {
-	s := Status{
+	return Status{
 		Role: r.role, Term: r.hard.Term, Leader: r.leader, Last: r.log.last(), Commit: r.commit,
 		Snapshot: r.log.base(), Members: r.members, Fenced: r.isFenced(), Failed: r.failed,
 	}
-	if r.role == Leader {
-		s.Match = map[domain.VM]Index{r.cfg.ID: r.persisted}
-		for vm, p := range r.progress {
-			s.Match[vm] = p.match
-		}
-	}
-	return s
 }
 
 // Step handles a message. It must come from an authenticated connection,
--- a/core/relay/propose.go
+++ b/core/relay/propose.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -171,12 +172,7 @@
 }
 
 func (r *Relay) pendingOperations() []domain.OperationID {
-	out := make([]domain.OperationID, 0, len(r.pending))
-	for operation := range r.pending {
-		out = append(out, operation)
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(r.pending))
 }
 
 func (r *Relay) tickProposals(e *Effects, now time.Time) {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"container/list"
 	"reflect"
 	"slices"
@@ -41,15 +42,9 @@
 
 // New returns a scheduler without accounts and targets.
 func New(c Config, _ time.Time) *Scheduler {
-	if c.MaxAge == 0 {
-		c.MaxAge = DefaultMaxAge
-	}
-	if c.QueueTimeout == 0 {
-		c.QueueTimeout = DefaultQueueTimeout
-	}
-	if c.RegionPrice == 0 {
-		c.RegionPrice = DefaultRegionPrice
-	}
+	c.MaxAge = cmp.Or(c.MaxAge, DefaultMaxAge)
+	c.QueueTimeout = cmp.Or(c.QueueTimeout, DefaultQueueTimeout)
+	c.RegionPrice = cmp.Or(c.RegionPrice, DefaultRegionPrice)
 	return &Scheduler{
 		config: c, accounts: map[domain.Account]*account{}, pools: map[PoolID]*pool{},
 		targets: map[domain.Target]*target{}, calls: map[domain.CallID]*call{},
--- a/core/shard/dump.go
+++ b/core/shard/dump.go
@@ -6,7 +6,7 @@
 // last write. The node replaces its durable stream by them, because the stream
 // of single records grows without bound.
 func (m *Manager) Dump() (token uint64, records []domain.Record) {
-	for _, s := range m.ordered() {
+	for _, s := range m.ordered {
 		records = append(records, s.dump()...)
 	}
 	return m.token, records
--- a/core/shard/lease.go
+++ b/core/shard/lease.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -60,7 +61,7 @@
 // cost independent of the number of healthy shards.
 func (m *Manager) requestLeases(now time.Time) {
 	claims := map[domain.VM][]Claim{}
-	for _, s := range m.ordered() {
+	for _, s := range m.ordered {
 		if !s.claims() {
 			continue
 		}
@@ -72,12 +73,7 @@
 			claims[m.leader] = append(claims[m.leader], c)
 		}
 	}
-	targets := make([]domain.VM, 0, len(claims))
-	for vm := range claims {
-		targets = append(targets, vm)
-	}
-	slices.Sort(targets)
-	for _, vm := range targets {
+	for _, vm := range slices.Sorted(maps.Keys(claims)) {
 		m.requestFrom(now, vm, claims[vm])
 	}
 }
--- a/core/shard/manager.go
+++ b/core/shard/manager.go
@@ -1,8 +1,8 @@
 package shard
 
 import (
+	"cmp"
 	"errors"
-	"maps"
 	"slices"
 	"time"
 
@@ -72,10 +72,12 @@
 
 // Manager holds all shards of one VM. It is not safe for concurrent use.
 type Manager struct {
-	config     Config
-	started    time.Time
-	view       *config.View
-	shards     map[domain.ShardID]*replica
+	config  Config
+	started time.Time
+	view    *config.View
+	shards  map[domain.ShardID]*replica
+	// ordered lists the shards by their order, because every step visits them.
+	ordered    []*replica
 	candidates map[domain.VM]Candidate
 	leader     domain.VM
 	sequence   uint64
@@ -91,21 +93,13 @@
 // New returns a manager without shards. It activates no shard for one lease
 // term, because promises of an earlier process of this VM may still run.
 func New(c Config, now time.Time) *Manager {
-	setDefault(&c.Term, DefaultTerm)
-	setDefault(&c.Renew, DefaultRenew)
-	setDefault(&c.Resend, DefaultResend)
-	if c.Batch == 0 {
-		c.Batch = DefaultBatch
-	}
+	c.Term = cmp.Or(c.Term, DefaultTerm)
+	c.Renew = cmp.Or(c.Renew, DefaultRenew)
+	c.Resend = cmp.Or(c.Resend, DefaultResend)
+	c.Batch = cmp.Or(c.Batch, DefaultBatch)
 	return &Manager{config: c, started: now, shards: map[domain.ShardID]*replica{}, candidates: map[domain.VM]Candidate{}}
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Restore loads the records that an earlier process stored, in their order. It
 // must be called before Configure.
 func (m *Manager) Restore(records []domain.Record) {
@@ -207,7 +201,7 @@
 	}
 	if !now.Before(m.nextResend) {
 		m.nextResend = now.Add(m.config.Resend)
-		for _, s := range m.ordered() {
+		for _, s := range m.ordered {
 			s.resend(now)
 		}
 	}
@@ -263,7 +257,7 @@
 
 // Persisted says that the write with the token, and all before it, are synced.
 func (m *Manager) Persisted(now time.Time, token uint64) Effects {
-	for _, s := range m.ordered() {
+	for _, s := range m.ordered {
 		s.synced(token)
 	}
 	m.progress(now)
@@ -348,30 +342,18 @@
 	if s == nil {
 		s = &replica{id: id, m: m}
 		m.shards[id] = s
+		at, _ := slices.BinarySearchFunc(m.ordered, id, func(other *replica, id domain.ShardID) int { return other.id.Compare(id) })
+		m.ordered = slices.Insert(m.ordered, at, s)
 	}
 	return s
 }
 
-func (m *Manager) ordered() []*replica {
-	ids := slices.SortedFunc(maps.Keys(m.shards), func(a, b domain.ShardID) int {
-		if a.Less(b) {
-			return -1
-		}
-		return 1
-	})
-	out := make([]*replica, 0, len(ids))
-	for _, id := range ids {
-		out = append(out, m.shards[id])
-	}
-	return out
-}
-
 // progress lets every shard take the steps that have become possible.
 func (m *Manager) progress(now time.Time) {
 	if m.view == nil {
 		return
 	}
-	for _, s := range m.ordered() {
+	for _, s := range m.ordered {
 		s.progress(now)
 	}
 }
--- a/core/shard/manager_test.go
+++ b/core/shard/manager_test.go
@@ -173,7 +173,7 @@
 
 func (w *world) compactAll() {
 	for _, vm := range w.vms {
-		for _, s := range vm.manager.ordered() {
+		for _, s := range vm.manager.ordered {
 			if !vm.up || !s.active || s.committed == s.log.base.Index {
 				continue
 			}
--- a/core/shard/replicate.go
+++ b/core/shard/replicate.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -43,19 +44,13 @@
 
 // holders lists the VMs that receive the log.
 func (s *replica) holders() []domain.VM {
-	out := s.requiredBackups()
-	if s.assignment.Learner != "" {
-		out = append(out, s.assignment.Learner)
-	}
-	seen := map[domain.VM]bool{}
-	unique := out[:0]
-	for _, vm := range out {
-		if !seen[vm] {
-			seen[vm] = true
-			unique = append(unique, vm)
+	var out []domain.VM
+	for _, vm := range append(s.requiredBackups(), s.assignment.Learner) {
+		if vm != "" && !slices.Contains(out, vm) {
+			out = append(out, vm)
 		}
 	}
-	return unique
+	return out
 }
 
 // replicate sends the entries that were not sent before.
--- a/core/shard/world_test.go
+++ b/core/shard/world_test.go
@@ -371,7 +371,7 @@
 		if !vm.up {
 			continue
 		}
-		for _, s := range vm.manager.ordered() {
+		for _, s := range vm.manager.ordered {
 			w.nextRecord++
 			_, e, err := vm.manager.Append(w.clock(vm), s.id, &testRecord{w.nextRecord})
 			w.effects(vm, e)
--- a/core/share/entry.go
+++ b/core/share/entry.go
@@ -84,12 +84,6 @@
 	a.limit, a.holder, a.reportEvery = l, holder, reportEvery(l)
 }
 
-// Remove forgets an account. Its waiting requests get no outcome.
-func (e *Entry) Remove(account domain.Account) {
-	delete(e.accounts, account)
-	delete(e.active, account)
-}
-
 // Admit takes a token for a request. Requests wait in arrival order.
 func (e *Entry) Admit(now time.Time, account domain.Account, t Ticket) (Decision, []domain.Send) {
 	a := e.accounts[account]
--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -27,11 +27,13 @@
 package engine
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/mangoknot/mangoknot/emulator/control"
 )
 
 // Settings configure an engine. Zero values get the defaults of New.
@@ -62,52 +64,35 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.MaxBatch, 32)
-	setDefault(&s.PrefillPerSecond, 8000)
-	setDefault(&s.DecodePerSecond, 60)
-	setDefault(&s.Slowdown, 0.05)
-	setDefault(&s.TimeScale, 1)
-	setDefault(&s.CacheTokens, 1<<18)
-	setDefault(&s.AnswerTokens, 64)
-	setDefault(&s.Heartbeat, time.Second)
-	setDefault(&s.KeepAnswers, time.Minute)
+	s.MaxBatch = cmp.Or(s.MaxBatch, 32)
+	s.PrefillPerSecond = cmp.Or(s.PrefillPerSecond, 8000)
+	s.DecodePerSecond = cmp.Or(s.DecodePerSecond, 60)
+	s.Slowdown = cmp.Or(s.Slowdown, 0.05)
+	s.TimeScale = cmp.Or(s.TimeScale, 1)
+	s.CacheTokens = cmp.Or(s.CacheTokens, 1<<18)
+	s.AnswerTokens = cmp.Or(s.AnswerTokens, 64)
+	s.Heartbeat = cmp.Or(s.Heartbeat, time.Second)
+	s.KeepAnswers = cmp.Or(s.KeepAnswers, time.Minute)
 	if len(s.Models) == 0 {
 		s.Models = []string{"model-a"}
 	}
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
-// mailboxSize bounds the requests that wait for the control goroutine.
-const mailboxSize = 256
-
 // Engine is an http.Handler. One control goroutine owns the batch, the cache
 // and the faults; handlers send it closures through a bounded mailbox.
 type Engine struct {
 	settings Settings
-	mailbox  chan func(*state)
-	stop     context.CancelFunc
-	stopping <-chan struct{}
-	stopped  chan struct{}
+	loop     *control.Loop[*state]
 	mux      *http.ServeMux
 	server   *http.Server
 }
 
 // New returns a running engine. Close ends it.
 func New(settings Settings) *Engine {
-	ctx, stop := context.WithCancel(context.Background())
 	e := &Engine{
 		settings: settings.withDefaults(),
-		mailbox:  make(chan func(*state), mailboxSize),
-		stop:     stop,
-		stopping: ctx.Done(),
-		stopped:  make(chan struct{}),
+		loop:     control.NewLoop[*state](),
 		mux:      http.NewServeMux(),
 	}
 	e.routes()
@@ -130,52 +115,23 @@
 }
 
 // Start serves on the listener until Close.
-func (e *Engine) Start(l net.Listener) error {
-	if err := e.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
+func (e *Engine) Start(l net.Listener) error { return control.Serve(e.server, l) }
 
 // Close cuts all connections and ends the control goroutine.
 func (e *Engine) Close() error {
-	e.stop()
-	<-e.stopped
+	e.loop.Close()
 	return e.server.Close()
 }
 
 // control is the only goroutine that touches the state.
 func (e *Engine) control() {
-	defer close(e.stopped)
 	s := newState(e.settings)
 	defer s.timer.Stop()
-	for {
-		select {
-		case f := <-e.mailbox:
-			f(s)
-		case <-s.timer.C:
-			s.stepDone(time.Now())
-		case <-e.stopping:
-			return
-		}
-	}
+	e.loop.Run(s, s.timer.C, func() { s.stepDone(time.Now()) })
 }
 
 // do runs f on the control goroutine and reports false when the engine is closed.
-func (e *Engine) do(f func(*state)) bool {
-	done := make(chan struct{})
-	select {
-	case e.mailbox <- func(s *state) { f(s); close(done) }:
-	case <-e.stopped:
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-e.stopped:
-		return false
-	}
-}
+func (e *Engine) do(f func(*state)) bool { return e.loop.Do(f) }
 
 // Inject switches a fault on or off.
 func (e *Engine) Inject(f Fault) { e.do(func(s *state) { s.inject(time.Now(), f) }) }
--- a/emulator/engine/fault.go
+++ b/emulator/engine/fault.go
@@ -135,7 +135,7 @@
 	case <-timer:
 	case <-p.ctx.Done():
 		panic(http.ErrAbortHandler)
-	case <-p.engine.stopped:
+	case <-p.engine.loop.Stopped():
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/emulator/tool/tool.go
+++ b/emulator/tool/tool.go
@@ -14,13 +14,14 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/mangoknot/mangoknot/emulator/control"
 )
 
 // HeaderRequest names the request whose effects are counted.
@@ -68,50 +69,31 @@
 	requests []Request
 }
 
-// mailboxSize bounds the requests that wait for the control goroutine.
-const mailboxSize = 256
-
 // Service is an http.Handler. One control goroutine owns its state.
 type Service struct {
-	mailbox  chan func(*state)
-	stop     context.CancelFunc
-	stopping <-chan struct{}
-	stopped  chan struct{}
-	mux      *http.ServeMux
-	server   *http.Server
+	loop   *control.Loop[*state]
+	mux    *http.ServeMux
+	server *http.Server
 }
 
 // New returns a running service. Close ends it.
 func New() *Service {
-	ctx, stop := context.WithCancel(context.Background())
-	t := &Service{
-		mailbox:  make(chan func(*state), mailboxSize),
-		stop:     stop,
-		stopping: ctx.Done(),
-		stopped:  make(chan struct{}),
-		mux:      http.NewServeMux(),
-	}
+	t := &Service{loop: control.NewLoop[*state](), mux: http.NewServeMux()}
 	t.mux.HandleFunc("/", t.echo)
 	t.mux.HandleFunc("GET /control/effects", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, t.Effects()) })
 	t.mux.HandleFunc("GET /control/requests", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, t.Requests()) })
 	t.mux.HandleFunc("POST /control/fault", t.fault)
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: 10 * time.Second}
-	go t.control()
+	go t.loop.Run(&state{effects: map[string]int{}}, nil, nil)
 	return t
 }
 
 // Start serves on the listener until Close.
-func (t *Service) Start(l net.Listener) error {
-	if err := t.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
+func (t *Service) Start(l net.Listener) error { return control.Serve(t.server, l) }
 
 // Close cuts all connections and ends the control goroutine.
 func (t *Service) Close() error {
-	t.stop()
-	<-t.stopped
+	t.loop.Close()
 	return t.server.Close()
 }
 
@@ -133,34 +115,8 @@
 	return out
 }
 
-func (t *Service) control() {
-	defer close(t.stopped)
-	s := &state{effects: map[string]int{}}
-	for {
-		select {
-		case f := <-t.mailbox:
-			f(s)
-		case <-t.stopping:
-			return
-		}
-	}
-}
-
 // do runs f on the control goroutine and reports false when the service is closed.
-func (t *Service) do(f func(*state)) bool {
-	done := make(chan struct{})
-	select {
-	case t.mailbox <- func(s *state) { f(s); close(done) }:
-	case <-t.stopped:
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-t.stopped:
-		return false
-	}
-}
+func (t *Service) do(f func(*state)) bool { return t.loop.Do(f) }
 
 func (s *state) record(r *http.Request) {
 	if len(s.requests) == maxRequests {
@@ -209,7 +165,7 @@
 	case <-after:
 	case <-ctx.Done():
 		panic(http.ErrAbortHandler)
-	case <-t.stopped:
+	case <-t.loop.Stopped():
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/mangoknot/mangoknot/adapter/operatorapi"
 	"github.com/mangoknot/mangoknot/core/config"
-	"github.com/mangoknot/mangoknot/core/domain"
 )
 
 // progressInterval is the time between two looks at where a change is in
@@ -54,10 +52,10 @@
 	}
 	notYet := "none"
 	if len(answer.NotYet) > 0 {
-		notYet = joinVMs(answer.NotYet)
+		notYet = joinNames(answer.NotYet)
 	}
 	return s.print(answer, []string{"VERSION", "IN FORCE", "NOT YET"},
-		[][]string{{fmt.Sprint(answer.Version), joinVMs(answer.InForce), notYet}})
+		[][]string{{fmt.Sprint(answer.Version), joinNames(answer.InForce), notYet}})
 }
 
 func (s *session) awaitInForce(ctx context.Context, answer operatorapi.ChangeAnswer) (operatorapi.ChangeAnswer, error) {
@@ -67,7 +65,7 @@
 	defer ticker.Stop()
 	version := answer.Version
 	for len(answer.NotYet) > 0 && s.args.Wait > 0 {
-		fmt.Fprintf(s.stderr, "waiting for %s\n", joinVMs(answer.NotYet))
+		fmt.Fprintf(s.stderr, "waiting for %s\n", joinNames(answer.NotYet))
 		select {
 		case <-ctx.Done():
 			return answer, nil
@@ -84,11 +82,3 @@
 	}
 	return answer, nil
 }
-
-func joinVMs(vms []domain.VM) string {
-	names := make([]string, 0, len(vms))
-	for _, vm := range vms {
-		names = append(names, string(vm))
-	}
-	return strings.Join(names, ",")
-}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -169,8 +169,8 @@
 	return table.Flush()
 }
 
-// token reads the operator's token from the environment for commands that
-// must not take it from the process list.
+// readLine reads a secret from standard input, because arguments are visible in
+// the process list.
 func (s *session) readLine(prompt string) (string, error) {
 	fmt.Fprint(s.stderr, prompt)
 	var line string
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	if s.args.Output == "table" {
-		fmt.Fprintf(s.stdout, "VM %s, leader %s (term %d), voters %s\n", status.VM, orNone(status.Leader), status.Term, joinVMs(status.Voters))
+		fmt.Fprintf(s.stdout, "VM %s, leader %s (term %d), voters %s\n", status.VM, orNone(status.Leader), status.Term, joinNames(status.Voters))
 		fmt.Fprintf(s.stdout, "configuration version %d, preset %s\n", status.Version, status.Preset)
 		fmt.Fprintf(s.stdout, "ready %t, isolated %t, calls in flight %d\n", status.Ready, status.Isolated, status.CallsInFlight)
 		fmt.Fprintf(s.stdout, "shards without an owner %d, without a backup %d\n\n", status.UnassignedShards, status.ShardsWithoutBackup)
@@ -108,7 +108,7 @@
 // warnMissing names the VMs whose shards are not part of a report.
 func (s *session) warnMissing(missing []domain.VM) {
 	if len(missing) > 0 {
-		fmt.Fprintf(s.stderr, "warning: no answer from %s; their shards are not included\n", joinVMs(missing))
+		fmt.Fprintf(s.stderr, "warning: no answer from %s; their shards are not included\n", joinNames(missing))
 	}
 }
 
--- a/internal/daemon/actors.go
+++ b/internal/daemon/actors.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -11,8 +10,6 @@
 	"github.com/oklog/run"
 )
 
-type tlsConfig = tls.Config
-
 // stopLimit bounds the end of the other actors after the first one has ended.
 const stopLimit = 5 * time.Second
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,13 +3,16 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -196,13 +199,7 @@
 	// The settings were checked, so the lists parse.
 	voters, _ := settings.ParsePeers("voters", s.Voters)
 	seeds, _ := settings.ParsePeers("join", s.Join)
-	for vm, address := range voters {
-		seeds[vm] = address
-	}
-	var names []domain.VM
-	for vm := range voters {
-		names = append(names, vm)
-	}
+	maps.Copy(seeds, voters)
 	address := s.PeerAddressOrListen()
 	if s.PeerAddress == "" {
 		address = d.PeerAddress()
@@ -214,7 +211,7 @@
 		PeerAddress:      address,
 		HasDisk:          s.DataDir != "" || s.Dev,
 		Incarnation:      uint64(clock.Now().UnixNano()),
-		Voters:           names,
+		Voters:           slices.Sorted(maps.Keys(voters)),
 		Seeds:            seeds,
 		Homes:            settings.ParseDataCentres(s.Homes),
 		RefuseWhenCutOff: s.CutOffKeys == "refuse",
@@ -267,7 +264,7 @@
 type security struct {
 	client    credentials.TransportCredentials
 	server    credentials.TransportCredentials
-	operators *tlsConfig
+	operators *tls.Config
 }
 
 func (d *Daemon) security() (security, error) {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -4,6 +4,7 @@
 package dev
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -36,20 +37,14 @@
 
 // Complete fills in the settings of a single VM that need no choice.
 func Complete(s *settings.Settings) {
-	fill(&s.VM, vmName)
-	fill(&s.DataCentre, centreName)
-	fill(&s.Region, centreName)
-	fill(&s.Voters, s.VM+"="+s.PeerListen)
-	fill(&s.Homes, s.DataCentre)
+	s.VM = cmp.Or(s.VM, vmName)
+	s.DataCentre = cmp.Or(s.DataCentre, centreName)
+	s.Region = cmp.Or(s.Region, centreName)
+	s.Voters = cmp.Or(s.Voters, s.VM+"="+s.PeerListen)
+	s.Homes = cmp.Or(s.Homes, s.DataCentre)
 	s.UnreadyDelay = 0
 }
 
-func fill(field *string, value string) {
-	if *field == "" {
-		*field = value
-	}
-}
-
 // AddActors adds the stand-ins and the setup to the group.
 func AddActors(group *run.Group, d *daemon.Daemon, out io.Writer) error {
 	engineListener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -80,10 +80,8 @@
 			failed.Code, failed.Message = CodeGaveUp, "last code "+record.Code+": "+record.Message
 			return failed
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, wait) {
 			return failed
-		case <-time.After(wait):
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -140,10 +141,8 @@
 }
 
 func oneOf(name, value string, allowed ...string) error {
-	for _, a := range allowed {
-		if value == a {
-			return nil
-		}
+	if slices.Contains(allowed, value) {
+		return nil
 	}
 	return wrong(name, value, "use "+strings.Join(allowed, " or "))
 }
--- a/node/chat.go
+++ b/node/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"io"
 	"time"
@@ -84,14 +83,14 @@
 	if err != nil {
 		return attemptResult{fail: program.FailTimedOut, passed: true, final: domain.Unknown(domain.ReasonTargetFailed, "the engine's answer is not whole; send the request again")}
 	}
-	ref := port.HistoryRef{Program: start.Program, Length: int64(len(data)), SHA256: sha256.Sum256(data)}
-	if err := r.node.storeOnHolders(ctx, ref, data); err != nil {
+	ref, err := r.node.storeTurn(ctx, start.Program, data)
+	if err != nil {
 		return attemptResult{fail: program.FailCancelled, passed: true, final: err}
 	}
 	return attemptResult{timing: t, finish: &program.FinishCall{
 		Usage:        usage,
-		Turn:         program.HistoryRef{SHA256: ref.SHA256, Length: uint32(ref.Length)},
-		Answer:       &program.Answer{SHA256: ref.SHA256, Length: uint32(ref.Length)},
+		Turn:         ref,
+		Answer:       (*program.Answer)(&ref),
 		Conversation: program.Conversation{Digest: after.Digest, Messages: uint32(after.Messages)},
 	}}
 }
--- a/node/control.go
+++ b/node/control.go
@@ -138,11 +138,7 @@
 		c.shared.jobs.persist(w, done)
 		return
 	}
-	if w.Replace {
-		c.ports.Disk.Replace(string(w.Stream), w.Records, done)
-		return
-	}
-	c.ports.Disk.Append(string(w.Stream), w.Records, done)
+	writeTo(c.ports.Disk, w, done)
 }
 
 // reply passes a reply to the operation that waits for it. A full channel
--- a/node/history.go
+++ b/node/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"sync"
 	"time"
@@ -59,6 +60,13 @@
 	}
 }
 
+// storeTurn stores the bytes of a turn or answer on the holders of the program
+// and returns the name under which they are found.
+func (n *Node) storeTurn(ctx context.Context, id domain.ProgramID, data []byte) (program.HistoryRef, error) {
+	ref := port.HistoryRef{Program: id, Length: int64(len(data)), SHA256: sha256.Sum256(data)}
+	return program.HistoryRef{SHA256: ref.SHA256, Length: uint32(ref.Length)}, n.storeOnHolders(ctx, ref, data)
+}
+
 // pause waits and reports whether the context is still open.
 func (n *Node) pause(ctx context.Context, d time.Duration) bool {
 	timer := n.ports.Clock.NewTimer(d)
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -54,36 +54,42 @@
 
 func (j *jobs) start(ctx context.Context) {
 	for range releaseWorkers {
-		go j.runReleases(ctx)
+		go work(ctx, j.releases, j.order)
 	}
-	go j.runForgets(ctx)
-	go j.runWrites(ctx)
+	go work(ctx, j.forgets, j.deleteHistory)
+	// One goroutine keeps the writes in order.
+	go work(ctx, j.writes, j.completeWrite)
 }
 
 // release queues an order; the controller repeats orders without confirmation.
 func (j *jobs) release(r program.Release) {
-	select {
-	case j.releases <- r:
-	default:
-	}
+	offerTo(j.releases, r)
 }
 
 // forget queues the deletion of a program's history. Bytes that stay because
 // the queue is full cost space only.
 func (j *jobs) forget(id domain.ProgramID) {
+	offerTo(j.forgets, id)
+}
+
+// offerTo adds an item to a queue and reports whether there was room.
+func offerTo[T any](queue chan<- T, item T) bool {
 	select {
-	case j.forgets <- id:
+	case queue <- item:
+		return true
 	default:
+		return false
 	}
 }
 
-func (j *jobs) runForgets(ctx context.Context) {
+// work handles the items of a queue until the context ends.
+func work[T any](ctx context.Context, queue <-chan T, handle func(context.Context, T)) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case id := <-j.forgets:
-			j.deleteHistory(ctx, id)
+		case item := <-queue:
+			handle(ctx, item)
 		}
 	}
 }
@@ -107,24 +113,11 @@
 
 // persist queues a write of shard records.
 func (j *jobs) persist(w controller.Write, done func(error)) {
-	select {
-	case j.writes <- shardWrite{w, done}:
-	default:
+	if !offerTo(j.writes, shardWrite{w, done}) {
 		done(errWriteQueue)
 	}
 }
 
-func (j *jobs) runReleases(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case r := <-j.releases:
-			j.order(ctx, r)
-		}
-	}
-}
-
 func (j *jobs) order(ctx context.Context, r program.Release) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -135,25 +128,23 @@
 	j.node.mailbox.offer(controller.ReleaseDone{Release: r, Err: err})
 }
 
-// runWrites completes writes in order. A record counts as durable only when
+// completeWrite hands a write to the disk. A record counts as durable only when
 // the history bytes it refers to are on this VM too, so a learner that is
 // promoted holds everything that it may have to serve.
-func (j *jobs) runWrites(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case w := <-j.writes:
-			for _, ref := range missingHistory(j.node.ports.History, w.write.Records) {
-				j.copyHistory(ctx, ref)
-			}
-			if w.write.Replace {
-				j.node.ports.Disk.Replace(string(w.write.Stream), w.write.Records, w.done)
-				continue
-			}
-			j.node.ports.Disk.Append(string(w.write.Stream), w.write.Records, w.done)
-		}
+func (j *jobs) completeWrite(ctx context.Context, w shardWrite) {
+	for _, ref := range missingHistory(j.node.ports.History, w.write.Records) {
+		j.copyHistory(ctx, ref)
+	}
+	writeTo(j.node.ports.Disk, w.write, w.done)
+}
+
+// writeTo passes a write of the controller to the disk.
+func writeTo(disk port.Disk, w controller.Write, done func(error)) {
+	if w.Replace {
+		disk.Replace(string(w.Stream), w.Records, done)
+		return
 	}
+	disk.Append(string(w.Stream), w.Records, done)
 }
 
 // copyHistory fetches bytes from the other holder. Bytes that no holder has
--- a/node/mailbox.go
+++ b/node/mailbox.go
@@ -63,12 +63,7 @@
 // offer drops the event when the mailbox is full and reports whether it was
 // taken. It is for events that are repeated anyway.
 func (m *mailbox) offer(input controller.Input) bool {
-	select {
-	case m.events <- envelope{input: input}:
-		return true
-	default:
-		return false
-	}
+	return offerTo(m.events, envelope{input: input})
 }
 
 // request is a ticket with its replies.
@@ -88,12 +83,10 @@
 		ticket:  controller.Ticket(m.tickets.Add(1)),
 		replies: make(chan controller.Reply, replyLength),
 	}
-	select {
-	case m.events <- envelope{input: inputFor(c.ticket), ticket: c.ticket, replies: c.replies}:
-		return c, nil
-	default:
+	if !offerTo(m.events, envelope{input: inputFor(c.ticket), ticket: c.ticket, replies: c.replies}) {
 		return nil, errOverloaded()
 	}
+	return c, nil
 }
 
 // next waits for the next reply.
--- a/node/node.go
+++ b/node/node.go
@@ -4,11 +4,9 @@
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"fmt"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 
@@ -136,15 +134,14 @@
 func (n *Node) Identify(key string) (port.Identity, error) {
 	state := n.shared.state.Load()
 	if state.Isolated {
-		return port.Identity{}, domain.NotRun(domain.ReasonIsolated, "the VM is cut off from the other VMs and cannot check keys; send the request again to another VM").After(time.Second)
+		return port.Identity{}, controller.Isolated()
 	}
-	hash := config.KeyHash(sha256.Sum256([]byte(key)))
-	spec := n.View().KeyByHash(hash)
-	if spec == nil || subtle.ConstantTimeCompare(spec.Hash[:], hash[:]) != 1 {
+	spec := n.View().KeyByHash(sha256.Sum256([]byte(key)))
+	if spec == nil {
 		return port.Identity{}, domain.NotRun(domain.ReasonKeyUnknown, "the key is not known; check it, or ask the operator for a new one")
 	}
 	if spec.Withdrawn || state.Withdrawn[spec.ID] {
-		return port.Identity{}, domain.NotRun(domain.ReasonKeyWithdrawn, "the key was withdrawn; ask the operator for a new one")
+		return port.Identity{}, controller.KeyWithdrawn()
 	}
 	return port.Identity{Account: spec.Account, Key: spec.ID}, nil
 }
@@ -157,7 +154,7 @@
 // yet.
 func (n *Node) enter() (leave func(), err error) {
 	if !n.shared.state.Load().Serving {
-		return nil, domain.NotRun(domain.ReasonOverloaded, "the VM is starting; send the request again").After(time.Second)
+		return nil, controller.Starting()
 	}
 	n.inFlight.Add(1)
 	return func() { n.inFlight.Add(-1) }, nil
--- a/node/operations.go
+++ b/node/operations.go
@@ -19,30 +19,38 @@
 func (n *Node) Change(ctx context.Context, change config.Change) (port.InForce, error) {
 	ctx, cancel := context.WithTimeout(ctx, operationLimit)
 	defer cancel()
-	reply, err := askOnce[controller.ChangeReply](ctx, n.mailbox, func(t controller.Ticket) controller.Input {
+	version, err := n.propose(ctx, func(t controller.Ticket) controller.Input {
 		return controller.Change{Ticket: t, Change: change}
 	})
-	return n.changed(ctx, reply, err)
+	if err != nil {
+		return port.InForce{}, err
+	}
+	return n.InForce(ctx, version)
 }
 
 // WithdrawKey implements port.Operations.
 func (n *Node) WithdrawKey(ctx context.Context, _ domain.OperationID, key config.KeyID) (port.InForce, error) {
 	ctx, cancel := context.WithTimeout(ctx, operationLimit)
 	defer cancel()
-	reply, err := askOnce[controller.ChangeReply](ctx, n.mailbox, func(t controller.Ticket) controller.Input {
+	version, err := n.propose(ctx, func(t controller.Ticket) controller.Input {
 		return controller.WithdrawKey{Ticket: t, Key: key}
 	})
-	return n.changed(ctx, reply, err)
+	if err != nil {
+		return port.InForce{}, err
+	}
+	return n.InForce(ctx, version)
 }
 
-func (n *Node) changed(ctx context.Context, reply controller.ChangeReply, err error) (port.InForce, error) {
+// propose asks for a change and returns the version of an accepted one.
+func (n *Node) propose(ctx context.Context, inputFor func(controller.Ticket) controller.Input) (uint64, error) {
+	reply, err := askOnce[controller.ChangeReply](ctx, n.mailbox, inputFor)
 	if err != nil {
-		return port.InForce{}, operationError(err)
+		return 0, operationError(err)
 	}
 	if reply.Refusal != nil {
-		return port.InForce{}, reply.Refusal
+		return 0, reply.Refusal
 	}
-	return n.InForce(ctx, reply.Version)
+	return reply.Version, nil
 }
 
 // AddVoter implements port.Operations.
@@ -62,16 +70,10 @@
 func (n *Node) changeVoters(ctx context.Context, change raft.VoterChange) error {
 	ctx, cancel := context.WithTimeout(ctx, operationLimit)
 	defer cancel()
-	reply, err := askOnce[controller.ChangeReply](ctx, n.mailbox, func(t controller.Ticket) controller.Input {
+	_, err := n.propose(ctx, func(t controller.Ticket) controller.Input {
 		return controller.ChangeVoters{Ticket: t, Change: change}
 	})
-	if err != nil {
-		return operationError(err)
-	}
-	if reply.Refusal != nil {
-		return reply.Refusal
-	}
-	return nil
+	return err
 }
 
 // operationError explains an operation that got no answer in time.
--- a/node/service.go
+++ b/node/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"errors"
 	"io"
 	"time"
@@ -57,14 +56,14 @@
 	if err != nil {
 		return attemptResult{fail: program.FailTimedOut, final: err}
 	}
-	ref := port.HistoryRef{Program: start.Program, Length: int64(len(data)), SHA256: sha256.Sum256(data)}
-	if err := r.node.storeOnHolders(ctx, ref, data); err != nil {
+	ref, err := r.node.storeTurn(ctx, start.Program, data)
+	if err != nil {
 		return attemptResult{fail: program.FailTimedOut, final: err}
 	}
 	r.answer = answer
 	return attemptResult{timing: timing{elapsed, elapsed}, finish: &program.FinishCall{
-		Turn:         program.HistoryRef{SHA256: ref.SHA256, Length: uint32(ref.Length)},
-		Answer:       &program.Answer{SHA256: ref.SHA256, Length: uint32(ref.Length)},
+		Turn:         ref,
+		Answer:       (*program.Answer)(&ref),
 		Conversation: start.Conversation,
 	}}
 }
