--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/mangoknot/mangoknot/adapter/codec"
+	"github.com/mangoknot/mangoknot/adapter/grpcbytes"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/membership"
 	"github.com/mangoknot/mangoknot/port"
@@ -216,7 +217,7 @@
 func (c *Client) dial(address string, maxBytes int) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(c.credentials),
-		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(bytesCodec{}), grpc.MaxCallRecvMsgSize(maxBytes), grpc.MaxCallSendMsgSize(maxBytes)),
+		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(grpcbytes.Codec{}), grpc.MaxCallRecvMsgSize(maxBytes), grpc.MaxCallSendMsgSize(maxBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstRetryDelay, Multiplier: 2, Jitter: 0.2, MaxDelay: lastRetryDelay},
 			MinConnectTimeout: dialTimeout,
--- a/adapter/peer/frame.go
+++ b/adapter/peer/frame.go
@@ -4,38 +4,7 @@
 // certificate.
 package peer
 
-import (
-	"fmt"
-
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/mem"
-)
-
-// bytesCodec passes []byte through unchanged, because the messages inside are
-// encoded before they reach grpc.
-type bytesCodec struct{}
-
-// Name implements encoding.CodecV2.
-func (bytesCodec) Name() string { return "mangoknot-bytes" }
-
-// Marshal implements encoding.CodecV2.
-func (bytesCodec) Marshal(v any) (mem.BufferSlice, error) {
-	data, ok := v.(*[]byte)
-	if !ok {
-		return nil, fmt.Errorf("peer: cannot send %T; use *[]byte", v)
-	}
-	return mem.BufferSlice{mem.SliceBuffer(*data)}, nil
-}
-
-// Unmarshal implements encoding.CodecV2.
-func (bytesCodec) Unmarshal(data mem.BufferSlice, v any) error {
-	out, ok := v.(*[]byte)
-	if !ok {
-		return fmt.Errorf("peer: cannot receive %T; use *[]byte", v)
-	}
-	*out = data.Materialize()
-	return nil
-}
+import "google.golang.org/grpc"
 
 // The names of the service and its methods on the wire.
 const (
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/mangoknot/mangoknot/adapter/codec"
+	"github.com/mangoknot/mangoknot/adapter/grpcbytes"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -43,7 +44,7 @@
 // the transport credentials.
 func (s *Server) GRPC(options ...grpc.ServerOption) *grpc.Server {
 	options = append(options,
-		grpc.ForceServerCodecV2(bytesCodec{}),
+		grpc.ForceServerCodecV2(grpcbytes.Codec{}),
 		grpc.MaxRecvMsgSize(maxControlFrameBytes),
 	)
 	server := grpc.NewServer(options...)
--- /dev/null
+++ b/cmd/mangoknot-node/main.go
@@ -0,0 +1,41 @@
+// Command mangoknot-node runs one role of the system on the users' platform:
+// gateway, storage or coordinator.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/mangoknot/mangoknot/internal/roles"
+)
+
+type arguments struct {
+	Gateway     *struct{} `arg:"subcommand:gateway" help:"serve callers"`
+	Storage     *struct{} `arg:"subcommand:storage" help:"keep turns and token budgets"`
+	Coordinator *struct{} `arg:"subcommand:coordinator" help:"agree on the configuration"`
+}
+
+func main() {
+	var a arguments
+	parser := arg.MustParse(&a)
+	if err := serve(parser, a); err != nil {
+		fmt.Fprintln(os.Stderr, "mangoknot-node:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(parser *arg.Parser, a arguments) error {
+	switch {
+	case a.Gateway != nil:
+		return roles.Gateway()
+	case a.Storage != nil:
+		return roles.Storage()
+	case a.Coordinator != nil:
+		return roles.Coordinator()
+	default:
+		parser.WriteHelp(os.Stderr)
+		return fmt.Errorf("name a role: gateway, storage or coordinator")
+	}
+}
--- /dev/null
+++ b/core/allowance/allowance.go
@@ -0,0 +1,225 @@
+// Package allowance holds client accounts to their rate and burst over all
+// gateways without a round trip on the way of a request. Each gateway counts
+// what it admits and reports the counts; the coordinator returns the totals of
+// the fleet, and each gateway subtracts what the others admitted from its copy
+// of the account's bucket.
+//
+// Bound: between two reports a gateway does not see what the others admit, so a
+// window exceeds rate*t + burst by at most what the others admit in one report
+// interval plus a round trip. A gateway without answers uses only the fraction
+// of the rate that it used before, and the coordinator counts that fraction as
+// used for as long, so the bound holds across a partition as well.
+//
+// core/share is exact instead, and refuses while a new root waits for the grants
+// of its predecessor. Callers here are owed every request inside the rate, also
+// while the coordinator changes.
+package allowance
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Timing of reports.
+const (
+	// ReportInterval is the time between two reports of a gateway. Half of it is
+	// the mean age of what a gateway knows about the others.
+	ReportInterval = 250 * time.Millisecond
+	// silentAfter is the time without an answer after which a gateway uses only
+	// its own fraction. It exceeds an election of the coordinators plus two
+	// reports.
+	silentAfter = 1500 * time.Millisecond
+	// absentFor is the time for which the coordinator counts the fraction of a
+	// silent gateway as used. A gateway that is silent for longer is dead, or its
+	// callers have moved.
+	absentFor = 15 * time.Second
+	// smoothing is the time over which the fractions are averaged.
+	smoothing = 4 * time.Second
+)
+
+// Limit is the allowance of a client account over all gateways.
+type Limit struct{ RatePerSecond, Burst float64 }
+
+// Limits returns the limit of an account; ok is false without one.
+type Limits func(domain.Account) (Limit, bool)
+
+// Count is the number of requests of an account that one gateway admitted since
+// its start.
+type Count struct {
+	Account  domain.Account
+	Admitted uint64
+}
+
+// Total is the number of requests of an account that all gateways admitted since
+// the coordinator started.
+type Total struct {
+	Account  domain.Account
+	Admitted float64
+}
+
+// Totals is the coordinator's answer to a report.
+type Totals struct {
+	// Origin identifies the coordinator's count. Totals of different origins must
+	// not be subtracted.
+	Origin string
+	// Gateways is the number of gateways that report.
+	Gateways int
+	Totals   []Total
+}
+
+type bucket struct {
+	level    float64
+	filled   time.Time
+	admitted uint64
+	// reported is the own count that the last total includes.
+	reported, sent uint64
+	total          float64
+	known          bool
+	own, all       float64 // averaged requests per second
+	measured       time.Time
+}
+
+// Gateway is the state of one gateway. It is not safe for concurrent use.
+type Gateway struct {
+	limits   Limits
+	buckets  map[domain.Account]*bucket
+	origin   string
+	gateways int
+	answered time.Time
+	alone    bool
+}
+
+// NewGateway returns a gateway that has admitted nothing.
+func NewGateway(limits Limits, now time.Time) *Gateway {
+	return &Gateway{limits: limits, buckets: map[domain.Account]*bucket{}, gateways: 1, answered: now}
+}
+
+// Admit takes one request from the account's bucket. When it is refused, retry
+// is the time until the bucket holds a request again.
+func (g *Gateway) Admit(now time.Time, account domain.Account) (ok bool, retry time.Duration) {
+	limit, limited := g.limits(account)
+	if !limited || limit.RatePerSecond <= 0 {
+		return true, 0
+	}
+	g.checkSilence(now)
+	b := g.fill(now, account, limit)
+	if b.level < 1 {
+		wait := (1 - b.level) / g.usableRate(b, limit)
+		return false, time.Duration(wait * float64(time.Second))
+	}
+	b.level--
+	b.admitted++
+	return true, 0
+}
+
+// Alone says whether the gateway uses only its own fraction of each rate.
+func (g *Gateway) Alone(now time.Time) bool {
+	g.checkSilence(now)
+	return g.alone
+}
+
+func (g *Gateway) checkSilence(now time.Time) {
+	if g.alone || now.Sub(g.answered) < silentAfter {
+		return
+	}
+	g.alone = true
+	// The levels are copies of one bucket; only the own fraction of it is left.
+	for _, b := range g.buckets {
+		if b.level > 0 {
+			b.level *= g.fraction(b)
+		}
+	}
+}
+
+func (g *Gateway) fraction(b *bucket) float64 {
+	least := 1 / float64(2*max(1, g.gateways))
+	if b.all <= 0 {
+		return least
+	}
+	return min(1, max(least, b.own/b.all))
+}
+
+func (g *Gateway) usableRate(b *bucket, limit Limit) float64 {
+	if g.alone {
+		return limit.RatePerSecond * g.fraction(b)
+	}
+	return limit.RatePerSecond
+}
+
+func (g *Gateway) fill(now time.Time, account domain.Account, limit Limit) *bucket {
+	b := g.buckets[account]
+	if b == nil {
+		b = &bucket{level: max(1, limit.Burst), filled: now}
+		if g.alone {
+			b.level *= g.fraction(b)
+		}
+		g.buckets[account] = b
+	}
+	b.level += now.Sub(b.filled).Seconds() * g.usableRate(b, limit)
+	b.filled = now
+	capacity := max(1, limit.Burst)
+	if g.alone {
+		capacity = max(1, capacity*g.fraction(b))
+	}
+	b.level = min(b.level, capacity)
+	return b
+}
+
+// Report returns the counts of all accounts that changed since the last answer.
+func (g *Gateway) Report() []Count {
+	var counts []Count
+	for account, b := range g.buckets {
+		b.sent = b.admitted
+		if b.admitted > 0 {
+			counts = append(counts, Count{Account: account, Admitted: b.admitted})
+		}
+	}
+	return counts
+}
+
+// Answer applies the totals that answer the last report.
+func (g *Gateway) Answer(now time.Time, t Totals) {
+	sameOrigin := t.Origin == g.origin
+	g.origin, g.gateways, g.answered, g.alone = t.Origin, t.Gateways, now, false
+	for _, total := range t.Totals {
+		limit, limited := g.limits(total.Account)
+		if !limited || limit.RatePerSecond <= 0 {
+			continue
+		}
+		b := g.fill(now, total.Account, limit)
+		if sameOrigin && b.known {
+			b.subtractOthers(now, total.Admitted, limit)
+		}
+		b.known, b.total, b.reported, b.measured = true, total.Admitted, b.sent, now
+	}
+	if !sameOrigin {
+		for account, b := range g.buckets {
+			b.known = hasTotal(t.Totals, account)
+		}
+	}
+}
+
+func hasTotal(totals []Total, account domain.Account) bool {
+	for _, t := range totals {
+		if t.Account == account {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *bucket) subtractOthers(now time.Time, total float64, limit Limit) {
+	own := float64(b.sent - b.reported)
+	all := max(own, total-b.total)
+	// The debt is bounded by one second of the rate, so that an account that was
+	// over its limit is served again soon.
+	b.level = max(b.level-(all-own), -limit.RatePerSecond)
+	seconds := now.Sub(b.measured).Seconds()
+	if seconds <= 0 {
+		return
+	}
+	weight := min(1, seconds/smoothing.Seconds())
+	b.own += weight * (own/seconds - b.own)
+	b.all += weight * (all/seconds - b.all)
+}
--- /dev/null
+++ b/core/coordinator/coordinator.go
@@ -0,0 +1,340 @@
+package coordinator
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/allowance"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/raft"
+)
+
+// Errors of operations, for errors.Is.
+var (
+	// ErrNoLeader means that this VM cannot decide now.
+	ErrNoLeader = errors.New("coordinator: no leader with a majority is known; retry, at another coordinator if it lasts")
+	// ErrUnclear means that the leader changed before the outcome was known.
+	ErrUnclear = errors.New("coordinator: the leader changed before the change was decided; send the same change again")
+	// ErrUnknownStore means that no storage VM has the name.
+	ErrUnknownStore = errors.New("coordinator: no storage VM has this name; list the VMs and retry")
+	// ErrTooFew means that too few storage VMs would remain.
+	ErrTooFew = errors.New("coordinator: too few storage VMs would remain; add one first")
+)
+
+// Redirect refuses an operation and names the leader.
+type Redirect struct{ Leader domain.VM }
+
+func (e *Redirect) Error() string {
+	return fmt.Sprintf("coordinator: this VM is not the leader; ask %s", VMAddress(e.Leader))
+}
+
+// Config holds the settings of one coordinator.
+type Config struct {
+	Self domain.VM
+	// Voters is the first set, empty on a VM that joins.
+	Voters []domain.VM
+	// Tolerance is the number of VMs with a disk that may be lost at once.
+	Tolerance int
+	// ElectionTimeout and Heartbeat are raft's; 0 means its defaults.
+	ElectionTimeout, Heartbeat time.Duration
+	Rand                       *rand.Rand
+}
+
+// Ticket identifies an operation whose outcome comes later.
+type Ticket uint64
+
+// Outcome ends an operation. A nil Err means that it is in force.
+type Outcome struct {
+	Ticket Ticket
+	Err    error
+}
+
+// Effects are the results of one step. Records are to be persisted with Token;
+// Now may be sent at once, AfterSync only when the token is durable.
+type Effects struct {
+	Records        []domain.Record
+	Replace        bool
+	Token          raft.PersistToken
+	Now, AfterSync []domain.Send
+	Outcomes       []Outcome
+	// ListTargets asks for a read of the platform's list.
+	ListTargets bool
+	// Events are changes of belief, for the log.
+	Events []Event
+}
+
+// Event is a change of belief.
+type Event struct {
+	What   string
+	Detail map[string]any
+}
+
+type waiting struct {
+	ticket Ticket
+	index  raft.Index
+	term   raft.Term
+}
+
+type storeSeen struct {
+	StoreStatus
+	seen time.Time
+}
+
+// Coordinator is one voter or learner. It is not safe for concurrent use.
+type Coordinator struct {
+	cfg     Config
+	raft    *raft.Raft
+	state   State
+	applied raft.Index
+	// appliedTerm is the term of the newest applied entry. A leader may answer
+	// reads only after it has applied an entry of its own term.
+	appliedTerm raft.Term
+	compacted   raft.Index
+
+	leading     bool
+	leadingFrom time.Time
+	heard       map[domain.VM]time.Time
+	joiners     map[domain.VM]time.Time
+	stores      map[quorum.StoreID]*storeSeen
+	fleet       *allowance.Fleet
+	gateways    map[string]string
+	targets     *TargetList
+	sequence    uint64
+	nextRepair  time.Time
+	nextList    time.Time
+	listing     bool
+
+	tickets  Ticket
+	waiting  []waiting
+	outcomes []Outcome
+	events   []Event
+}
+
+// New returns a coordinator with the restored log.
+func New(cfg Config, restored raft.Restored, now time.Time) *Coordinator {
+	return &Coordinator{
+		cfg: cfg,
+		raft: raft.New(raft.Config{
+			ID: cfg.Self, Voters: cfg.Voters, Rand: cfg.Rand,
+			ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat,
+		}, restored, now),
+		heard: map[domain.VM]time.Time{}, joiners: map[domain.VM]time.Time{},
+		stores: map[quorum.StoreID]*storeSeen{}, gateways: map[string]string{},
+		fleet: allowance.NewFleet(string(cfg.Self)),
+	}
+}
+
+// Receive handles a raft message.
+func (c *Coordinator) Receive(now time.Time, from domain.VM, m domain.Message) {
+	c.heard[from] = now
+	c.raft.Step(now, from, m)
+}
+
+// Persisted reports that the records up to the token are durable.
+func (c *Coordinator) Persisted(now time.Time, token raft.PersistToken) { c.raft.Persisted(now, token) }
+
+// PersistFailed stops this voter.
+func (c *Coordinator) PersistFailed(err error) { c.raft.PersistFailed(err) }
+
+// Tick advances timers.
+func (c *Coordinator) Tick(now time.Time) {
+	c.raft.Tick(now)
+	if c.raft.Status().Role == raft.Leader && !now.Before(c.nextRepair) {
+		c.nextRepair = now.Add(repairInterval)
+		c.repairVoters(now)
+		c.repairStores(now)
+	}
+}
+
+// NextWake returns when Tick is due.
+func (c *Coordinator) NextWake(now time.Time) time.Time {
+	wake := c.raft.NextWake()
+	if wake.IsZero() || wake.Sub(now) > repairInterval {
+		return now.Add(repairInterval)
+	}
+	return wake
+}
+
+// Ready drains the output of the last steps.
+func (c *Coordinator) Ready(now time.Time) Effects {
+	ready := c.raft.Ready()
+	if ready.Snapshot != nil {
+		c.restore(ready.Snapshot)
+	}
+	for _, e := range ready.Committed {
+		c.apply(e)
+	}
+	c.followRole(now)
+	c.compact()
+	out := Effects{
+		Records: ready.Records, Replace: ready.Replace, Token: ready.Token,
+		Now: ready.Now, AfterSync: ready.AfterSync, Outcomes: c.outcomes, Events: c.events,
+	}
+	if c.leading && !c.listing && !now.Before(c.nextList) {
+		c.listing, out.ListTargets = true, true
+		c.nextList = now.Add(listInterval)
+	}
+	c.outcomes, c.events = nil, nil
+	return out
+}
+
+func (c *Coordinator) restore(s *raft.Snapshot) {
+	state, ok := s.Data.(*State)
+	if !ok {
+		c.event("a snapshot has an unknown content", map[string]any{"index": s.Index})
+		return
+	}
+	c.state = *state
+	c.applied, c.appliedTerm, c.compacted = s.Index, s.Term, s.Index
+}
+
+func (c *Coordinator) apply(e raft.Entry) {
+	switch command := e.Data.(type) {
+	case *PutDocument:
+		if command.Document.Version > c.state.Document.Version {
+			c.state.Document = command.Document
+			c.event("manifest in force", map[string]any{"version": command.Document.Version, "index": e.Index})
+		}
+	case *PutStores:
+		if c.state.Stores == nil || command.Set.Epoch == c.state.Stores.Epoch+1 {
+			c.state.Stores = command.Set
+			c.event("storage set in force", map[string]any{"epoch": command.Set.Epoch, "members": memberIDs(command.Set)})
+		}
+	case *RetireStore:
+		if !slices.Contains(c.state.Retired, command.Name) {
+			c.state.Retired = append(slices.Clone(c.state.Retired), command.Name)
+			c.event("storage VM is to be emptied", map[string]any{"name": command.Name})
+		}
+	}
+	c.applied, c.appliedTerm = e.Index, e.Term
+	c.finishWaiting(e)
+}
+
+func memberIDs(s *quorum.Set) []quorum.StoreID {
+	var ids []quorum.StoreID
+	for _, m := range s.Members {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+func (c *Coordinator) finishWaiting(e raft.Entry) {
+	c.waiting = slices.DeleteFunc(c.waiting, func(w waiting) bool {
+		if w.index != e.Index {
+			return false
+		}
+		var err error
+		if w.term != e.Term {
+			err = ErrUnclear
+		}
+		c.outcomes = append(c.outcomes, Outcome{Ticket: w.ticket, Err: err})
+		return true
+	})
+}
+
+// followRole notices the gain and the loss of leadership.
+func (c *Coordinator) followRole(now time.Time) {
+	status := c.raft.Status()
+	leading := status.Role == raft.Leader
+	if leading == c.leading {
+		return
+	}
+	c.leading = leading
+	if !leading {
+		c.event("leadership lost", map[string]any{"term": status.Term})
+		c.abandonWaiting()
+		return
+	}
+	c.event("leadership gained", map[string]any{"term": status.Term})
+	c.leadingFrom, c.nextList, c.listing = now, now, false
+	c.fleet = allowance.NewFleet(fmt.Sprintf("%s#%d", c.cfg.Self, status.Term))
+	c.targets, c.sequence = nil, c.cfg.Rand.Uint64()|1
+	clear(c.stores)
+	clear(c.gateways)
+	for _, vm := range status.Members.Voters {
+		c.heard[vm] = now
+	}
+}
+
+func (c *Coordinator) abandonWaiting() {
+	for _, w := range c.waiting {
+		c.outcomes = append(c.outcomes, Outcome{Ticket: w.ticket, Err: ErrUnclear})
+	}
+	c.waiting = nil
+}
+
+func (c *Coordinator) compact() {
+	if c.applied < c.compacted+compactEntries {
+		return
+	}
+	c.compacted = c.applied
+	state := c.state
+	c.raft.Compact(c.applied, &state)
+}
+
+func (c *Coordinator) event(what string, detail map[string]any) {
+	c.events = append(c.events, Event{What: what, Detail: detail})
+}
+
+// authoritative says whether the applied state is the newest decided one.
+func (c *Coordinator) authoritative(now time.Time) bool {
+	return c.raft.LeaderLease(now) && c.appliedTerm == c.raft.Status().Term
+}
+
+func (c *Coordinator) refuse(now time.Time) error {
+	status := c.raft.Status()
+	switch {
+	case c.authoritative(now):
+		return nil
+	case status.Leader != "" && status.Leader != c.cfg.Self:
+		return &Redirect{Leader: status.Leader}
+	default:
+		return ErrNoLeader
+	}
+}
+
+// Put proposes a document whose content the caller has validated. A document
+// that is not newer than the current one is acknowledged without a change; the
+// ticket is 0 then.
+func (c *Coordinator) Put(now time.Time, d manifest.Document) (Ticket, error) {
+	if err := c.refuse(now); err != nil {
+		return 0, err
+	}
+	if d.Version <= c.state.Document.Version {
+		return 0, nil
+	}
+	return c.propose(now, &PutDocument{Document: d})
+}
+
+// Read returns the newest document.
+func (c *Coordinator) Read(now time.Time) (manifest.Document, error) {
+	if err := c.refuse(now); err != nil {
+		return manifest.Document{}, err
+	}
+	return c.state.Document, nil
+}
+
+func (c *Coordinator) propose(now time.Time, r domain.Record) (Ticket, error) {
+	index, err := c.raft.Propose(now, r)
+	if err != nil {
+		return 0, ErrNoLeader
+	}
+	c.tickets++
+	c.waiting = append(c.waiting, waiting{ticket: c.tickets, index: index, term: c.raft.Status().Term})
+	return c.tickets, nil
+}
+
+// HandOver gives up leadership before a planned stop.
+func (c *Coordinator) HandOver(now time.Time) {
+	if !c.leading {
+		return
+	}
+	if err := c.raft.TransferLeadership(now, ""); err != nil {
+		c.event("leadership was not handed over", map[string]any{"error": err.Error()})
+	}
+}
--- /dev/null
+++ b/core/coordinator/repair.go
@@ -0,0 +1,268 @@
+package coordinator
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/raft"
+)
+
+// members is the number of voters and of storage VMs in a set: a majority
+// remains when Tolerance of them are lost.
+func (c *Coordinator) members() int { return 2*c.cfg.Tolerance + 1 }
+
+// repairVoters makes at most one change of the voters.
+func (c *Coordinator) repairVoters(now time.Time) {
+	change, ok := c.voterChange(now)
+	if !ok {
+		return
+	}
+	_, err := c.raft.ProposeVoters(now, change)
+	switch {
+	case err == nil:
+		c.event("voter change proposed", map[string]any{"kind": int(change.Kind), "vm": change.VM})
+	case errors.Is(err, raft.ErrChangePending) || errors.Is(err, raft.ErrNotCaughtUp):
+		// The change is tried again at the next repair.
+	default:
+		c.event("voter change refused", map[string]any{"vm": change.VM, "error": err.Error()})
+	}
+}
+
+func (c *Coordinator) voterChange(now time.Time) (raft.VoterChange, bool) {
+	m := c.raft.Status().Members
+	for vm, asked := range c.joiners {
+		switch {
+		case now.Sub(asked) > joinerFresh:
+			delete(c.joiners, vm)
+		case !slices.Contains(m.Voters, vm) && !slices.Contains(m.Learners, vm):
+			c.heard[vm] = now
+			return raft.VoterChange{Kind: raft.AddLearner, VM: vm}, true
+		}
+	}
+	lost, hasLost := c.lostVoter(now, m)
+	if len(m.Voters) > c.members() && hasLost {
+		return raft.VoterChange{Kind: raft.Remove, VM: lost}, true
+	}
+	if len(m.Voters) < c.members() || (len(m.Voters) == c.members() && hasLost) {
+		if learner, ok := c.liveLearner(now, m); ok {
+			return raft.VoterChange{Kind: raft.Promote, VM: learner}, true
+		}
+	}
+	for _, vm := range m.Learners {
+		if now.Sub(c.heard[vm]) > learnerForgottenAfter {
+			return raft.VoterChange{Kind: raft.Remove, VM: vm}, true
+		}
+	}
+	return raft.VoterChange{}, false
+}
+
+// lostVoter returns a voter that is silent, or whose VM came back with another
+// disk.
+func (c *Coordinator) lostVoter(now time.Time, m raft.Members) (domain.VM, bool) {
+	for _, vm := range m.Voters {
+		if vm == c.cfg.Self {
+			continue
+		}
+		sameVM := func(other domain.VM) bool { return other != vm && VMAddress(other) == VMAddress(vm) }
+		if now.Sub(c.heard[vm]) > voterLostAfter || slices.ContainsFunc(m.Learners, sameVM) {
+			return vm, true
+		}
+	}
+	return "", false
+}
+
+func (c *Coordinator) liveLearner(now time.Time, m raft.Members) (domain.VM, bool) {
+	for _, vm := range m.Learners {
+		if now.Sub(c.heard[vm]) < voterLostAfter {
+			return vm, true
+		}
+	}
+	return "", false
+}
+
+// repairStores forms the first set, and exchanges one lost or retired member for
+// a spare storage VM when all the others are complete.
+func (c *Coordinator) repairStores(now time.Time) {
+	if !c.authoritative(now) || c.storeChangeWaits() {
+		return
+	}
+	set := c.nextSet(now)
+	if set == nil {
+		return
+	}
+	if _, err := c.propose(now, &PutStores{Set: set}); err != nil {
+		c.event("storage set not proposed", map[string]any{"error": err.Error()})
+		return
+	}
+	c.event("storage set proposed", map[string]any{"epoch": set.Epoch, "members": memberIDs(set)})
+}
+
+// storeChangeWaits says whether the log holds entries that are not applied, one
+// of which may be a set.
+func (c *Coordinator) storeChangeWaits() bool { return c.raft.Status().Last > c.applied }
+
+func (c *Coordinator) nextSet(now time.Time) *quorum.Set {
+	if c.state.Stores == nil {
+		return c.firstSet(now)
+	}
+	set := c.state.Stores
+	spare, ok := c.spare(now, set)
+	if !ok {
+		return nil
+	}
+	if len(set.Members) < c.members() {
+		return set.Replace("", spare)
+	}
+	old, ok := c.lostMember(now, set)
+	if !ok || !c.othersComplete(now, set, old) {
+		return nil
+	}
+	return set.Replace(old, spare)
+}
+
+func (c *Coordinator) firstSet(now time.Time) *quorum.Set {
+	var members []quorum.Member
+	for _, s := range c.freshStores(now) {
+		members = append(members, member(s))
+	}
+	if len(members) == 0 || (len(members) < c.members() && now.Sub(c.leadingFrom) < firstSetWait) {
+		return nil
+	}
+	if len(members) > c.members() {
+		members = spread(members, c.members())
+	}
+	return &quorum.Set{Epoch: 1, Members: members}
+}
+
+func member(s *storeSeen) quorum.Member {
+	return quorum.Member{ID: s.ID, Name: s.Name, DataCentre: s.DataCentre, Region: s.Region}
+}
+
+// spread chooses n members from as many data centres as possible.
+func spread(members []quorum.Member, n int) []quorum.Member {
+	var out []quorum.Member
+	for len(out) < n {
+		used := map[domain.DataCentre]bool{}
+		for _, m := range members {
+			taken := slices.ContainsFunc(out, func(o quorum.Member) bool { return o.ID == m.ID })
+			if len(out) < n && !taken && !used[m.DataCentre] {
+				out = append(out, m)
+				used[m.DataCentre] = true
+			}
+		}
+	}
+	return out
+}
+
+func (c *Coordinator) freshStores(now time.Time) []*storeSeen {
+	var out []*storeSeen
+	for _, s := range c.stores {
+		if now.Sub(s.seen) < storeLostAfter && !slices.Contains(c.state.Retired, s.Name) {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *storeSeen) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// spare returns a live storage VM outside of the set, first one in the data
+// centre of the member that it would replace.
+func (c *Coordinator) spare(now time.Time, set *quorum.Set) (quorum.Member, bool) {
+	old, _ := c.lostMember(now, set)
+	gone, _ := set.Member(old)
+	var found []quorum.Member
+	for _, s := range c.freshStores(now) {
+		if _, in := set.Member(s.ID); !in {
+			found = append(found, member(s))
+		}
+	}
+	if len(found) == 0 {
+		return quorum.Member{}, false
+	}
+	i := slices.IndexFunc(found, func(m quorum.Member) bool { return m.DataCentre == gone.DataCentre })
+	return found[max(0, i)], true
+}
+
+// lostMember returns a member that is retired, silent, or whose VM came back
+// with another disk.
+func (c *Coordinator) lostMember(now time.Time, set *quorum.Set) (quorum.StoreID, bool) {
+	if now.Sub(c.leadingFrom) < storeLostAfter {
+		return "", false
+	}
+	for _, m := range set.Members {
+		if slices.Contains(c.state.Retired, m.Name) {
+			return m.ID, true
+		}
+	}
+	for _, m := range set.Members {
+		if s, ok := c.stores[m.ID]; !ok || now.Sub(s.seen) > storeLostAfter {
+			return m.ID, true
+		}
+	}
+	return "", false
+}
+
+// othersComplete says whether all other members have copied what they must. A
+// second exchange before that could lose the only copy of a record.
+func (c *Coordinator) othersComplete(now time.Time, set *quorum.Set, old quorum.StoreID) bool {
+	for _, m := range set.Members {
+		s, ok := c.stores[m.ID]
+		if m.ID == old {
+			continue
+		}
+		if !ok || now.Sub(s.seen) > storeLostAfter || !s.Complete || s.Epoch != set.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// Retire starts to empty a storage VM. The ticket is 0 when it was started
+// before.
+func (c *Coordinator) Retire(now time.Time, name string) (Ticket, error) {
+	if err := c.refuse(now); err != nil {
+		return 0, err
+	}
+	if slices.Contains(c.state.Retired, name) {
+		return 0, nil
+	}
+	known := c.state.Stores != nil && slices.ContainsFunc(c.state.Stores.Members, func(m quorum.Member) bool { return m.Name == name })
+	remaining := 0
+	for _, s := range c.freshStores(now) {
+		if s.Name == name {
+			known = true
+		} else {
+			remaining++
+		}
+	}
+	switch {
+	case !known:
+		return 0, ErrUnknownStore
+	case remaining < c.members():
+		return 0, ErrTooFew
+	}
+	return c.propose(now, &RetireStore{Name: name})
+}
+
+// Retired says whether a storage VM that is being emptied holds nothing any more
+// that the others lack.
+func (c *Coordinator) Retired(now time.Time, name string) (bool, error) {
+	if err := c.refuse(now); err != nil {
+		return false, err
+	}
+	if !slices.Contains(c.state.Retired, name) {
+		return false, ErrUnknownStore
+	}
+	set := c.state.Stores
+	if set == nil {
+		return true, nil
+	}
+	if slices.ContainsFunc(set.Members, func(m quorum.Member) bool { return m.Name == name }) {
+		return false, nil
+	}
+	return c.othersComplete(now, set, ""), nil
+}
--- /dev/null
+++ b/core/manifest/manifest.go
@@ -0,0 +1,183 @@
+// Package manifest is the declarative configuration of a system: routes,
+// services, client accounts and limits. A manifest is complete and replaces the
+// previous one as a whole; the highest version is in force.
+package manifest
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+// Version numbers manifests. Versions increase, with gaps.
+type Version uint64
+
+// Document is a manifest in the encoding in which the operator sent it. Agreement
+// replicates the bytes, so that a read returns exactly what was written.
+type Document struct {
+	Version Version
+	Raw     []byte
+}
+
+// Kind says which requests of a route may run more than once.
+type Kind int
+
+// The kinds.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota + 1
+	// RunOnce requests run at most once for each attempt of a caller.
+	RunOnce
+	// Stream requests answer with a sequence of events and run at most once,
+	// unless the route says that a stream can be resumed.
+	Stream
+)
+
+// Split is the weight of one service on a route.
+type Split struct {
+	Service string
+	Weight  int
+}
+
+// Route maps the requests below one path prefix of a host to services.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               Kind
+	// Timeout bounds one request; Objective is the latency it should have.
+	Timeout, Objective time.Duration
+	// Priority ranks requests; 0 is served first.
+	Priority int
+	Splits   []Split
+	// MaxAttempts bounds the targets that one request is sent to.
+	MaxAttempts int
+	// KeepsHistory says that the system stores the turns of this route, for
+	// Retention after the last use.
+	KeepsHistory bool
+	Retention    time.Duration
+	// Open routes need no key.
+	Open bool
+	// Resumable streams may continue on another target after the last event.
+	Resumable bool
+}
+
+// Repeatable says whether a request that may have run may be sent again from
+// its start.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
+}
+
+// Service is a group of interchangeable targets.
+type Service struct {
+	Name, HealthPath string
+	// MaxConnections is the number of connections that one target accepts from
+	// all VMs together; 0 means no limit.
+	MaxConnections int
+	// TokensPerEvent is the number of tokens that one event of a stream carries;
+	// 0 for plain services.
+	TokensPerEvent domain.Tokens
+}
+
+// Account is a client account with its keys and its rate limit.
+type Account struct {
+	Name domain.Account
+	Keys []string
+	// RatePerSecond and Burst bound its requests over all VMs; 0 means no limit.
+	RatePerSecond, Burst float64
+	// Priority ranks its requests before the route's rank; nil leaves that.
+	Priority *int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes, MaxBodyBytes int64
+	HeaderTimeout, IdleTimeout   time.Duration
+}
+
+// Manifest is one complete configuration.
+type Manifest struct {
+	Version  Version
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Limits   Limits
+}
+
+// InvalidError says why a manifest is refused.
+type InvalidError struct{ Reason string }
+
+func (e *InvalidError) Error() string {
+	return "manifest: " + e.Reason + "; correct it and send the whole manifest again"
+}
+
+func invalid(format string, args ...any) error {
+	return &InvalidError{Reason: fmt.Sprintf(format, args...)}
+}
+
+// Validate returns an *InvalidError for a manifest that must not be in force.
+func (m *Manifest) Validate() error {
+	services := map[string]bool{}
+	for _, s := range m.Services {
+		if s.Name == "" {
+			return invalid("a service has no name")
+		}
+		services[s.Name] = true
+	}
+	places := map[string]string{}
+	for i := range m.Routes {
+		if err := m.Routes[i].validate(services, places); err != nil {
+			return err
+		}
+	}
+	return m.validateAccounts()
+}
+
+func (r *Route) validate(services map[string]bool, places map[string]string) error {
+	place := strings.ToLower(r.Host) + r.Prefix
+	if other, ok := places[place]; ok {
+		return invalid("routes %q and %q have the same host and prefix", other, r.Name)
+	}
+	places[place] = r.Name
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return invalid("route %q needs a host and a prefix that begins and ends with a slash", r.Name)
+	}
+	if r.Timeout <= 0 {
+		return invalid("route %q has no timeout", r.Name)
+	}
+	if r.Kind == 0 {
+		return invalid("route %q has no known kind", r.Name)
+	}
+	total := 0
+	for _, s := range r.Splits {
+		if !services[s.Service] {
+			return invalid("route %q names the unknown service %q", r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return invalid("route %q has a negative weight", r.Name)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return invalid("the weights of route %q add up to 0", r.Name)
+	}
+	return nil
+}
+
+func (m *Manifest) validateAccounts() error {
+	holders := map[string]domain.Account{}
+	names := map[domain.Account]bool{}
+	for _, a := range m.Accounts {
+		if a.Name == "" || names[a.Name] {
+			return invalid("client account %q is empty or listed twice", a.Name)
+		}
+		names[a.Name] = true
+		for _, key := range a.Keys {
+			if other, ok := holders[key]; ok && other != a.Name {
+				return invalid("client accounts %q and %q share a key", other, a.Name)
+			}
+			holders[key] = a.Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/turnstore/messages.go
@@ -0,0 +1,160 @@
+// Package turnstore is the state of a storage VM: the stored turns of programs
+// and the grants of their token budgets. Both are immutable records that a
+// gateway writes to a majority of the set; a grant changes once, when it is
+// settled. A VM that joins the set copies the records of the others before its
+// absence answers count.
+package turnstore
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/tokens"
+)
+
+// TurnKey identifies a turn. Turns of two client accounts never meet.
+type TurnKey struct {
+	Account domain.Account
+	ID      string
+}
+
+// Turn is one stored turn. It never changes after it was written.
+type Turn struct {
+	Key TurnKey
+	// Previous is the id of the turn that this one continues, or "".
+	Previous string
+	Input    []byte
+	// Events holds the data of each event of the answer, in order.
+	Events [][]byte
+	// KeepFor is the time after the last use at which the turn may be dropped.
+	KeepFor time.Duration
+}
+
+// RecordName implements domain.Record.
+func (*Turn) RecordName() string { return "turnstore.Turn" }
+
+func (t *Turn) size() int {
+	n := len(t.Input) + len(t.Key.ID) + len(t.Previous) + turnOverheadBytes
+	for _, e := range t.Events {
+		n += len(e)
+	}
+	return n
+}
+
+// GrantEntry is a grant with its program.
+type GrantEntry struct {
+	Program tokens.Program
+	Grant   tokens.Grant
+}
+
+// RecordName implements domain.Record.
+func (*GrantEntry) RecordName() string { return "turnstore.GrantEntry" }
+
+// Adopted is the set that the store follows. It is durable before the store
+// confirms it, so that a restarted store still refuses writes of older sets.
+type Adopted struct{ Set *quorum.Set }
+
+// RecordName implements domain.Record.
+func (*Adopted) RecordName() string { return "turnstore.Adopted" }
+
+// Copied says that the store holds every record that was acknowledged before
+// the epoch in which it joined.
+type Copied struct{ Joined domain.Epoch }
+
+// RecordName implements domain.Record.
+func (*Copied) RecordName() string { return "turnstore.Copied" }
+
+// Identity names the disk. It is the first record of a disk.
+type Identity struct{ ID quorum.StoreID }
+
+// RecordName implements domain.Record.
+func (*Identity) RecordName() string { return "turnstore.Identity" }
+
+// Records lists the record types of the package for codecs.
+func Records() []domain.Record {
+	return []domain.Record{&Turn{}, &GrantEntry{}, &Adopted{}, &Copied{}, &Identity{}}
+}
+
+// Write stores records. Set is present when an earlier reply asked for it.
+type Write struct {
+	Epoch  domain.Epoch
+	Set    *quorum.Set
+	Turn   *Turn
+	Grants []GrantEntry
+}
+
+// MessageName implements domain.Message.
+func (*Write) MessageName() string { return "turnstore.Write" }
+
+// WriteReply answers Write after the records are durable.
+type WriteReply struct {
+	Standing Standing
+	// Grants holds all grants that the store knows of the programs in the write.
+	Grants []GrantEntry
+}
+
+// MessageName implements domain.Message.
+func (*WriteReply) MessageName() string { return "turnstore.WriteReply" }
+
+// Standing is the store's position in the set, part of each reply.
+type Standing struct {
+	Epoch domain.Epoch
+	// Accepted is false when the request belongs to another epoch, or the store is
+	// no member. Nothing was stored then.
+	Accepted bool
+	// Complete says that absence answers of this store count.
+	Complete bool
+	// NewerSet is present when the asker follows an older set.
+	NewerSet *quorum.Set
+	// WantsSet asks for the set of the request's epoch.
+	WantsSet bool
+}
+
+// ReadChain asks for a turn and all turns that it continues.
+type ReadChain struct {
+	Epoch domain.Epoch
+	Set   *quorum.Set
+	Key   TurnKey
+}
+
+// MessageName implements domain.Message.
+func (*ReadChain) MessageName() string { return "turnstore.ReadChain" }
+
+// ChainReply answers ReadChain. Turns starts with the asked turn; Missing is the
+// id at which the chain breaks off, or "" for a whole chain.
+type ChainReply struct {
+	Standing Standing
+	Turns    []*Turn
+	Missing  string
+}
+
+// MessageName implements domain.Message.
+func (*ChainReply) MessageName() string { return "turnstore.ChainReply" }
+
+// Pull asks another member for its records after a position.
+type Pull struct {
+	Set   *quorum.Set
+	After int
+}
+
+// MessageName implements domain.Message.
+func (*Pull) MessageName() string { return "turnstore.Pull" }
+
+// PullReply answers Pull. Last is the position of the last record; Done says
+// that there are no more.
+type PullReply struct {
+	Standing Standing
+	Turns    []*Turn
+	Grants   []GrantEntry
+	Last     int
+	Done     bool
+}
+
+// MessageName implements domain.Message.
+func (*PullReply) MessageName() string { return "turnstore.PullReply" }
+
+// Messages lists the message types of the package for codecs.
+func Messages() []domain.Message {
+	return []domain.Message{&Write{}, &WriteReply{}, &ReadChain{}, &ChainReply{}, &Pull{}, &PullReply{}}
+}
--- /dev/null
+++ b/core/turnstore/store.go
@@ -0,0 +1,379 @@
+package turnstore
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/tokens"
+)
+
+const (
+	// turnOverheadBytes is the memory of a stored turn beside its bytes.
+	turnOverheadBytes = 200
+	// pullBytes bounds one PullReply, so that a copy never delays the writes of
+	// traffic by more than some milliseconds of a small link.
+	pullBytes = 256 << 10
+	// keepFactor multiplies the retention of a turn. A turn is dropped after twice
+	// its retention, because the writer counts from the end of the answer and the
+	// store from its own receipt.
+	keepFactor = 2
+	// grantRetention is the time after the last use at which the grants of a
+	// program are dropped. It exceeds the retention of turns by far, because a
+	// program whose grants are gone would get its budget anew.
+	grantRetention = 15 * time.Minute
+	// sweepInterval is the time between two searches for expired records.
+	sweepInterval = 10 * time.Second
+)
+
+type storedTurn struct {
+	turn    *Turn
+	lastUse time.Time
+}
+
+type storedProgram struct {
+	grants  map[string]tokens.Grant
+	lastUse time.Time
+}
+
+// position is one entry of the order in which records came, for copies.
+type position struct {
+	// sequence increases along the order and survives the removal of others.
+	sequence int
+	turn     TurnKey
+	program  tokens.Program
+	isTurn   bool
+}
+
+// Store is the state of one storage VM. It is not safe for concurrent use.
+type Store struct {
+	id       quorum.StoreID
+	set      *quorum.Set
+	copied   domain.Epoch
+	turns    map[TurnKey]*storedTurn
+	programs map[tokens.Program]*storedProgram
+	order    []position
+	// appended is the sequence of the newest position.
+	appended int
+	// liveBytes is the size of all stored turns.
+	liveBytes int
+	nextSweep time.Time
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{turns: map[TurnKey]*storedTurn{}, programs: map[tokens.Program]*storedProgram{}}
+}
+
+// Restore applies one durable record, in the order in which they were written.
+func (s *Store) Restore(now time.Time, record domain.Record) error {
+	switch r := record.(type) {
+	case *Identity:
+		s.id = r.ID
+	case *Adopted:
+		s.set = r.Set
+	case *Copied:
+		s.copied = max(s.copied, r.Joined)
+	case *Turn:
+		s.addTurn(now, r)
+	case *GrantEntry:
+		s.addGrant(now, *r)
+	default:
+		return fmt.Errorf("turnstore: record %T does not belong to a storage VM; empty the folder, and the VM copies its records from the others", record)
+	}
+	return nil
+}
+
+// ID returns the identity of the disk, "" for an empty one.
+func (s *Store) ID() quorum.StoreID { return s.id }
+
+// Name gives an empty disk its identity.
+func (s *Store) Name(id quorum.StoreID) domain.Record {
+	s.id = id
+	return &Identity{ID: id}
+}
+
+// Set returns the set that the store follows, or nil.
+func (s *Store) Set() *quorum.Set { return s.set }
+
+// Counts returns the number of stored turns and programs and the bytes of turns.
+func (s *Store) Counts() (turns, programs, bytes int) {
+	return len(s.turns), len(s.programs), s.liveBytes
+}
+
+// Adopt follows a newer set and returns the record to sync, or nil.
+func (s *Store) Adopt(set *quorum.Set) domain.Record {
+	if set == nil || (s.set != nil && set.Epoch <= s.set.Epoch) {
+		return nil
+	}
+	s.set = set
+	return &Adopted{Set: set}
+}
+
+// MustCopy says whether the store is a member that has not copied the records of
+// the others yet.
+func (s *Store) MustCopy() bool {
+	m, ok := s.member()
+	return ok && s.copied < m.Joined
+}
+
+// Complete says whether absence answers of this store count.
+func (s *Store) Complete() bool {
+	m, ok := s.member()
+	return ok && s.copied >= m.Joined
+}
+
+func (s *Store) member() (quorum.Member, bool) {
+	if s.set == nil {
+		return quorum.Member{}, false
+	}
+	return s.set.Member(s.id)
+}
+
+// standing compares the asker's epoch with the store's.
+func (s *Store) standing(epoch domain.Epoch) Standing {
+	out := Standing{Complete: s.Complete()}
+	if s.set == nil {
+		out.WantsSet = true
+		return out
+	}
+	out.Epoch = s.set.Epoch
+	_, member := s.member()
+	switch {
+	case epoch < s.set.Epoch:
+		out.NewerSet = s.set
+	case epoch > s.set.Epoch:
+		out.WantsSet = true
+	default:
+		out.Accepted = member
+	}
+	return out
+}
+
+// Write stores the records of a write. The caller syncs the returned records
+// before it sends the reply.
+func (s *Store) Write(now time.Time, w *Write) (*WriteReply, []domain.Record) {
+	var records []domain.Record
+	if r := s.Adopt(w.Set); r != nil {
+		records = append(records, r)
+	}
+	reply := &WriteReply{Standing: s.standing(w.Epoch)}
+	if !reply.Standing.Accepted {
+		return reply, records
+	}
+	if w.Turn != nil && s.addTurn(now, w.Turn) {
+		records = append(records, w.Turn)
+	}
+	for i := range w.Grants {
+		if s.addGrant(now, w.Grants[i]) {
+			records = append(records, &w.Grants[i])
+		}
+	}
+	reply.Grants = s.grantsOf(w.Grants)
+	return reply, records
+}
+
+// grantsOf returns all grants of the open grants' programs. Settlements ask
+// nothing, so they get nothing back.
+func (s *Store) grantsOf(entries []GrantEntry) []GrantEntry {
+	var out []GrantEntry
+	for _, e := range entries {
+		if e.Grant.Settled {
+			continue
+		}
+		for _, g := range s.programs[e.Program].grants {
+			out = append(out, GrantEntry{Program: e.Program, Grant: g})
+		}
+	}
+	return out
+}
+
+func (s *Store) addTurn(now time.Time, t *Turn) bool {
+	s.touch(now, TurnKey{Account: t.Key.Account, ID: t.Previous})
+	if _, ok := s.turns[t.Key]; ok {
+		return false
+	}
+	s.turns[t.Key] = &storedTurn{turn: t, lastUse: now}
+	s.appendPosition(position{turn: t.Key, isTurn: true})
+	s.liveBytes += t.size()
+	return true
+}
+
+func (s *Store) appendPosition(p position) {
+	s.appended++
+	p.sequence = s.appended
+	s.order = append(s.order, p)
+}
+
+// touch renews the last use of a turn and all turns before it.
+func (s *Store) touch(now time.Time, key TurnKey) {
+	for key.ID != "" {
+		stored, ok := s.turns[key]
+		if !ok || stored.lastUse.Equal(now) {
+			return
+		}
+		stored.lastUse = now
+		key.ID = stored.turn.Previous
+	}
+}
+
+func (s *Store) addGrant(now time.Time, e GrantEntry) bool {
+	p := s.programs[e.Program]
+	if p == nil {
+		p = &storedProgram{grants: map[string]tokens.Grant{}}
+		s.programs[e.Program] = p
+		s.appendPosition(position{program: e.Program})
+	}
+	p.lastUse = now
+	before, known := p.grants[e.Grant.ID]
+	if known && (before.Settled || !e.Grant.Settled) {
+		return false
+	}
+	p.grants[e.Grant.ID] = e.Grant
+	return true
+}
+
+// Read returns a turn and the turns before it, as far as they are known.
+func (s *Store) Read(now time.Time, r *ReadChain) (*ChainReply, []domain.Record) {
+	var records []domain.Record
+	if record := s.Adopt(r.Set); record != nil {
+		records = append(records, record)
+	}
+	reply := &ChainReply{Standing: s.standing(r.Epoch)}
+	s.touch(now, r.Key)
+	key := r.Key
+	for key.ID != "" {
+		stored, ok := s.turns[key]
+		if !ok {
+			reply.Missing = key.ID
+			break
+		}
+		reply.Turns = append(reply.Turns, stored.turn)
+		key.ID = stored.turn.Previous
+	}
+	return reply, records
+}
+
+// Pull returns records for a member that copies. The caller syncs the returned
+// record before it sends the reply, because the copier relies on this store to
+// refuse writes of older sets from then on.
+func (s *Store) Pull(p *Pull) (*PullReply, []domain.Record) {
+	var records []domain.Record
+	if r := s.Adopt(p.Set); r != nil {
+		records = append(records, r)
+	}
+	reply := &PullReply{Standing: s.standing(p.Set.Epoch), Last: p.After}
+	if !reply.Standing.Accepted {
+		return reply, records
+	}
+	i := sort.Search(len(s.order), func(i int) bool { return s.order[i].sequence > p.After })
+	for size := 0; i < len(s.order) && size < pullBytes; i++ {
+		size += s.addToPull(reply, s.order[i])
+		reply.Last = s.order[i].sequence
+	}
+	reply.Done = i >= len(s.order)
+	return reply, records
+}
+
+func (s *Store) addToPull(reply *PullReply, p position) int {
+	if p.isTurn {
+		stored, ok := s.turns[p.turn]
+		if !ok {
+			return 0
+		}
+		reply.Turns = append(reply.Turns, stored.turn)
+		return stored.turn.size()
+	}
+	stored, ok := s.programs[p.program]
+	if !ok {
+		return 0
+	}
+	for _, g := range stored.grants {
+		reply.Grants = append(reply.Grants, GrantEntry{Program: p.program, Grant: g})
+	}
+	return len(stored.grants) * turnOverheadBytes
+}
+
+// Copy stores the records of a PullReply and returns those to sync.
+func (s *Store) Copy(now time.Time, reply *PullReply) []domain.Record {
+	var records []domain.Record
+	for _, t := range reply.Turns {
+		if s.addTurn(now, t) {
+			records = append(records, t)
+		}
+	}
+	for i := range reply.Grants {
+		if s.addGrant(now, reply.Grants[i]) {
+			records = append(records, &reply.Grants[i])
+		}
+	}
+	return records
+}
+
+// FinishCopy records that everything acknowledged before the joining epoch was
+// copied. It returns nil when the set has changed meanwhile.
+func (s *Store) FinishCopy(set *quorum.Set) domain.Record {
+	m, ok := s.member()
+	if !ok || s.set.Epoch != set.Epoch {
+		return nil
+	}
+	s.copied = m.Joined
+	return &Copied{Joined: m.Joined}
+}
+
+// Sweep drops expired records. It reports whether any was dropped.
+func (s *Store) Sweep(now time.Time) bool {
+	if now.Before(s.nextSweep) {
+		return false
+	}
+	s.nextSweep = now.Add(sweepInterval)
+	before := len(s.order)
+	kept := s.order[:0:0]
+	for _, p := range s.order {
+		if !s.expire(now, p) {
+			kept = append(kept, p)
+		}
+	}
+	s.order = kept
+	return len(kept) < before
+}
+
+func (s *Store) expire(now time.Time, p position) bool {
+	if p.isTurn {
+		stored := s.turns[p.turn]
+		if now.Sub(stored.lastUse) < keepFactor*stored.turn.KeepFor {
+			return false
+		}
+		s.liveBytes -= stored.turn.size()
+		delete(s.turns, p.turn)
+		return true
+	}
+	if now.Sub(s.programs[p.program].lastUse) < grantRetention {
+		return false
+	}
+	delete(s.programs, p.program)
+	return true
+}
+
+// Live returns all records, for a compaction of the disk.
+func (s *Store) Live() []domain.Record {
+	records := []domain.Record{&Identity{ID: s.id}}
+	if s.set != nil {
+		records = append(records, &Adopted{Set: s.set})
+	}
+	if s.copied > 0 {
+		records = append(records, &Copied{Joined: s.copied})
+	}
+	for _, p := range s.order {
+		if p.isTurn {
+			records = append(records, s.turns[p.turn].turn)
+			continue
+		}
+		for _, g := range s.programs[p.program].grants {
+			records = append(records, &GrantEntry{Program: p.program, Grant: g})
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/internal/roles/gateway.go
@@ -0,0 +1,99 @@
+package roles
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/mangoknot/mangoknot/node/follower"
+	"github.com/mangoknot/mangoknot/node/gateway"
+	"github.com/mangoknot/mangoknot/platform"
+)
+
+const (
+	// unreadyDelay is the time between becoming unready and closing the listener.
+	// The balancer takes a VM out after two questions, one a second.
+	unreadyDelay = 2300 * time.Millisecond
+	// graceMargin is the part of the grace time that is left for the end itself.
+	graceMargin = 500 * time.Millisecond
+)
+
+// errSignal ends a process on an operator's order.
+var errSignal = errors.New("stopped by a signal")
+
+// Gateway runs the role that serves callers.
+func Gateway() error {
+	p, err := newProcess("gateway")
+	if err != nil {
+		return err
+	}
+	g := gateway.New(gateway.Options{
+		Process: p.settings.PeerAddress + "/" + p.start, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
+		Calls: p.calls, Targets: platform.NewWorkers(), Decode: platform.DecodeManifest,
+		Clock: p.clock, Rand: p.rand, Metrics: newGatewayMetrics(), Log: p.log,
+	})
+	p.group.Add(g.Run, func(error) { g.Stop() })
+	f := follower.New(p.calls, g, p.settings.Seeds, p.log)
+	p.addContext(f.Run)
+	if err := p.addHTTP(p.settings.ReadyAddress, platform.ReadyHandler(g.Ready)); err != nil {
+		return err
+	}
+	if err := p.addIngress(g); err != nil {
+		return err
+	}
+	return p.run()
+}
+
+// addIngress serves callers until SIGTERM, and then drains: the balancer is told
+// first, new connections are taken until it has noticed, and the requests under
+// way end.
+func (p *process) addIngress(g *gateway.Gateway) error {
+	listener, err := net.Listen("tcp4", p.settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("roles: listen for callers: %w", err)
+	}
+	server := platform.NewIngress(g).Server()
+	ended := make(chan struct{})
+	p.group.Add(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			// The drain ends the process after the last request.
+			<-ended
+		}
+		return err
+	}, func(error) { server.Close(); close(ended) })
+	p.addContext(func(ctx context.Context) error {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stop:
+		}
+		return p.drain(ctx, g, server)
+	})
+	return nil
+}
+
+func (p *process) drain(ctx context.Context, g *gateway.Gateway, server *http.Server) error {
+	started := p.clock.Now()
+	p.log.Info("drains: not ready from now on")
+	g.Drain()
+	select {
+	case <-time.After(unreadyDelay):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	grace := time.Duration(p.settings.GraceSeconds*float64(time.Second)) - unreadyDelay - graceMargin
+	ctx, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	p.log.Info("drained", "took_ms", p.clock.Now().Sub(started).Milliseconds(), "cut", err != nil)
+	return errSignal
+}
--- /dev/null
+++ b/internal/roles/process.go
@@ -0,0 +1,160 @@
+// Package roles wires the adapters of each role of the system on the users'
+// platform: gateway, storage and coordinator.
+package roles
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/big"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"google.golang.org/grpc"
+
+	"github.com/mangoknot/mangoknot/adapter/codec"
+	"github.com/mangoknot/mangoknot/adapter/logging"
+	"github.com/mangoknot/mangoknot/adapter/rpc"
+	"github.com/mangoknot/mangoknot/adapter/systemclock"
+	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/raft"
+	"github.com/mangoknot/mangoknot/core/turnstore"
+	"github.com/mangoknot/mangoknot/platform"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	// memoryLimitPercent is the part of the VM's memory at which the collector
+	// works harder. The rest is for buffers of the kernel and for stacks.
+	memoryLimitPercent = 60
+	// collectorPercent is the growth of the heap between two collections. Memory
+	// is dearer than processor time on small VMs.
+	collectorPercent = 60
+	bytesPerMiB      = 1 << 20
+)
+
+// process is what all roles share.
+type process struct {
+	settings *platform.Settings
+	codec    *codec.Codec
+	calls    *rpc.Client
+	clock    port.Clock
+	rand     *mathrand.Rand
+	log      logr.Logger
+	output   *logging.Async
+	group    run.Group
+	// start is unique for each start of the process.
+	start string
+}
+
+func newProcess(role string) (*process, error) {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return nil, err
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	if settings.MemoryMiB > 0 {
+		debug.SetMemoryLimit(settings.MemoryMiB * bytesPerMiB * memoryLimitPercent / 100)
+	}
+	debug.SetGCPercent(collectorPercent)
+	c, err := codec.New(
+		slices.Concat(raft.Messages(), coordinator.Messages(), turnstore.Messages()),
+		slices.Concat(raft.Records(), coordinator.Records(), turnstore.Records()),
+	)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{settings: settings, codec: c, calls: rpc.NewClient(c), clock: systemclock.Boot{}, output: logging.NewAsync(os.Stdout)}
+	root, err := logging.New(p.output, logging.Options{Format: logging.FormatJSON})
+	if err != nil {
+		return nil, err
+	}
+	p.log = logging.Part(root, role)
+	if p.start, err = randomName(); err != nil {
+		return nil, err
+	}
+	seed, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		return nil, err
+	}
+	p.rand = mathrand.New(mathrand.NewPCG(seed.Uint64(), 0))
+	p.log.Info("starts", "vm", settings.Name, "data_centre", settings.DataCentre, "first_start", settings.FirstStart, "process", p.start)
+	return p, nil
+}
+
+func randomName() (string, error) {
+	var b [6]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return "", fmt.Errorf("roles: random name: %w", err)
+	}
+	return hex.EncodeToString(b[:]), nil
+}
+
+// run starts the actors and ends with the first one.
+func (p *process) run() error {
+	written := make(chan struct{})
+	go func() { p.output.Run(); close(written) }()
+	err := p.group.Run()
+	p.log.Info("stops", "cause", fmt.Sprint(err))
+	p.calls.Close()
+	p.output.Close()
+	<-written
+	if errors.Is(err, errSignal) {
+		return nil
+	}
+	return err
+}
+
+// addContext adds an actor that ends with its context.
+func (p *process) addContext(f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.group.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// addGRPC serves other processes.
+func (p *process) addGRPC(a port.Answerer) error {
+	listener, err := net.Listen("tcp4", p.settings.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("roles: listen for other processes: %w", err)
+	}
+	server := rpc.NewServer(p.codec, a)
+	p.group.Add(func() error { return serveGRPC(server, listener) }, func(error) { server.Stop() })
+	return nil
+}
+
+func serveGRPC(s *grpc.Server, l net.Listener) error { return s.Serve(l) }
+
+// httpStopTimeout bounds the end of a server that only answers short requests.
+const httpStopTimeout = 500 * time.Millisecond
+
+// addHTTP serves short requests.
+func (p *process) addHTTP(address string, h http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("roles: listen on %s: %w", address, err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	p.group.Add(func() error { return server.Serve(listener) }, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), httpStopTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			server.Close()
+		}
+	})
+	return nil
+}
+
+// headerTimeout bounds how long a caller of a short request may take to send it.
+const headerTimeout = 5 * time.Second
--- /dev/null
+++ b/internal/roles/storage.go
@@ -0,0 +1,92 @@
+package roles
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/mangoknot/mangoknot/adapter/disk"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/turnstore"
+	"github.com/mangoknot/mangoknot/node/follower"
+	"github.com/mangoknot/mangoknot/node/storage"
+)
+
+// Storage runs the role that keeps turns and budgets.
+func Storage() error {
+	p, err := newProcess("storage")
+	if err != nil {
+		return err
+	}
+	d, err := p.openDisk()
+	if err != nil {
+		return err
+	}
+	store, err := p.openStore(d)
+	if err != nil {
+		return err
+	}
+	n := storage.New(storage.Options{
+		Store: store, Name: p.settings.Name, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
+		Process: p.settings.PeerAddress + "/" + p.start, Disk: d, Calls: p.calls, Clock: p.clock, Log: p.log,
+	})
+	p.group.Add(n.Run, func(error) { n.Stop() })
+	if err := p.addGRPC(n); err != nil {
+		return err
+	}
+	f := follower.New(p.calls, n, p.settings.Seeds, p.log)
+	p.addContext(f.Run)
+	p.addSignals(func() {})
+	return p.run()
+}
+
+// openDisk makes the data folder and opens it.
+func (p *process) openDisk() (*disk.Disk, error) {
+	if err := os.MkdirAll(p.settings.DataDir, 0o700); err != nil {
+		return nil, fmt.Errorf("roles: data folder: %w", err)
+	}
+	return disk.New(p.settings.DataDir, p.codec, 0), nil
+}
+
+func (p *process) openStore(d *disk.Disk) (*turnstore.Store, error) {
+	store := turnstore.New()
+	now := p.clock.Now()
+	err := d.Load(storage.Stream, func(r domain.Record) error { return store.Restore(now, r) })
+	if err != nil {
+		return nil, err
+	}
+	if store.ID() == "" {
+		id := quorum.StoreID(p.settings.PeerAddress + "/" + p.start)
+		if err := appendWait(d, storage.Stream, store.Name(id)); err != nil {
+			return nil, err
+		}
+	}
+	turns, programs, bytes := store.Counts()
+	p.log.Info("read the disk", "store", store.ID(), "turns", turns, "programs", programs, "bytes", bytes)
+	return store, nil
+}
+
+// appendWait writes records and waits until they are durable.
+func appendWait(d *disk.Disk, stream string, records ...domain.Record) error {
+	done := make(chan error, 1)
+	d.Append(stream, records, func(err error) { done <- err })
+	return <-done
+}
+
+// addSignals ends the process on SIGTERM after a last action.
+func (p *process) addSignals(last func()) {
+	p.addContext(func(ctx context.Context) error {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stop:
+			last()
+			return errSignal
+		}
+	})
+}
--- /dev/null
+++ b/node/coordination/node.go
@@ -0,0 +1,296 @@
+// Package coordination runs a coordinator: the control goroutine around
+// core/coordinator, its disk, its peers and the operations of operators.
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/raft"
+	"github.com/mangoknot/mangoknot/node/loop"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	// Stream is the name of the log on the disk.
+	Stream = "coordinator"
+	// sendTimeout bounds one raft message; later ones carry the same state.
+	sendTimeout = 500 * time.Millisecond
+	// sendLimit bounds the raft messages under way to all peers together.
+	sendLimit = 256
+	// joinInterval is the pause between two requests to be admitted.
+	joinInterval = 300 * time.Millisecond
+	// listTimeout bounds one read of the platform's list, all pages together.
+	listTimeout = 900 * time.Millisecond
+)
+
+// Options wires a Node.
+type Options struct {
+	Config coordinator.Config
+	// Restored is the durable state of the log.
+	Restored raft.Restored
+	Disk     port.Disk
+	Calls    port.Calls
+	Targets  port.TargetLister
+	Clock    port.Clock
+	// Seeds are peer addresses of coordinators.
+	Seeds []string
+	Log   logr.Logger
+}
+
+type held struct {
+	token raft.PersistToken
+	sends []domain.Send
+}
+
+// Node is one running coordinator.
+type Node struct {
+	o    Options
+	loop *loop.Loop
+	ctx  context.Context
+	end  context.CancelFunc
+
+	// The fields below belong to the control goroutine.
+	coordinator *coordinator.Coordinator
+	held        []held
+	waiting     map[coordinator.Ticket]chan error
+
+	sending chan struct{}
+}
+
+// New returns a node that is not running yet.
+func New(o Options) *Node {
+	ctx, end := context.WithCancel(context.Background())
+	n := &Node{
+		o: o, ctx: ctx, end: end,
+		coordinator: coordinator.New(o.Config, o.Restored, o.Clock.Now()),
+		waiting:     map[coordinator.Ticket]chan error{},
+		sending:     make(chan struct{}, sendLimit),
+	}
+	n.loop = loop.New(o.Clock, n.settle)
+	return n
+}
+
+// Run is the control goroutine. It ends after Stop.
+func (n *Node) Run() error {
+	err := n.loop.Run(n.ctx)
+	if n.ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Stop ends Run and everything that the node has under way.
+func (n *Node) Stop() { n.end() }
+
+// settle passes the coordinator's output to the adapters.
+func (n *Node) settle(now time.Time) time.Time {
+	n.coordinator.Tick(now)
+	effects := n.coordinator.Ready(now)
+	n.persist(effects)
+	n.send(effects.Now)
+	for _, outcome := range effects.Outcomes {
+		if done, ok := n.waiting[outcome.Ticket]; ok {
+			done <- outcome.Err
+			delete(n.waiting, outcome.Ticket)
+		}
+	}
+	for _, e := range effects.Events {
+		n.o.Log.Info(e.What, "detail", e.Detail)
+	}
+	if effects.ListTargets {
+		go n.listTargets()
+	}
+	return n.coordinator.NextWake(now)
+}
+
+func (n *Node) persist(e coordinator.Effects) {
+	if len(e.AfterSync) > 0 {
+		n.held = append(n.held, held{token: e.Token, sends: e.AfterSync})
+	}
+	if len(e.Records) == 0 {
+		return
+	}
+	done := func(err error) {
+		n.loop.Deliver(func(now time.Time) { n.persisted(now, e.Token, err) })
+	}
+	if e.Replace {
+		n.o.Disk.Replace(Stream, e.Records, done)
+		return
+	}
+	n.o.Disk.Append(Stream, e.Records, done)
+}
+
+func (n *Node) persisted(now time.Time, token raft.PersistToken, err error) {
+	if err != nil {
+		n.o.Log.Error(err, "the disk failed; this voter stops voting")
+		n.coordinator.PersistFailed(err)
+		n.held = nil
+		return
+	}
+	n.coordinator.Persisted(now, token)
+	for len(n.held) > 0 && n.held[0].token <= token {
+		n.send(n.held[0].sends)
+		n.held = n.held[1:]
+	}
+}
+
+// send passes raft messages on. Raft tolerates loss and disorder, so a message
+// above the limit is dropped.
+func (n *Node) send(sends []domain.Send) {
+	for _, s := range sends {
+		select {
+		case n.sending <- struct{}{}:
+			go n.sendOne(s)
+		default:
+			n.o.Log.V(1).Info("dropped a message because too many are under way", "to", s.To)
+		}
+	}
+}
+
+func (n *Node) sendOne(s domain.Send) {
+	defer func() { <-n.sending }()
+	ctx, cancel := context.WithTimeout(n.ctx, sendTimeout)
+	defer cancel()
+	envelope := &coordinator.Envelope{From: n.o.Config.Self, To: s.To, Body: s.Body}
+	if _, err := n.o.Calls.Call(ctx, coordinator.VMAddress(s.To), envelope); err != nil {
+		n.o.Log.V(1).Info("a message did not reach its peer", "to", s.To, "error", err.Error())
+	}
+}
+
+func (n *Node) listTargets() {
+	ctx, cancel := context.WithTimeout(n.ctx, listTimeout)
+	defer cancel()
+	list, err := n.o.Targets.List(ctx)
+	n.loop.Deliver(func(time.Time) { n.coordinator.TargetsListed(list, err) })
+}
+
+// Answer implements port.Answerer.
+func (n *Node) Answer(ctx context.Context, m domain.Message) (reply domain.Message, err error) {
+	switch m := m.(type) {
+	case *coordinator.Envelope:
+		reply = &coordinator.Received{}
+		if m.To == n.o.Config.Self {
+			n.loop.Post(func(now time.Time) { n.coordinator.Receive(now, m.From, m.Body) })
+		}
+		return reply, nil
+	case *coordinator.Report:
+		err = n.loop.Do(ctx, func(now time.Time) { reply = n.coordinator.Report(now, m) })
+	case *coordinator.Join:
+		err = n.loop.Do(ctx, func(now time.Time) { reply = n.coordinator.Join(now, m) })
+	default:
+		return nil, fmt.Errorf("coordination: message %s is not for a coordinator; check that both VMs run compatible versions", m.MessageName())
+	}
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// KeepJoining asks the leader to admit this VM while it is not a member.
+func (n *Node) KeepJoining() error {
+	next := 0
+	leader := ""
+	for {
+		select {
+		case <-n.ctx.Done():
+			return nil
+		case <-time.After(joinInterval):
+		}
+		wants := false
+		if err := n.loop.Do(n.ctx, func(time.Time) { wants = n.coordinator.WantsToJoin() }); err != nil || !wants {
+			continue
+		}
+		address := leader
+		if address == "" {
+			address = n.o.Seeds[next%len(n.o.Seeds)]
+			next++
+		}
+		leader = n.askToJoin(address)
+	}
+}
+
+// askToJoin returns the address to ask next, or "" for the next seed.
+func (n *Node) askToJoin(address string) string {
+	ctx, cancel := context.WithTimeout(n.ctx, sendTimeout)
+	defer cancel()
+	reply, err := n.o.Calls.Call(ctx, address, &coordinator.Join{VM: n.o.Config.Self})
+	if err != nil {
+		n.o.Log.Info("a coordinator does not answer the request to join", "coordinator", address, "error", err.Error())
+		return ""
+	}
+	joined, ok := reply.(*coordinator.JoinReply)
+	switch {
+	case !ok:
+		return ""
+	case joined.Accepted:
+		return address
+	case joined.Leader != address:
+		return joined.Leader
+	default:
+		return ""
+	}
+}
+
+// wait runs an operation on the control goroutine and waits for its outcome.
+func (n *Node) wait(ctx context.Context, operation func(now time.Time) (coordinator.Ticket, error)) error {
+	done := make(chan error, 1)
+	err := n.loop.Do(ctx, func(now time.Time) {
+		ticket, err := operation(now)
+		if err != nil || ticket == 0 {
+			done <- err
+			return
+		}
+		n.waiting[ticket] = done
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: no majority answered in time", coordinator.ErrUnclear)
+	}
+}
+
+// Put replaces the manifest and waits until the change is decided.
+func (n *Node) Put(ctx context.Context, d manifest.Document) error {
+	return n.wait(ctx, func(now time.Time) (coordinator.Ticket, error) { return n.coordinator.Put(now, d) })
+}
+
+// Read returns the newest manifest.
+func (n *Node) Read(ctx context.Context) (d manifest.Document, err error) {
+	var refused error
+	err = n.loop.Do(ctx, func(now time.Time) { d, refused = n.coordinator.Read(now) })
+	if err == nil {
+		err = refused
+	}
+	return d, err
+}
+
+// Retire starts to empty a storage VM.
+func (n *Node) Retire(ctx context.Context, name string) error {
+	return n.wait(ctx, func(now time.Time) (coordinator.Ticket, error) { return n.coordinator.Retire(now, name) })
+}
+
+// Retired says whether a storage VM is empty.
+func (n *Node) Retired(ctx context.Context, name string) (empty bool, err error) {
+	var refused error
+	err = n.loop.Do(ctx, func(now time.Time) { empty, refused = n.coordinator.Retired(now, name) })
+	if err == nil {
+		err = refused
+	}
+	return empty, err
+}
+
+// HandOver gives up leadership before a planned stop.
+func (n *Node) HandOver(ctx context.Context) error {
+	return n.loop.Do(ctx, func(now time.Time) { n.coordinator.HandOver(now) })
+}
--- /dev/null
+++ b/node/gateway/attempt.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/balance"
+	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// maxAnswerBytes bounds an answer that is not a stream.
+const maxAnswerBytes = 16 << 20
+
+// attempt sends the request to one target. It returns true when another target
+// is to be tried.
+func (x *exchange) attempt(ctx context.Context, target balance.Target) (again bool, refusal *Refusal) {
+	x.target, x.sentAt = target.ID, x.elapsed()
+	x.tried = append(x.tried, target.ID)
+	answer, err := x.g.o.Targets.Exchange(ctx, port.TargetRequest{
+		Target: target, Account: x.account, Body: x.body, TimeLeft: x.timeLeft(), Resume: x.resumePoint(), Wire: x.Wire,
+	})
+	if err != nil {
+		return x.failedBefore(ctx, target, err)
+	}
+	defer answer.Close()
+	x.runs++
+	if x.route.Kind == manifest.Stream && answer.Head().Success {
+		err = x.passStream(ctx, answer)
+	} else {
+		err = x.passWhole(answer)
+	}
+	x.free(target, outcomeOf(ctx, err), answer.Head().Load)
+	if err == nil {
+		x.outcome = "served"
+		return false, nil
+	}
+	return x.failedAfter(ctx, err)
+}
+
+func outcomeOf(ctx context.Context, err error) balance.Outcome {
+	switch {
+	case err == nil:
+		return balance.Served
+	case ctx.Err() != nil || errors.Is(err, errReply) || errors.Is(err, errNotStored):
+		return balance.Abandoned
+	default:
+		return balance.Failed
+	}
+}
+
+func (x *exchange) free(target balance.Target, outcome balance.Outcome, load *balance.Load) {
+	x.g.loop.Deliver(func(now time.Time) { x.g.finish(now, target.ID, outcome, load) })
+}
+
+// failedBefore handles a request that got no answer.
+func (x *exchange) failedBefore(ctx context.Context, target balance.Target, err error) (bool, *Refusal) {
+	x.rejected = err
+	switch {
+	case errors.Is(err, port.ErrMisdirected):
+		x.free(target, balance.Gone, nil)
+		x.retried("misdirected")
+		return true, nil
+	case errors.Is(err, port.ErrNotRun):
+		outcome := balance.Rejected
+		var unreachable *port.UnreachableError
+		if errors.As(err, &unreachable) {
+			outcome = balance.Failed
+		}
+		x.free(target, outcome, nil)
+		x.retried("not_run")
+		return ctx.Err() == nil, x.endedOrNil(ctx, err)
+	}
+	x.runs++
+	x.free(target, outcomeOf(ctx, err), nil)
+	return x.failedAfter(ctx, err)
+}
+
+func (x *exchange) endedOrNil(ctx context.Context, err error) *Refusal {
+	if ctx.Err() == nil {
+		return nil
+	}
+	return x.ended(ctx, err)
+}
+
+// failedAfter handles a request that may have run.
+func (x *exchange) failedAfter(ctx context.Context, err error) (bool, *Refusal) {
+	x.rejected = err
+	x.outcome = "broken_off"
+	resumable := x.begun && x.route.Resumable
+	if ctx.Err() == nil && x.route.Repeatable() && x.runs < x.route.MaxAttempts && (!x.begun || resumable) &&
+		!errors.Is(err, errReply) && !errors.Is(err, errNotStored) {
+		x.retried("target_failed")
+		return true, nil
+	}
+	if x.begun {
+		x.reply.Abort()
+		return false, nil
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return false, &Refusal{Kind: TimedOut, Cause: err}
+	}
+	return false, &Refusal{Kind: OutcomeUnknown, Cause: err}
+}
+
+func (x *exchange) retried(reason string) { x.g.o.Metrics.Retried(reason) }
+
+func (x *exchange) elapsed() time.Duration { return x.g.o.Clock.Now().Sub(x.started) }
+
+// resumePoint is the id of the last event that the caller has.
+func (x *exchange) resumePoint() string {
+	if x.lastID != "" {
+		return x.lastID
+	}
+	return x.Resume
+}
+
+// errReply marks an error of the caller's side.
+var errReply = errors.New("the caller does not take the answer")
+
+func (x *exchange) passWhole(answer port.Answer) error {
+	body, err := answer.Body(maxAnswerBytes)
+	if err != nil {
+		return err
+	}
+	x.firstAt = x.elapsed()
+	if err := x.reply.Whole(answer.Head(), body); err != nil {
+		return errors.Join(errReply, err)
+	}
+	x.begun = true
+	return nil
+}
+
+// passStream passes events on as they come. The end of the stream is passed on
+// after the turn is stored, because a turn counts from there.
+func (x *exchange) passStream(ctx context.Context, answer port.Answer) error {
+	for {
+		event, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if err := x.passEvent(answer, event); err != nil {
+			return err
+		}
+	}
+	if !x.begun {
+		if err := x.begin(answer); err != nil {
+			return err
+		}
+	}
+	if err := x.turn.store(ctx, x); err != nil {
+		return err
+	}
+	if err := x.reply.End(); err != nil {
+		return errors.Join(errReply, err)
+	}
+	return nil
+}
+
+func (x *exchange) begin(answer port.Answer) error {
+	x.begun, x.firstAt = true, x.elapsed()
+	if err := x.reply.Begin(answer.Head()); err != nil {
+		return errors.Join(errReply, err)
+	}
+	return nil
+}
+
+func (x *exchange) passEvent(answer port.Answer, event port.StreamEvent) error {
+	if !x.begun {
+		if err := x.begin(answer); err != nil {
+			return err
+		}
+	}
+	if event.Data != nil {
+		x.events++
+		x.turn.addEvent(event.Data)
+	}
+	if event.ID != "" {
+		x.lastID = event.ID
+	}
+	if err := x.reply.Event(event); err != nil {
+		return errors.Join(errReply, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/gateway/cache.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/turnstore"
+)
+
+const (
+	// cacheBytes bounds the cached turns. The next turn of a program mostly comes
+	// within a second, so the cache holds some seconds of traffic.
+	cacheBytes = 4 << 20
+	// cacheFor is the time after which a turn is dropped.
+	cacheFor = 10 * time.Second
+	// cacheOverheadBytes is the memory of an entry beside the turn's bytes.
+	cacheOverheadBytes = 256
+)
+
+type cached struct {
+	turn *turnstore.Turn
+	at   time.Time
+	size int
+}
+
+// turnCache keeps the newest turns that this gateway wrote or read, so that the
+// next turn of a program needs no read. Turns never change.
+type turnCache struct {
+	turns map[turnstore.TurnKey]*turnstore.Turn
+	order []cached
+	bytes int
+}
+
+func newTurnCache() *turnCache {
+	return &turnCache{turns: map[turnstore.TurnKey]*turnstore.Turn{}}
+}
+
+func (c *turnCache) add(now time.Time, t *turnstore.Turn) {
+	if _, ok := c.turns[t.Key]; ok {
+		return
+	}
+	size := len(t.Input) + cacheOverheadBytes
+	for _, e := range t.Events {
+		size += len(e)
+	}
+	c.turns[t.Key] = t
+	c.order = append(c.order, cached{turn: t, at: now, size: size})
+	c.bytes += size
+	for c.bytes > cacheBytes {
+		c.dropOldest()
+	}
+}
+
+func (c *turnCache) dropOldest() {
+	oldest := c.order[0]
+	c.order[0] = cached{}
+	c.order = c.order[1:]
+	c.bytes -= oldest.size
+	delete(c.turns, oldest.turn.Key)
+}
+
+func (c *turnCache) expire(now time.Time) {
+	for len(c.order) > 0 && now.Sub(c.order[0].at) > cacheFor {
+		c.dropOldest()
+	}
+}
+
+// chain returns a turn and those before it, newest first, or nil when one of
+// them is not cached.
+func (c *turnCache) chain(key turnstore.TurnKey) []*turnstore.Turn {
+	var out []*turnstore.Turn
+	for key.ID != "" {
+		t, ok := c.turns[key]
+		if !ok {
+			return nil
+		}
+		out = append(out, t)
+		key.ID = t.Previous
+	}
+	return out
+}
--- /dev/null
+++ b/node/gateway/log.go
@@ -0,0 +1,32 @@
+package gateway
+
+// log writes one line for each request: its inputs, the version of the
+// configuration that decided it, and its outcome.
+func (x *exchange) log(refusal *Refusal) {
+	took := x.elapsed()
+	fields := []any{"id", x.ID, "took_ms", took.Milliseconds()}
+	if x.route != nil {
+		fields = append(fields, "route", x.route.Name, "account", x.account, "manifest", x.view.index.Manifest.Version)
+	}
+	if x.target != "" {
+		fields = append(fields, "target", x.target, "targets_tried", len(x.tried), "sent_ms", x.sentAt.Milliseconds())
+	}
+	if x.turn != nil {
+		fields = append(fields, "program", x.Program, "previous", x.Previous, "events", x.events)
+	}
+	if x.firstAt > 0 {
+		fields = append(fields, "first_ms", x.firstAt.Milliseconds())
+	}
+	if x.rejected != nil {
+		fields = append(fields, "cause", x.rejected.Error())
+	}
+	if refusal != nil {
+		x.g.o.Metrics.Refused(refusal.Kind)
+		x.g.o.Log.Info("request refused", append(fields, "reason", refusal.Error(), "not_run", refusal.NotRun)...)
+		return
+	}
+	if x.outcome == "served" {
+		x.g.o.Metrics.Served(x.route.Name, took)
+	}
+	x.g.o.Log.Info("request "+x.outcome, fields...)
+}
--- /dev/null
+++ b/node/gateway/serve.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/balance"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	// startRetry is told to callers of a VM that has no configuration yet. It
+	// receives one within a few reports of its start.
+	startRetry = 300 * time.Millisecond
+	// storageRetry is told to callers when no majority of the storage VMs answers.
+	storageRetry = 400 * time.Millisecond
+	// fullRetry is told to callers when all targets are full. It is about the time
+	// of one short request.
+	fullRetry = 250 * time.Millisecond
+	// minRetry bounds what callers over their rate are told.
+	minRetry = 50 * time.Millisecond
+)
+
+// Request is one attempt of a caller.
+type Request struct {
+	// ID is unique for each attempt.
+	ID         string
+	Host, Path string
+	Key        string
+	Body       []byte
+	// TimeLeft is how long the caller waits; 0 means that it did not say.
+	TimeLeft time.Duration
+	// Session names cached state at targets, or is "".
+	Session string
+	// Resume is the id of the last event that the caller has, or "".
+	Resume string
+	// Program, Budget, Most and Previous describe a turn: its program, the tokens
+	// that all turns of the program may generate, the most that this one does,
+	// and the turn that it continues.
+	Program      string
+	Budget, Most domain.Tokens
+	Previous     string
+	// Wire is what the front end keeps of the request for the target.
+	Wire any
+}
+
+// exchange is one request while it is served. It belongs to one traffic
+// goroutine.
+type exchange struct {
+	*Request
+	g       *Gateway
+	reply   port.Reply
+	view    *view
+	route   *manifest.Route
+	service *manifest.Service
+	account domain.Account
+	started time.Time
+	// deadline is when the caller or the route gives up.
+	deadline time.Time
+	turn     *turn
+	body     []byte
+
+	tried    []domain.Target
+	runs     int
+	target   domain.Target
+	sentAt   time.Duration
+	firstAt  time.Duration
+	events   int
+	begun    bool
+	lastID   string
+	outcome  string
+	rejected error
+}
+
+// Serve answers one request. The front end sends the refusal that it returns;
+// after nil the reply is complete or broken off.
+func (g *Gateway) Serve(ctx context.Context, req *Request, reply port.Reply) *Refusal {
+	x := &exchange{Request: req, g: g, reply: reply, view: g.view.Load(), started: g.o.Clock.Now()}
+	refusal := x.serve(ctx)
+	x.log(refusal)
+	return refusal
+}
+
+func (x *exchange) serve(ctx context.Context) *Refusal {
+	if refusal := x.admit(ctx); refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithTimeout(ctx, x.timeLeft())
+	defer cancel()
+	x.body = x.Body
+	if x.Program != "" && x.Budget > 0 && x.route.Kind == manifest.Stream {
+		if refusal := x.prepareTurn(ctx); refusal != nil {
+			return refusal
+		}
+	}
+	refusal := x.attempts(ctx)
+	x.turn.settle(x)
+	return refusal
+}
+
+// admit finds the route and the client account and takes one request of its
+// rate.
+func (x *exchange) admit(ctx context.Context) *Refusal {
+	if !x.view.current || x.view.index == nil {
+		return notRun(NoManifest, startRetry, nil)
+	}
+	index := x.view.index
+	route, ok := index.Route(x.Host, x.Path)
+	if !ok {
+		return notRun(NoRoute, 0, nil)
+	}
+	x.route = route
+	x.service, _ = index.Service(route.Choose(x.ID))
+	if refusal := x.identify(index); refusal != nil {
+		return refusal
+	}
+	if limit := index.Manifest.Limits.MaxBodyBytes; limit > 0 && int64(len(x.Body)) > limit {
+		return notRun(BodyTooLarge, 0, nil)
+	}
+	x.setDeadline()
+	return x.takeAllowance(ctx)
+}
+
+func (x *exchange) identify(index *manifest.Index) *Refusal {
+	if len(index.Manifest.Accounts) == 0 {
+		return nil
+	}
+	holder, ok := index.Holder(x.Key)
+	if !ok && !x.route.Open {
+		return notRun(KeyUnknown, 0, nil)
+	}
+	if ok {
+		x.account = holder.Name
+	}
+	return nil
+}
+
+func (x *exchange) setDeadline() {
+	wait := x.route.Timeout
+	if x.TimeLeft > 0 {
+		wait = min(wait, x.TimeLeft)
+	}
+	x.deadline = x.started.Add(wait)
+}
+
+func (x *exchange) timeLeft() time.Duration { return x.deadline.Sub(x.g.o.Clock.Now()) }
+
+func (x *exchange) takeAllowance(ctx context.Context) *Refusal {
+	if x.account == "" {
+		return nil
+	}
+	var ok bool
+	var retry time.Duration
+	err := x.g.loop.Do(ctx, func(now time.Time) { ok, retry = x.g.allowances.Admit(now, x.account) })
+	switch {
+	case err != nil:
+		return notRun(Overloaded, minRetry, err)
+	case !ok:
+		return notRun(OverRate, max(minRetry, retry), nil)
+	default:
+		return nil
+	}
+}
+
+// attempts sends the request to one target after the other until one answers,
+// or none may be tried any more.
+func (x *exchange) attempts(ctx context.Context) *Refusal {
+	for {
+		target, refusal := x.pick(ctx)
+		if refusal != nil {
+			return refusal
+		}
+		again, refusal := x.attempt(ctx, target)
+		if !again {
+			return refusal
+		}
+	}
+}
+
+// pick waits for a target with a free place.
+func (x *exchange) pick(ctx context.Context) (balance.Target, *Refusal) {
+	if len(x.tried) >= maxTargets {
+		return balance.Target{}, x.noTarget(AllFull)
+	}
+	w := &waiter{
+		ask: balance.Ask{
+			Service: x.service.Name, Session: x.sessionKey(), Tried: x.tried,
+			ConnectionCap: x.g.connectionCap(x.service),
+		},
+		priority: x.route.Priority,
+		result:   make(chan pickResult, 1),
+	}
+	if err := x.g.loop.Do(ctx, func(now time.Time) { x.g.pickOrWait(now, w) }); err != nil {
+		x.g.giveBack(w)
+		return balance.Target{}, x.ended(ctx, err)
+	}
+	patience := time.NewTimer(x.patience())
+	defer patience.Stop()
+	select {
+	case r := <-w.result:
+		if r.refusal != "" {
+			return balance.Target{}, x.noTarget(Kind(r.refusal))
+		}
+		return r.target, nil
+	case <-patience.C:
+		x.g.giveBack(w)
+		return balance.Target{}, x.noTarget(AllFull)
+	case <-ctx.Done():
+		x.g.giveBack(w)
+		return balance.Target{}, x.ended(ctx, ctx.Err())
+	}
+}
+
+// patience is how long a request waits for a free place. Beyond a quarter of
+// its objective a refusal serves the caller better, because another VM may see
+// free targets.
+func (x *exchange) patience() time.Duration {
+	return min(x.route.Objective/4, x.timeLeft())
+}
+
+func (x *exchange) noTarget(kind Kind) *Refusal {
+	if x.runs > 0 {
+		return &Refusal{Kind: OutcomeUnknown, Cause: x.rejected}
+	}
+	return notRun(kind, fullRetry, x.rejected)
+}
+
+// ended is the refusal of a request whose context ended.
+func (x *exchange) ended(ctx context.Context, cause error) *Refusal {
+	switch {
+	case x.runs > 0:
+		return &Refusal{Kind: TimedOut, Cause: cause}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return notRun(TimedOutNotRun, fullRetry, cause)
+	default:
+		return notRun(Overloaded, minRetry, cause)
+	}
+}
+
+func (x *exchange) sessionKey() string {
+	if x.Session == "" {
+		return ""
+	}
+	return string(x.account) + "/" + x.Session
+}
--- /dev/null
+++ b/node/storage/node.go
@@ -0,0 +1,297 @@
+// Package storage runs a storage VM: the control goroutine around
+// core/turnstore, its disk, and the copy from the other members when the VM
+// joins the set.
+package storage
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/turnstore"
+	"github.com/mangoknot/mangoknot/node/loop"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+const (
+	// Stream is the name of the records on the disk.
+	Stream = "turns"
+	// idleWake is the longest time between two looks at expired records.
+	idleWake = 2 * time.Second
+	// copyPause is the pause before a failed copy is tried again.
+	copyPause = 100 * time.Millisecond
+	// pullTimeout bounds one part of a copy.
+	pullTimeout = time.Second
+	// compactSlackBytes is the size of dropped records at which the disk is
+	// rewritten. It is a fraction of the smallest disk in use.
+	compactSlackBytes = 64 << 20
+)
+
+// Options wires a Node.
+type Options struct {
+	Store      *turnstore.Store
+	Name       string
+	DataCentre domain.DataCentre
+	Region     domain.Region
+	// Process is unique for each start.
+	Process string
+	Disk    port.Disk
+	Calls   port.Calls
+	Clock   port.Clock
+	Log     logr.Logger
+}
+
+// Node is one running storage VM.
+type Node struct {
+	o    Options
+	loop *loop.Loop
+	ctx  context.Context
+	end  context.CancelFunc
+
+	// The fields below belong to the control goroutine.
+	store   *turnstore.Store
+	copying bool
+	written int
+	failed  error
+}
+
+// New returns a node that is not running yet.
+func New(o Options) *Node {
+	ctx, end := context.WithCancel(context.Background())
+	n := &Node{o: o, store: o.Store, ctx: ctx, end: end}
+	n.loop = loop.New(o.Clock, n.settle)
+	return n
+}
+
+// Run is the control goroutine. It ends after Stop.
+func (n *Node) Run() error {
+	err := n.loop.Run(n.ctx)
+	if n.ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Stop ends Run and the copy under way.
+func (n *Node) Stop() { n.end() }
+
+func (n *Node) settle(now time.Time) time.Time {
+	if n.store.MustCopy() && !n.copying && n.failed == nil {
+		n.copying = true
+		set := n.store.Set()
+		n.o.Log.Info("joined the storage set; copying from the other members", "epoch", set.Epoch)
+		go n.copy(set)
+	}
+	n.store.Sweep(now)
+	n.compact()
+	return now.Add(idleWake)
+}
+
+// compact rewrites the disk when dropped records take much of it.
+func (n *Node) compact() {
+	_, _, live := n.store.Counts()
+	if n.written < 2*live+compactSlackBytes {
+		return
+	}
+	n.written = live
+	n.o.Disk.Replace(Stream, n.store.Live(), n.persisted(func() {}))
+}
+
+// persisted returns a completion that runs then, or records that the disk
+// failed. What reached the disk is unknown after a failure, so the store refuses
+// everything from then on.
+func (n *Node) persisted(then func()) func(error) {
+	return func(err error) {
+		if err == nil {
+			then()
+			return
+		}
+		n.o.Log.Error(err, "the disk failed; this storage VM refuses requests")
+		n.loop.Deliver(func(time.Time) { n.failed = err })
+	}
+}
+
+// durable appends records on the control goroutine and returns a channel that is
+// closed when they are synced.
+func (n *Node) durable(records []domain.Record) <-chan error {
+	done := make(chan error, 1)
+	if len(records) == 0 {
+		done <- n.failed
+		return done
+	}
+	for _, r := range records {
+		if t, ok := r.(*turnstore.Turn); ok {
+			n.written += len(t.Input)
+		}
+	}
+	n.o.Disk.Append(Stream, records, func(err error) {
+		if err != nil {
+			n.persisted(nil)(err)
+		}
+		done <- err
+	})
+	return done
+}
+
+// Answer implements port.Answerer.
+func (n *Node) Answer(ctx context.Context, m domain.Message) (domain.Message, error) {
+	var reply domain.Message
+	var synced <-chan error
+	err := n.loop.Do(ctx, func(now time.Time) { reply, synced = n.handle(now, m) })
+	if err != nil {
+		return nil, err
+	}
+	if reply == nil {
+		return nil, fmt.Errorf("storage: message %s is not for a storage VM; check that both VMs run compatible versions", m.MessageName())
+	}
+	select {
+	case err := <-synced:
+		if err != nil {
+			return nil, fmt.Errorf("storage: the disk failed; replace the VM: %w", err)
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Node) handle(now time.Time, m domain.Message) (domain.Message, <-chan error) {
+	var reply domain.Message
+	var records []domain.Record
+	switch m := m.(type) {
+	case *turnstore.Write:
+		reply, records = n.store.Write(now, m)
+	case *turnstore.ReadChain:
+		reply, records = n.store.Read(now, m)
+	case *turnstore.Pull:
+		reply, records = n.store.Pull(m)
+	}
+	return reply, n.durable(records)
+}
+
+// Report implements follower.Process.
+func (n *Node) Report(ctx context.Context) (*coordinator.Report, error) {
+	r := &coordinator.Report{Process: n.o.Process, Document: maxVersion}
+	err := n.loop.Do(ctx, func(time.Time) {
+		if n.failed != nil {
+			return
+		}
+		status := &coordinator.StoreStatus{
+			ID: n.store.ID(), Name: n.o.Name, DataCentre: n.o.DataCentre, Region: n.o.Region, Complete: n.store.Complete(),
+		}
+		if set := n.store.Set(); set != nil {
+			status.Epoch, r.Stores = set.Epoch, set.Epoch
+		}
+		r.Store = status
+	})
+	return r, err
+}
+
+// maxVersion asks for no manifest: a storage VM needs none.
+const maxVersion = 1<<63 - 1
+
+// Apply implements follower.Process.
+func (n *Node) Apply(v *coordinator.View) {
+	if v.Stores == nil {
+		return
+	}
+	n.loop.Deliver(func(time.Time) { n.adopt(v.Stores) })
+}
+
+func (n *Node) adopt(set *quorum.Set) {
+	record := n.store.Adopt(set)
+	if record == nil {
+		return
+	}
+	n.o.Log.Info("follows a new storage set", "epoch", set.Epoch, "complete", n.store.Complete())
+	n.durable([]domain.Record{record})
+}
+
+// copy pulls the records of the other members until enough of them have passed
+// everything on.
+func (n *Node) copy(set *quorum.Set) {
+	started := n.o.Clock.Now()
+	sources := 0
+	for _, m := range set.Members {
+		if m.ID == n.store.ID() {
+			continue
+		}
+		if err := n.pullAll(set, m); err != nil {
+			n.o.Log.Info("a copy from a storage VM failed; it is tried again", "from", m.ID, "error", err.Error())
+			continue
+		}
+		sources++
+	}
+	complete := false
+	if sources >= set.CopySources() {
+		complete = n.finishCopy(set)
+	} else {
+		select {
+		case <-time.After(copyPause):
+		case <-n.ctx.Done():
+		}
+	}
+	n.loop.Deliver(func(now time.Time) {
+		n.copying = false
+		turns, programs, bytes := n.store.Counts()
+		n.o.Log.Info("a copy ended", "epoch", set.Epoch, "complete", complete, "sources", sources,
+			"turns", turns, "programs", programs, "bytes", bytes, "took_ms", now.Sub(started).Milliseconds())
+	})
+}
+
+func (n *Node) pullAll(set *quorum.Set, from quorum.Member) error {
+	after := 0
+	for {
+		reply, err := n.pull(set, from, after)
+		if err != nil {
+			return err
+		}
+		var synced <-chan error
+		if err := n.loop.Do(n.ctx, func(now time.Time) { synced = n.durable(n.store.Copy(now, reply)) }); err != nil {
+			return err
+		}
+		if err := <-synced; err != nil {
+			return err
+		}
+		if reply.Done {
+			return nil
+		}
+		after = reply.Last
+	}
+}
+
+func (n *Node) pull(set *quorum.Set, from quorum.Member, after int) (*turnstore.PullReply, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, pullTimeout)
+	defer cancel()
+	m, err := n.o.Calls.Call(ctx, from.ID.Address(), &turnstore.Pull{Set: set, After: after})
+	if err != nil {
+		return nil, err
+	}
+	reply, ok := m.(*turnstore.PullReply)
+	if !ok {
+		return nil, fmt.Errorf("storage: %s answered with %s", from.ID, m.MessageName())
+	}
+	if newer := reply.Standing.NewerSet; newer != nil {
+		n.loop.Deliver(func(time.Time) { n.adopt(newer) })
+	}
+	if !reply.Standing.Accepted || !reply.Standing.Complete {
+		return nil, fmt.Errorf("storage: %s follows epoch %d or has not copied yet", from.ID, reply.Standing.Epoch)
+	}
+	return reply, nil
+}
+
+func (n *Node) finishCopy(set *quorum.Set) bool {
+	var record domain.Record
+	var synced <-chan error
+	err := n.loop.Do(n.ctx, func(time.Time) {
+		if record = n.store.FinishCopy(set); record != nil {
+			synced = n.durable([]domain.Record{record})
+		}
+	})
+	return err == nil && record != nil && <-synced == nil
+}
