Give back the allowance of requests that reached no target

Change: a refused request that did not run returns its allowance; the first request of a program leaves a quarter of the burst to programs under way.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -70,8 +70,11 @@
 
 type bucket struct {
 	level    float64
+	capacity float64
 	filled   time.Time
-	admitted uint64
+	// admitted only grows; a returned request is not counted when the next one is
+	// admitted.
+	admitted, returned uint64
 	// reported is the own count that the last total includes.
 	reported, sent uint64
 	total          float64
@@ -95,24 +98,61 @@
 	return &Gateway{limits: limits, buckets: map[domain.Account]*bucket{}, gateways: 1, answered: now}
 }
 
+// Standing says whether a request begins a program or belongs to one that was
+// served before.
+type Standing int
+
+// The standings.
+const (
+	// Begins is the first request of a program. It leaves the reserve to programs
+	// under way: a program that is cut off in the middle has wasted all that it
+	// received.
+	Begins Standing = iota
+	// Continues is every later request, and any request outside of programs.
+	Continues
+)
+
+// reserveShare is the part of the burst that is left to programs under way. One
+// program needs some ten requests, so a quarter of a burst of one second lets
+// those under way end while no new ones begin.
+const reserveShare = 0.25
+
 // Admit takes one request from the account's bucket. When it is refused, retry
 // is the time until the bucket holds a request again.
-func (g *Gateway) Admit(now time.Time, account domain.Account) (ok bool, retry time.Duration) {
+func (g *Gateway) Admit(now time.Time, account domain.Account, standing Standing) (ok bool, retry time.Duration) {
 	limit, limited := g.limits(account)
 	if !limited || limit.RatePerSecond <= 0 {
 		return true, 0
 	}
 	g.checkSilence(now)
 	b := g.fill(now, account, limit)
-	if b.level < 1 {
-		wait := (1 - b.level) / g.usableRate(b, limit)
+	least := 1.0
+	if standing == Begins {
+		least += reserveShare * b.capacity
+	}
+	if b.level < least {
+		wait := (least - b.level) / g.usableRate(b, limit)
 		return false, time.Duration(wait * float64(time.Second))
 	}
 	b.level--
-	b.admitted++
+	if b.returned > 0 {
+		b.returned--
+	} else {
+		b.admitted++
+	}
 	return true, 0
 }
 
+// Return gives back a request that was admitted and reached no target.
+func (g *Gateway) Return(account domain.Account) {
+	b := g.buckets[account]
+	if b == nil {
+		return
+	}
+	b.level = min(b.level+1, b.capacity)
+	b.returned++
+}
+
 // Alone says whether the gateway uses only its own fraction of each rate.
 func (g *Gateway) Alone(now time.Time) bool {
 	g.checkSilence(now)
@@ -158,11 +198,11 @@
 	}
 	b.level += now.Sub(b.filled).Seconds() * g.usableRate(b, limit)
 	b.filled = now
-	capacity := max(1, limit.Burst)
+	b.capacity = max(1, limit.Burst)
 	if g.alone {
-		capacity = max(1, capacity*g.fraction(b))
+		b.capacity = max(1, b.capacity*g.fraction(b))
 	}
-	b.level = min(b.level, capacity)
+	b.level = min(b.level, b.capacity)
 	return b
 }
 
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -52,7 +52,10 @@
 }
 
 func (x *exchange) free(target balance.Target, outcome balance.Outcome, load *balance.Load) {
-	x.g.loop.Deliver(func(now time.Time) { x.g.finish(now, target.ID, outcome, load) })
+	x.g.loop.Deliver(func(now time.Time) {
+		x.g.programs.served(now, x.account, x.Program)
+		x.g.finish(now, target.ID, outcome, load)
+	})
 }
 
 // failedBefore handles a request that got no answer.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -81,6 +81,7 @@
 	suspicion  map[quorum.StoreID]time.Time
 	targets    uint64
 	queue      []*waiter
+	programs   *programs
 
 	// gatewayCount is the number of gateways that report, for traffic goroutines.
 	gatewayCount atomic.Int64
@@ -94,6 +95,7 @@
 		balancer:  balance.New(balance.Place{DataCentre: o.DataCentre, Region: o.Region}, o.Rand),
 		cache:     newTurnCache(),
 		settling:  newSettlements(),
+		programs:  newPrograms(),
 		suspicion: map[quorum.StoreID]time.Time{},
 	}
 	g.view.Store(&view{})
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -63,15 +63,17 @@
 	turn     *turn
 	body     []byte
 
-	tried    []domain.Target
-	runs     int
-	target   domain.Target
-	sentAt   time.Duration
-	firstAt  time.Duration
-	events   int
-	begun    bool
-	lastID   string
-	outcome  string
+	tried   []domain.Target
+	runs    int
+	target  domain.Target
+	sentAt  time.Duration
+	firstAt time.Duration
+	events  int
+	begun   bool
+	lastID  string
+	outcome string
+	// counted says that the request has taken one of its account's allowance.
+	counted  bool
 	rejected error
 }
 
@@ -80,6 +82,9 @@
 func (g *Gateway) Serve(ctx context.Context, req *Request, reply port.Reply) *Refusal {
 	x := &exchange{Request: req, g: g, reply: reply, view: g.view.Load(), started: g.o.Clock.Now()}
 	refusal := x.serve(ctx)
+	if x.counted && refusal != nil && refusal.NotRun {
+		g.loop.Deliver(func(time.Time) { g.allowances.Return(x.account) })
+	}
 	x.log(refusal)
 	return refusal
 }
@@ -154,13 +159,16 @@
 	}
 	var ok bool
 	var retry time.Duration
-	err := x.g.loop.Do(ctx, func(now time.Time) { ok, retry = x.g.allowances.Admit(now, x.account) })
+	err := x.g.loop.Do(ctx, func(now time.Time) {
+		ok, retry = x.g.allowances.Admit(now, x.account, x.g.programs.standing(now, x.account, x.Program))
+	})
 	switch {
 	case err != nil:
 		return notRun(Overloaded, minRetry, err)
 	case !ok:
 		return notRun(OverRate, max(minRetry, retry), nil)
 	default:
+		x.counted = true
 		return nil
 	}
 }
