Put chains together from parts and reload the settings on SIGHUP

Ruled out: lost records; each turn of the chain was found on a majority. Change: a gateway reads the missing part of a chain from the next stores.

--- a/internal/roles/coordinator.go
+++ b/internal/roles/coordinator.go
@@ -52,7 +52,7 @@
 			ElectionTimeout: electionTimeout, Heartbeat: heartbeat, Rand: p.rand,
 		},
 		Restored: restored, Disk: d, Calls: p.calls, Targets: platform.NewLister(p.settings),
-		Clock: p.clock, Seeds: p.settings.Seeds, Log: p.log,
+		Clock: p.clock, Seeds: p.seeds, Log: p.log,
 	})
 	p.group.Add(n.Run, func(error) { n.Stop() })
 	p.group.Add(n.KeepJoining, func(error) { n.Stop() })
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -39,7 +39,7 @@
 		Clock: p.clock, Rand: p.rand, Metrics: newGatewayMetrics(), Log: p.log,
 	})
 	p.group.Add(g.Run, func(error) { g.Stop() })
-	f := follower.New(p.calls, g, p.settings.Seeds, p.log)
+	f := follower.New(p.calls, g, p.seeds, p.log)
 	p.addContext(f.Run)
 	if err := p.addHTTP(p.settings.ReadyAddress, platform.ReadyHandler(g.Ready)); err != nil {
 		return err
--- a/internal/roles/process.go
+++ b/internal/roles/process.go
@@ -13,8 +13,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -52,6 +55,10 @@
 	log      logr.Logger
 	output   *logging.Async
 	group    run.Group
+	// current holds the newest settings. Only the seeds change while a process
+	// runs; everything else needs a restart.
+	current atomic.Pointer[platform.Settings]
+	path    string
 	// start is unique for each start of the process.
 	start string
 }
@@ -82,6 +89,9 @@
 		return nil, err
 	}
 	p.log = logging.Part(root, role)
+	p.path = path
+	p.current.Store(settings)
+	p.addContext(p.reload)
 	if p.start, err = randomName(); err != nil {
 		return nil, err
 	}
@@ -94,6 +104,36 @@
 	return p, nil
 }
 
+func (p *process) seeds() []string { return p.current.Load().Seeds }
+
+// reloadInterval is the time between two reads of the settings. The file may
+// change without a signal.
+const reloadInterval = 3 * time.Second
+
+// reload reads the settings again on SIGHUP and from time to time.
+func (p *process) reload(ctx context.Context) error {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+			p.log.Info("SIGHUP: reads the settings again")
+		case <-time.After(reloadInterval):
+		}
+		settings, err := platform.ReadSettings(p.path)
+		if err != nil {
+			p.log.Error(err, "the settings were not reloaded; the earlier ones stay in use")
+			continue
+		}
+		if !slices.Equal(settings.Seeds, p.seeds()) {
+			p.log.Info("the settings name other seeds", "seeds", settings.Seeds)
+		}
+		p.current.Store(settings)
+	}
+}
+
 func randomName() (string, error) {
 	var b [6]byte
 	if _, err := rand.Read(b[:]); err != nil {
--- a/internal/roles/storage.go
+++ b/internal/roles/storage.go
@@ -37,7 +37,7 @@
 	if err := p.addGRPC(n); err != nil {
 		return err
 	}
-	f := follower.New(p.calls, n, p.settings.Seeds, p.log)
+	f := follower.New(p.calls, n, p.seeds, p.log)
 	p.addContext(f.Run)
 	p.addSignals(func() {})
 	return p.run()
--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -40,7 +40,7 @@
 	Targets  port.TargetLister
 	Clock    port.Clock
 	// Seeds are peer addresses of coordinators.
-	Seeds []string
+	Seeds func() []string
 	Log   logr.Logger
 }
 
@@ -209,7 +209,8 @@
 		}
 		address := leader
 		if address == "" {
-			address = n.o.Seeds[next%len(n.o.Seeds)]
+			seeds := n.o.Seeds()
+			address = seeds[next%len(seeds)]
 			next++
 		}
 		leader = n.askToJoin(address)
--- a/node/follower/follower.go
+++ b/node/follower/follower.go
@@ -35,7 +35,7 @@
 type Follower struct {
 	calls   port.Calls
 	process Process
-	seeds   []string
+	seeds   func() []string
 	log     logr.Logger
 
 	known   []string
@@ -45,9 +45,9 @@
 }
 
 // New returns a follower that starts with the seeds, the peer addresses of some
-// coordinators.
-func New(calls port.Calls, process Process, seeds []string, log logr.Logger) *Follower {
-	return &Follower{calls: calls, process: process, seeds: seeds, known: seeds, log: log}
+// coordinators. They may change while the process runs.
+func New(calls port.Calls, process Process, seeds func() []string, log logr.Logger) *Follower {
+	return &Follower{calls: calls, process: process, seeds: seeds, known: seeds(), log: log}
 }
 
 // Run reports until the context ends.
@@ -104,10 +104,11 @@
 		f.log.Info("lost the coordinators; the last known state stays in use", "coordinator", address, "error", err.Error())
 	}
 	f.reached, f.leader = false, ""
+	f.known = union(f.known, f.seeds())
 }
 
 func (f *Follower) follow(address string, view *coordinator.View) {
-	f.known = union(view.Coordinators, f.seeds)
+	f.known = union(view.Coordinators, f.seeds())
 	if view.Authoritative {
 		if !f.reached {
 			f.log.Info("the coordinators' leader answers", "leader", address)
--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -198,8 +198,27 @@
 // errNoTurn says that a majority knows that a turn does not exist.
 var errNoTurn = errors.New("a majority of the storage VMs knows no such turn")
 
-// chain returns a turn and all turns before it, newest first.
+// chain returns a turn and all turns before it, newest first. Different turns of
+// a chain may be on different majorities, so it is put together from the parts
+// that single stores hold.
 func (g *Gateway) chain(ctx context.Context, key turnstore.TurnKey) ([]*turnstore.Turn, error) {
+	var out []*turnstore.Turn
+	next := key
+	for next.ID != "" {
+		part, err := g.readPart(ctx, next)
+		if errors.Is(err, errNoTurn) && len(out) > 0 {
+			return nil, fmt.Errorf("%w: turn %s of the chain is not on a majority", errNoMajority, next.ID)
+		}
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, part...)
+		next.ID = part[len(part)-1].Previous
+	}
+	return out, nil
+}
+
+func (g *Gateway) readPart(ctx context.Context, key turnstore.TurnKey) ([]*turnstore.Turn, error) {
 	for range setRounds {
 		set := g.view.Load().stores
 		if set == nil {
@@ -213,10 +232,10 @@
 	return nil, errSetChanged
 }
 
+// readFrom returns what the first store that knows the turn holds of its chain.
 func (g *Gateway) readFrom(ctx context.Context, set *quorum.Set, key turnstore.TurnKey) ([]*turnstore.Turn, error) {
-	known := map[string]*turnstore.Turn{}
-	absent := map[string]int{}
 	var found []*turnstore.Turn
+	absent := 0
 	message := func(attachSet bool) domain.Message {
 		r := &turnstore.ReadChain{Epoch: set.Epoch, Key: key}
 		if attachSet {
@@ -230,18 +249,16 @@
 			return false, nil
 		}
 		// Turns never change, so they count from any store, of any epoch.
-		for _, t := range reply.Turns {
-			known[t.Key.ID] = t
-		}
-		if found = join(known, key.ID); found != nil {
+		if len(reply.Turns) > 0 {
+			found = reply.Turns
 			return true, nil
 		}
 		counts, err := g.check(reply.Standing)
 		if err != nil || !counts || !reply.Standing.Complete {
 			return false, err
 		}
-		absent[reply.Missing]++
-		if reply.Missing == key.ID && absent[reply.Missing] >= set.Majority() {
+		absent++
+		if absent >= set.Majority() {
 			return false, errNoTurn
 		}
 		return false, nil
@@ -252,17 +269,3 @@
 	}
 	return nil, err
 }
-
-// join puts a chain together from turns of several stores, or returns nil.
-func join(known map[string]*turnstore.Turn, id string) []*turnstore.Turn {
-	var out []*turnstore.Turn
-	for id != "" {
-		t, ok := known[id]
-		if !ok {
-			return nil
-		}
-		out = append(out, t)
-		id = t.Previous
-	}
-	return out
-}
