--- /dev/null
+++ b/node/gateway/gateway_test.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+// Guards against a chain that is refused or shortened because its turns were
+// written to different majorities: each gateway writes to the stores near it.
+func TestChainOverDifferentMajorities(t *testing.T) {
+	r := newRig(t)
+	r.targets.answer = streamOf("e1", "e2")
+	// Turn 1 is on a and b, turn 2 on b and c, turn 3 on c and a: no store has the
+	// whole chain.
+	refusal, _ := r.serve(r.startGateway(0), turnRequest("1", ""))
+	must.Nil(t, refusal)
+	r.network.setCut("gateway-1 "+storeAddress(0), true)
+	refusal, _ = r.serve(r.startGateway(1), turnRequest("2", "1"))
+	must.Nil(t, refusal)
+	r.network.setCut("gateway-1 "+storeAddress(0), false)
+	refusal, _ = r.serve(r.startGateway(2), turnRequest("3", "2"))
+	must.Nil(t, refusal)
+	fresh := r.startGateway(1)
+	refusal, reply := r.serve(fresh, turnRequest("4", "3"))
+	must.Nil(t, refusal)
+	must.True(t, reply.ended)
+	bodies := r.targets.bodies()
+	must.Eq(t, "[1]e1\ne2\n[2]e1\ne2\n[3]e1\ne2\n[4]", bodies[len(bodies)-1])
+}
+
+// Guards against a turn that is denied although it exists, or of which another
+// client account's program reads the history.
+func TestTurnsOfOneAccount(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	refusal, _ := r.serve(g, turnRequest("1", ""))
+	must.Nil(t, refusal)
+	foreign := turnRequest("2", "1")
+	foreign.Key = "else"
+	refusal, _ = r.serve(g, foreign)
+	must.Eq(t, NoSuchTurn, refusal.Kind)
+	refusal, _ = r.serve(g, turnRequest("3", "missing"))
+	must.Eq(t, NoSuchTurn, refusal.Kind)
+	// Without a majority nobody can know that a turn is missing.
+	r.network.setCut(storeAddress(1), true)
+	r.network.setCut(storeAddress(2), true)
+	refusal, _ = r.serve(g, turnRequest("4", "missing"))
+	must.Eq(t, StorageUnavailable, refusal.Kind)
+	must.True(t, refusal.NotRun)
+}
+
+// Guards against a program that gets more than its budget through several
+// gateways at once, and against unused reservations that stay taken.
+func TestBudgetOverGateways(t *testing.T) {
+	r := newRig(t)
+	r.targets.answer = streamOf("a", "b") // 20 tokens, the most of a turn
+	gateways := []*Gateway{r.startGateway(0), r.startGateway(1), r.startGateway(2)}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	tokens := 0
+	for i := range 30 {
+		wait.Go(func() {
+			refusal, reply := r.serve(gateways[i%3], turnRequest(fmt.Sprint(i), ""))
+			mu.Lock()
+			defer mu.Unlock()
+			tokens += 10 * len(reply.events)
+			if refusal != nil {
+				must.Eq(t, BudgetSpent, refusal.Kind)
+				must.True(t, refusal.NotRun)
+			}
+		})
+	}
+	wait.Wait()
+	// The stated bound is the budget and the most of one turn.
+	must.LessEq(t, 100+20, tokens)
+	// After the refused turns are settled, what is left can be used.
+	must.True(t, eventually(func() bool {
+		refusal, reply := r.serve(gateways[0], turnRequest("last"+fmt.Sprint(time.Now().UnixNano()), ""))
+		mu.Lock()
+		defer mu.Unlock()
+		tokens += 10 * len(reply.events)
+		return refusal != nil && tokens >= 100-20
+	}))
+	must.LessEq(t, 100+20, tokens)
+}
+
+// eventually polls a condition for some seconds, without an assertion on speed.
+func eventually(condition func() bool) bool {
+	for range 100 {
+		if condition() {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// Guards against a stream that looks complete although its turn is on no
+// majority: the next turn could not continue it.
+func TestStreamEndsOnlyWhenStored(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.targets.answer = func(int, port.TargetRequest) (port.Answer, error) {
+		r.network.setCut(storeAddress(1), true)
+		r.network.setCut(storeAddress(2), true)
+		return &scripted{status: 200, events: []string{"x"}}, nil
+	}
+	refusal, reply := r.serve(g, turnRequest("1", ""))
+	must.Nil(t, refusal)
+	must.True(t, reply.aborted)
+	must.False(t, reply.ended)
+}
+
+// Guards against a run-once request that is sent again after it may have run,
+// and against "not run" that is not true.
+func TestRunOnceIsSentOnce(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.targets.answer = func(int, port.TargetRequest) (port.Answer, error) { return nil, io.ErrUnexpectedEOF }
+	refusal, _ := r.serve(g, &Request{ID: "1", Host: "h", Path: "/order/1", Key: "key"})
+	must.Eq(t, OutcomeUnknown, refusal.Kind)
+	must.False(t, refusal.NotRun)
+	must.Len(t, 1, r.targets.bodies())
+}
+
+// Guards against requests that are lost although a target said that it did not
+// run them, and against more targets than the route allows.
+func TestRetries(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.targets.answer = func(n int, _ port.TargetRequest) (port.Answer, error) {
+		if n == 1 {
+			return nil, port.ErrNotRun
+		}
+		return &scripted{status: 200}, nil
+	}
+	refusal, reply := r.serve(g, &Request{ID: "1", Host: "h", Path: "/order/1", Key: "key"})
+	must.Nil(t, refusal)
+	must.Eq(t, 200, reply.status)
+	r.targets.answer = func(int, port.TargetRequest) (port.Answer, error) { return nil, io.ErrUnexpectedEOF }
+	before := len(r.targets.bodies())
+	refusal, _ = r.serve(g, &Request{ID: "2", Host: "h", Path: "/look/1", Key: "key"})
+	must.Eq(t, OutcomeUnknown, refusal.Kind)
+	must.Eq(t, 2, len(r.targets.bodies())-before)
+}
+
+// Guards against turns and budgets that are lost when a storage VM is replaced
+// by an empty one and another one fails right after.
+func TestReplacedStoreHoldsEverything(t *testing.T) {
+	r := newRig(t)
+	r.targets.answer = streamOf("e")
+	g := r.startGateway(0)
+	previous := ""
+	for i := range 5 {
+		id := fmt.Sprint(i)
+		refusal, _ := r.serve(g, turnRequest(id, previous))
+		must.Nil(t, refusal)
+		previous = id
+	}
+	// The store of data centre a is gone; an empty one takes its place.
+	r.network.setCut(storeAddress(0), true)
+	joined := r.startStore(7, "a", "north")
+	r.set = r.set.Replace(r.set.Members[0].ID, joined)
+	replacement := r.network.stores[storeAddress(7)]
+	replacement.Apply(&coordinator.View{Stores: r.set})
+	must.True(t, eventually(func() bool {
+		report, err := replacement.Report(t.Context())
+		return err == nil && report.Store.Complete
+	}))
+	r.network.setCut(storeAddress(1), true)
+	fresh := r.startGateway(1)
+	refusal, _ := r.serve(fresh, turnRequest("next", previous))
+	must.Nil(t, refusal)
+	bodies := r.targets.bodies()
+	must.Eq(t, 6, strings.Count(bodies[len(bodies)-1], "["))
+	// 6 turns have used 60 tokens. A turn reserves 20 and uses 10, so three more
+	// fit into 100 and the fourth does not.
+	must.Eq(t, 1, countRefused(r, fresh, 4))
+}
+
+func countRefused(r *rig, g *Gateway, turns int) int {
+	refused := 0
+	for i := range turns {
+		if refusal, _ := r.serve(g, turnRequest(fmt.Sprintf("more%d", i), "")); refusal != nil {
+			refused++
+		}
+	}
+	return refused
+}
+
+// Guards against writes of an older set that reach a store after a joining one
+// has copied from it: they would be on no majority of the new set.
+func TestOldSetIsFenced(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	joined := r.startStore(7, "a", "north")
+	next := r.set.Replace(r.set.Members[0].ID, joined)
+	for _, n := range r.network.stores {
+		n.Apply(&coordinator.View{Stores: next})
+	}
+	refusal, _ := r.serve(g, turnRequest("1", ""))
+	must.Nil(t, refusal)
+	must.Eq(t, next.Epoch, g.view.Load().stores.Epoch)
+	must.Eq(t, quorum.StoreID(storeAddress(7)+"/disk"), g.view.Load().stores.Members[2].ID)
+}
--- /dev/null
+++ b/node/gateway/rig_test.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/adapter/disk"
+	"github.com/mangoknot/mangoknot/adapter/systemclock"
+	"github.com/mangoknot/mangoknot/core/allowance"
+	"github.com/mangoknot/mangoknot/core/balance"
+	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/turnstore"
+	"github.com/mangoknot/mangoknot/node/storage"
+	"github.com/mangoknot/mangoknot/port"
+)
+
+var errCut = errors.New("the link is cut")
+
+// network passes calls to storage nodes in memory and can cut links.
+type network struct {
+	mu     sync.Mutex
+	stores map[string]*storage.Node
+	cut    map[string]bool // "from to" and "to" for all callers
+	calls  int
+}
+
+func (n *network) from(name string) port.Calls { return caller{n, name} }
+
+type caller struct {
+	network *network
+	name    string
+}
+
+func (c caller) Call(ctx context.Context, address string, m domain.Message) (domain.Message, error) {
+	c.network.mu.Lock()
+	node, ok := c.network.stores[address]
+	cut := c.network.cut[address] || c.network.cut[c.name+" "+address]
+	c.network.calls++
+	c.network.mu.Unlock()
+	if !ok || cut {
+		return nil, errCut
+	}
+	return node.Answer(ctx, m)
+}
+
+func (n *network) setCut(link string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[link] = cut
+}
+
+// targets answers each request with a script.
+type targets struct {
+	mu     sync.Mutex
+	orders []port.TargetRequest
+	answer func(n int, r port.TargetRequest) (port.Answer, error)
+}
+
+func (t *targets) Exchange(_ context.Context, r port.TargetRequest) (port.Answer, error) {
+	t.mu.Lock()
+	t.orders = append(t.orders, r)
+	n := len(t.orders)
+	t.mu.Unlock()
+	return t.answer(n, r)
+}
+
+func (t *targets) Retain(map[string]bool) {}
+
+func (t *targets) bodies() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, o := range t.orders {
+		out = append(out, string(o.Body))
+	}
+	return out
+}
+
+// scripted is an answer with events; err ends it, nil is a whole stream.
+type scripted struct {
+	status int
+	events []string
+	err    error
+	next   int
+}
+
+func (s *scripted) Head() port.AnswerHead {
+	return port.AnswerHead{Status: s.status, Success: s.status == 200}
+}
+
+func (s *scripted) Body(int64) ([]byte, error) {
+	if s.err != nil {
+		return nil, s.err
+	}
+	return []byte("body"), nil
+}
+
+func (s *scripted) Next() (port.StreamEvent, error) {
+	if s.next < len(s.events) {
+		s.next++
+		data := s.events[s.next-1]
+		return port.StreamEvent{ID: fmt.Sprint(s.next), Data: []byte(data), Raw: []byte(data)}, nil
+	}
+	if s.err != nil {
+		return port.StreamEvent{}, s.err
+	}
+	return port.StreamEvent{}, io.EOF
+}
+
+func (s *scripted) Close() {}
+
+func streamOf(events ...string) func(int, port.TargetRequest) (port.Answer, error) {
+	return func(int, port.TargetRequest) (port.Answer, error) {
+		return &scripted{status: 200, events: events}, nil
+	}
+}
+
+// recorded is the caller's side of one request.
+type recorded struct {
+	status  int
+	events  []string
+	ended   bool
+	aborted bool
+}
+
+func (r *recorded) Whole(h port.AnswerHead, _ []byte) error {
+	r.status, r.ended = h.Status, true
+	return nil
+}
+func (r *recorded) Begin(h port.AnswerHead) error { r.status = h.Status; return nil }
+func (r *recorded) Event(e port.StreamEvent) error {
+	r.events = append(r.events, string(e.Data))
+	return nil
+}
+func (r *recorded) End() error { r.ended = true; return nil }
+func (r *recorded) Abort()     { r.aborted = true }
+
+type noMetrics struct{}
+
+func (noMetrics) Served(string, time.Duration) {}
+func (noMetrics) Refused(Kind)                 {}
+func (noMetrics) Retried(string)               {}
+
+// rig runs storage nodes in three data centres of two regions, and gateways.
+type rig struct {
+	t       *testing.T
+	network *network
+	set     *quorum.Set
+	targets *targets
+}
+
+func storeAddress(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+var places = []struct {
+	dataCentre domain.DataCentre
+	region     domain.Region
+}{{"a", "north"}, {"b", "north"}, {"c", "south"}}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, network: &network{stores: map[string]*storage.Node{}, cut: map[string]bool{}}, targets: &targets{answer: streamOf("x")}}
+	r.set = &quorum.Set{Epoch: 1}
+	for i, p := range places {
+		r.set.Members = append(r.set.Members, r.startStore(i, p.dataCentre, p.region))
+	}
+	for _, n := range r.network.stores {
+		n.Apply(&coordinator.View{Stores: r.set})
+	}
+	return r
+}
+
+// startStore starts an empty storage node and returns it as a member.
+func (r *rig) startStore(i int, dataCentre domain.DataCentre, region domain.Region) quorum.Member {
+	address := storeAddress(i)
+	store := turnstore.New()
+	id := quorum.StoreID(address + "/disk")
+	store.Name(id)
+	n := storage.New(storage.Options{
+		Store: store, Name: string(id), DataCentre: dataCentre, Region: region, Process: address,
+		Disk: disk.NewMemory(0), Calls: r.network.from(address), Clock: systemclock.Boot{}, Log: logr.Discard(),
+	})
+	go n.Run() //nolint:errcheck // ends with Stop
+	r.t.Cleanup(n.Stop)
+	r.network.mu.Lock()
+	r.network.stores[address] = n
+	r.network.mu.Unlock()
+	return quorum.Member{ID: id, DataCentre: dataCentre, Region: region}
+}
+
+var testManifest = &manifest.Manifest{
+	Version: 1,
+	Routes: []manifest.Route{
+		{Name: "chat", Host: "h", Prefix: "/chat/", Kind: manifest.Stream, Timeout: time.Second, Objective: 300 * time.Millisecond,
+			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 1, KeepsHistory: true, Retention: time.Minute},
+		{Name: "look", Host: "h", Prefix: "/look/", Kind: manifest.Idempotent, Timeout: time.Second, Objective: 150 * time.Millisecond,
+			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 2},
+		{Name: "order", Host: "h", Prefix: "/order/", Kind: manifest.RunOnce, Timeout: time.Second, Objective: 150 * time.Millisecond,
+			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 3},
+	},
+	Services: []manifest.Service{{Name: "model", TokensPerEvent: 10}},
+	Accounts: []manifest.Account{{Name: "acme", Keys: []string{"key"}}, {Name: "other", Keys: []string{"else"}}},
+}
+
+// startGateway starts a gateway in the data centre of places[i].
+func (r *rig) startGateway(i int) *Gateway {
+	name := fmt.Sprintf("gateway-%d", i)
+	g := New(Options{
+		Process: name, DataCentre: places[i].dataCentre, Region: places[i].region, Calls: r.network.from(name),
+		Targets: r.targets, Clock: systemclock.Boot{}, Rand: rand.New(rand.NewPCG(1, uint64(i))),
+		Decode:  func([]byte) (*manifest.Manifest, error) { return testManifest, nil },
+		Metrics: noMetrics{}, Log: logr.Discard(),
+	})
+	go g.Run() //nolint:errcheck // ends with Stop
+	r.t.Cleanup(g.Stop)
+	list := []balance.Target{
+		{ID: "t1", Address: "1", Service: "model", Slots: 4, DataCentre: "a", Region: "north"},
+		{ID: "t2", Address: "2", Service: "model", Slots: 4, DataCentre: "b", Region: "north"},
+	}
+	g.Apply(&coordinator.View{
+		Authoritative: true, Document: &manifest.Document{Version: 1}, Stores: r.set,
+		Targets: &coordinator.TargetList{Sequence: 1, Targets: list}, Allowances: allowance.Totals{Gateways: 1},
+	})
+	must.NoError(r.t, g.loop.Do(context.Background(), func(time.Time) {}))
+	return g
+}
+
+// turnRequest is a turn of the program p with a budget of 100 tokens.
+func turnRequest(id, previous string) *Request {
+	return &Request{
+		ID: id, Host: "h", Path: "/chat/1", Key: "key", Body: []byte("[" + id + "]"),
+		Program: "p", Budget: 100, Most: 20, Previous: previous,
+	}
+}
+
+// serve runs one request and returns its refusal and what the caller saw.
+func (r *rig) serve(g *Gateway, req *Request) (*Refusal, *recorded) {
+	reply := &recorded{}
+	refusal := g.Serve(context.Background(), req, reply)
+	return refusal, reply
+}
