Extrapolate what other gateways admit between two answers

Change: a copy gains the rate less the others' averaged rate until the next answer settles the difference. Adds tests of coordinators in virtual time.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -34,8 +34,9 @@
 	// silent gateway as used. A gateway that is silent for longer is dead, or its
 	// callers have moved.
 	absentFor = 15 * time.Second
-	// smoothing is the time over which the fractions are averaged.
-	smoothing = 4 * time.Second
+	// smoothing is the time over which the rates of the gateways are averaged. It
+	// is a few reports, so that a change of demand is followed within a second.
+	smoothing = 1500 * time.Millisecond
 )
 
 // Limit is the allowance of a client account over all gateways.
@@ -81,6 +82,8 @@
 	known          bool
 	own, all       float64 // averaged requests per second
 	measured       time.Time
+	// assumed is what the others were taken to have admitted since the last total.
+	assumed float64
 }
 
 // Gateway is the state of one gateway. It is not safe for concurrent use.
@@ -180,13 +183,19 @@
 	return min(1, max(least, b.own/b.all))
 }
 
+// usableRate is what the bucket gains, less what the others are taken to admit
+// until the next answer: without that, all copies of the bucket would gain the
+// whole rate while answers are late.
 func (g *Gateway) usableRate(b *bucket, limit Limit) float64 {
+	own := limit.RatePerSecond * g.fraction(b)
 	if g.alone {
-		return limit.RatePerSecond * g.fraction(b)
+		return own
 	}
-	return limit.RatePerSecond
+	return max(own, limit.RatePerSecond-b.othersRate())
 }
 
+func (b *bucket) othersRate() float64 { return max(0, b.all-b.own) }
+
 func (g *Gateway) fill(now time.Time, account domain.Account, limit Limit) *bucket {
 	b := g.buckets[account]
 	if b == nil {
@@ -196,7 +205,9 @@
 		}
 		g.buckets[account] = b
 	}
-	b.level += now.Sub(b.filled).Seconds() * g.usableRate(b, limit)
+	seconds, usable := now.Sub(b.filled).Seconds(), g.usableRate(b, limit)
+	b.level += seconds * usable
+	b.assumed += seconds * (limit.RatePerSecond - usable)
 	b.filled = now
 	b.capacity = max(1, limit.Burst)
 	if g.alone {
@@ -231,7 +242,7 @@
 		if sameOrigin && b.known {
 			b.subtractOthers(now, total.Admitted, limit)
 		}
-		b.known, b.total, b.reported, b.measured = true, total.Admitted, b.sent, now
+		b.known, b.total, b.reported, b.measured, b.assumed = true, total.Admitted, b.sent, now, 0
 	}
 	if !sameOrigin {
 		for account, b := range g.buckets {
@@ -254,7 +265,7 @@
 	all := max(own, total-b.total)
 	// The debt is bounded by one second of the rate, so that an account that was
 	// over its limit is served again soon.
-	b.level = max(b.level-(all-own), -limit.RatePerSecond)
+	b.level = max(b.level-(all-own)+b.assumed, -limit.RatePerSecond)
 	seconds := now.Sub(b.measured).Seconds()
 	if seconds <= 0 {
 		return
--- /dev/null
+++ b/core/allowance/allowance_test.go
@@ -0,0 +1,176 @@
+package allowance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+const (
+	// window, over and slack are the users' bound on what may be admitted:
+	// (rate * window + burst) * (1 + over) + slack in any window.
+	window = 5 * time.Second
+	over   = 0.1
+	slack  = 20
+	tick   = 10 * time.Millisecond
+	// roundTrip is that of the longest link with a loaded coordinator.
+	roundTrip = 60 * time.Millisecond
+)
+
+var limit = Limit{RatePerSecond: 100, Burst: 100}
+
+func limits(domain.Account) (Limit, bool) { return limit, true }
+
+// fleet simulates gateways that report to a coordinator.
+type fleet struct {
+	rand     *rand.Rand
+	now      time.Time
+	leader   *Fleet
+	gateways []*Gateway
+	cut      []bool
+	next     []time.Time
+	pending  []pendingAnswer
+	admitted []time.Time
+	refused  int
+	offered  int
+}
+
+type pendingAnswer struct {
+	at      time.Time
+	gateway int
+	totals  Totals
+}
+
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), leader: NewFleet("1")}
+	for range n {
+		f.gateways = append(f.gateways, NewGateway(limits, f.now))
+		f.cut = append(f.cut, false)
+		f.next = append(f.next, f.now.Add(time.Duration(f.rand.Int64N(int64(ReportInterval)))))
+	}
+	return f
+}
+
+// run offers rate requests a second, spread unevenly over the gateways.
+func (f *fleet) run(d time.Duration, rate float64) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		f.report()
+		for range f.arrivals(rate * tick.Seconds()) {
+			f.offered++
+			i := int(f.rand.Float64() * f.rand.Float64() * float64(len(f.gateways)))
+			if ok, _ := f.gateways[i].Admit(f.now, "a", Continues); ok {
+				f.admitted = append(f.admitted, f.now)
+			} else {
+				f.refused++
+			}
+		}
+	}
+}
+
+func (f *fleet) arrivals(mean float64) int {
+	n := int(mean)
+	if f.rand.Float64() < mean-float64(n) {
+		n++
+	}
+	return n
+}
+
+func (f *fleet) report() {
+	for i, g := range f.gateways {
+		if f.leader == nil || f.cut[i] || f.now.Before(f.next[i]) {
+			continue
+		}
+		f.next[i] = f.now.Add(ReportInterval)
+		totals := f.leader.Report(f.now, fmt.Sprint(i, "/1"), g.Report())
+		f.pending = append(f.pending, pendingAnswer{f.now.Add(roundTrip), i, totals})
+	}
+	var later []pendingAnswer
+	for _, p := range f.pending {
+		if p.at.After(f.now) {
+			later = append(later, p)
+		} else if !f.cut[p.gateway] {
+			f.gateways[p.gateway].Answer(f.now, p.totals)
+		}
+	}
+	f.pending = later
+}
+
+// worst returns the most that was admitted in any window.
+func (f *fleet) worst() int {
+	worst, first := 0, 0
+	for i, at := range f.admitted {
+		for at.Sub(f.admitted[first]) > window {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	return worst
+}
+
+func (f *fleet) mustHold(t *testing.T, seed uint64) {
+	t.Helper()
+	bound := (limit.RatePerSecond*window.Seconds()+limit.Burst)*(1+over) + slack
+	must.LessEq(t, int(bound), f.worst(), must.Sprintf("seed %d", seed))
+}
+
+// Guards against a client account that gets more than its rate over all
+// gateways: in calm operation, while the coordinator changes, and while a
+// gateway that serves callers is cut off.
+func TestRateOverAllGateways(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(6, seed)
+		f.run(6*time.Second, 40)
+		f.run(6*time.Second, 300)
+		f.leader = nil
+		f.run(3*time.Second, 300)
+		f.leader = NewFleet("2")
+		f.run(6*time.Second, 300)
+		f.cut[0] = true
+		f.run(8*time.Second, 300)
+		f.cut[0] = false
+		f.run(6*time.Second, 300)
+		f.mustHold(t, seed)
+	}
+}
+
+// Guards against refusals inside the rate, also after a coordinator change.
+func TestNothingIsRefusedInsideTheRate(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(6, seed)
+		f.run(10*time.Second, 85)
+		f.leader = NewFleet("2")
+		f.run(10*time.Second, 85)
+		must.Eq(t, 0, f.refused, must.Sprintf("seed %d of %d", seed, f.offered))
+	}
+}
+
+// Guards against requests that reached no target and still use up the rate.
+func TestReturnedRequestsAreNotCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGateway(limits, now)
+	for range 10 * int(limit.Burst) {
+		ok, _ := g.Admit(now, "a", Continues)
+		must.True(t, ok)
+		g.Return("a")
+	}
+	must.Eq(t, 1, g.Report()[0].Admitted)
+}
+
+// Guards against new programs that take the last requests from programs under
+// way.
+func TestReserveForProgramsUnderWay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGateway(limits, now)
+	begun := 0
+	for ok := true; ok; begun++ {
+		ok, _ = g.Admit(now, "a", Begins)
+	}
+	ok, _ := g.Admit(now, "a", Continues)
+	must.True(t, ok)
+	must.Less(t, int(limit.Burst), begun)
+}
--- /dev/null
+++ b/core/coordinator/coordinator_test.go
@@ -0,0 +1,135 @@
+package coordinator
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/quorum"
+)
+
+// Guards against an acknowledged manifest that is lost or older when voters lose
+// their disks one after the other, come back at the same or at another address,
+// and no operator helps.
+func TestVotersAreReplaced(t *testing.T) {
+	for seed := range uint64(10) {
+		r := newRig(t, seed)
+		r.run(2 * time.Second)
+		r.put(1)
+		// One VM loses its disk and comes back at its address.
+		r.vms[address(0)].down = true
+		r.run(time.Second)
+		r.restart(address(0), "second")
+		r.put(2)
+		r.run(4 * time.Second)
+		// Another one is gone for good; a VM with another address replaces it.
+		r.vms[address(1)].down = true
+		r.start(Identity{VM: NewVM(address(5), "x")}, r.vms[address(5)].restoredOrEmpty())
+		r.put(3)
+		r.run(5 * time.Second)
+		// Now the third one fails as well.
+		r.vms[address(2)].down = true
+		r.put(4)
+		must.Eq(t, 4, r.read(), must.Sprintf("seed %d", seed))
+	}
+}
+
+// Guards against a cut-off or thawed leader that answers reads with an older
+// version.
+func TestReadsAreNeverOld(t *testing.T) {
+	r := newRig(t, 1)
+	r.run(2 * time.Second)
+	r.put(1)
+	old := r.leader()
+	oldAddress := VMAddress(old.identity.VM)
+	// The leader is frozen: it does not step while the others elect another one.
+	frozen := r.vms[oldAddress]
+	delete(r.vms, oldAddress)
+	r.run(3 * time.Second)
+	r.put(2)
+	r.vms[oldAddress] = frozen
+	_, err := frozen.c.Read(r.now)
+	must.Error(t, err)
+	r.run(time.Second)
+	must.Eq(t, 2, r.read())
+	// A cut-off leader refuses before another one can be elected.
+	cut := r.leader()
+	r.cut[VMAddress(cut.identity.VM)] = true
+	r.run(5 * time.Second)
+	_, err = cut.c.Read(r.now)
+	must.Error(t, err)
+	r.put(3)
+}
+
+// Guards against a refused resend and against an older or equal version that
+// replaces the newest one.
+func TestHighestVersionWins(t *testing.T) {
+	r := newRig(t, 2)
+	r.run(2 * time.Second)
+	r.put(7)
+	l := r.leader()
+	for _, version := range []manifest.Version{7, 3} {
+		ticket, err := l.c.Put(r.now, manifest.Document{Version: version, Raw: []byte("other")})
+		must.NoError(t, err)
+		must.Eq(t, 0, ticket)
+	}
+	d, err := l.c.Read(r.now)
+	must.NoError(t, err)
+	must.Eq(t, "7", string(d.Raw))
+}
+
+// Guards against state that is lost in a restart of all VMs after the log was
+// replaced by a snapshot.
+func TestRestartAfterSnapshot(t *testing.T) {
+	r := newRig(t, 3)
+	r.run(2 * time.Second)
+	for version := range manifest.Version(3 * compactEntries) {
+		r.put(version + 1)
+	}
+	for _, a := range r.addresses() {
+		r.restart(a, "")
+	}
+	r.run(3 * time.Second)
+	must.Eq(t, 3*compactEntries, r.read())
+}
+
+// Guards against a storage set that stays without a lost member, that counts a
+// wiped disk as the member that it was, or that exchanges two members at once.
+func TestStoresAreReplaced(t *testing.T) {
+	r := newRig(t, 4)
+	for i, zone := range []string{"a", "b", "c"} {
+		r.stores = append(r.stores, storeStatus(fmt.Sprintf("s%d", i), "1", zone))
+	}
+	r.run(3 * time.Second)
+	r.expectMembers("s0/1", "s1/1", "s2/1")
+	r.stores[0] = storeStatus("s0", "2", "a")
+	r.run(3 * time.Second)
+	r.expectMembers("s0/2", "s1/1", "s2/1")
+	// A spare takes over from a retired member, and not before an operator asks.
+	r.stores = append(r.stores, storeStatus("s3", "1", "b"))
+	r.run(3 * time.Second)
+	r.expectMembers("s0/2", "s1/1", "s2/1")
+	_, err := r.leader().c.Retire(r.now, "s1")
+	must.NoError(t, err)
+	r.run(3 * time.Second)
+	r.expectMembers("s0/2", "s2/1", "s3/1")
+	empty, err := r.leader().c.Retired(r.now, "s1")
+	must.NoError(t, err)
+	must.True(t, empty)
+	// Three are left, so none may be taken away.
+	_, err = r.leader().c.Retire(r.now, "s2")
+	must.True(t, errors.Is(err, ErrTooFew))
+	_, err = r.leader().c.Retire(r.now, "nobody")
+	must.True(t, errors.Is(err, ErrUnknownStore))
+}
+
+func (r *rig) expectMembers(want ...quorum.StoreID) {
+	ids := memberIDs(r.leader().c.state.Stores)
+	slices.Sort(ids)
+	must.Eq(r.t, want, ids)
+}
--- /dev/null
+++ b/core/coordinator/rig_test.go
@@ -0,0 +1,220 @@
+package coordinator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/raft"
+)
+
+const (
+	step = 10 * time.Millisecond
+	// messageDelay is the one-way delay between two VMs of the rig.
+	messageDelay = 10 * time.Millisecond
+)
+
+type vm struct {
+	c        *Coordinator
+	restored raft.Restored
+	identity Identity
+	down     bool
+	outcomes map[Ticket]error
+}
+
+type message struct {
+	at       time.Time
+	from, to domain.VM
+	body     domain.Message
+}
+
+// rig runs coordinators in virtual time. Disks keep what was persisted.
+type rig struct {
+	t      must.T
+	now    time.Time
+	rand   *rand.Rand
+	vms    map[string]*vm // by address
+	net    []message
+	cut    map[string]bool
+	stores []StoreStatus
+}
+
+func newRig(t must.T, seed uint64) *rig {
+	r := &rig{t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, cut: map[string]bool{}}
+	var voters []domain.VM
+	for i := range 3 {
+		voters = append(voters, NewVM(address(i), "first"))
+	}
+	for _, v := range voters {
+		r.start(Identity{VM: v, Voters: voters}, raft.Restored{})
+	}
+	return r
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+func (r *rig) start(id Identity, restored raft.Restored) {
+	r.vms[VMAddress(id.VM)] = &vm{
+		identity: id, restored: restored, outcomes: map[Ticket]error{},
+		c: New(Config{Self: id.VM, Voters: id.Voters, Tolerance: 1, Rand: r.rand}, restored, r.now),
+	}
+}
+
+// restart brings a VM back, with its disk or as a new one with an empty disk.
+func (r *rig) restart(address, disk string) {
+	old := r.vms[address]
+	if disk == "" {
+		r.start(old.identity, old.restored)
+		return
+	}
+	r.start(Identity{VM: NewVM(address, disk)}, raft.Restored{})
+}
+
+func (r *rig) run(d time.Duration) {
+	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(step) {
+		r.deliver()
+		for _, a := range r.addresses() {
+			if v := r.vms[a]; !v.down {
+				r.settle(v)
+			}
+		}
+	}
+}
+
+func (r *rig) addresses() []string {
+	var out []string
+	for a := range r.vms {
+		out = append(out, a)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (r *rig) deliver() {
+	var later []message
+	for _, m := range r.net {
+		v := r.vms[VMAddress(m.to)]
+		switch {
+		case m.at.After(r.now):
+			later = append(later, m)
+		case v != nil && !v.down && v.identity.VM == m.to:
+			v.c.Receive(r.now, m.from, m.body)
+		}
+	}
+	r.net = later
+}
+
+func (r *rig) settle(v *vm) {
+	v.c.Tick(r.now)
+	for {
+		e := v.c.Ready(r.now)
+		r.send(v, e.Now)
+		for _, o := range e.Outcomes {
+			v.outcomes[o.Ticket] = o.Err
+		}
+		if len(e.Records) == 0 && len(e.AfterSync) == 0 {
+			break
+		}
+		if e.Replace {
+			v.restored = raft.Restored{}
+		}
+		for _, record := range e.Records {
+			must.NoError(r.t, v.restored.Apply(record))
+		}
+		v.c.Persisted(r.now, e.Token)
+		r.send(v, e.AfterSync)
+	}
+	if v.c.WantsToJoin() {
+		r.join(v)
+	}
+	r.report(v)
+}
+
+func (r *rig) join(v *vm) {
+	for _, other := range r.vms {
+		if !other.down && r.linked(v, other) {
+			other.c.Join(r.now, &Join{VM: v.identity.VM})
+		}
+	}
+}
+
+// report lets every storage VM report to the coordinator.
+func (r *rig) report(v *vm) {
+	for i := range r.stores {
+		s := r.stores[i]
+		if set := v.c.state.Stores; set != nil {
+			s.Epoch, s.Complete = set.Epoch, true
+		}
+		v.c.Report(r.now, &Report{Process: string(s.ID), Store: &s})
+	}
+}
+
+func (r *rig) linked(a, b *vm) bool {
+	return !r.cut[VMAddress(a.identity.VM)] && !r.cut[VMAddress(b.identity.VM)]
+}
+
+func (r *rig) send(v *vm, sends []domain.Send) {
+	for _, s := range sends {
+		if to := r.vms[VMAddress(s.To)]; to != nil && r.linked(v, to) {
+			r.net = append(r.net, message{at: r.now.Add(messageDelay), from: v.identity.VM, to: s.To, body: s.Body})
+		}
+	}
+}
+
+// leader returns the VM that may decide now.
+func (r *rig) leader() *vm {
+	for _, v := range r.vms {
+		if !v.down && v.c.authoritative(r.now) {
+			return v
+		}
+	}
+	return nil
+}
+
+// put sends a document until it is acknowledged.
+func (r *rig) put(version manifest.Version) {
+	for range 100 {
+		if l := r.leader(); l != nil {
+			ticket, err := l.c.Put(r.now, manifest.Document{Version: version, Raw: fmt.Append(nil, version)})
+			r.run(100 * time.Millisecond)
+			outcome, decided := l.outcomes[ticket]
+			if err == nil && (ticket == 0 || (decided && outcome == nil)) {
+				return
+			}
+		}
+		r.run(100 * time.Millisecond)
+	}
+	must.Unreachable(r.t, must.Sprintf("version %d was not acknowledged within 10 s", version))
+}
+
+// read returns the version that a leader returns, once there is one.
+func (r *rig) read() manifest.Version {
+	for range 100 {
+		if l := r.leader(); l != nil {
+			if d, err := l.c.Read(r.now); err == nil {
+				return d.Version
+			}
+		}
+		r.run(100 * time.Millisecond)
+	}
+	must.Unreachable(r.t, must.Sprint("no leader answered a read within 10 s"))
+	return 0
+}
+
+func storeStatus(name, disk, dataCentre string) StoreStatus {
+	return StoreStatus{ID: quorum.StoreID(name + "/" + disk), Name: name, DataCentre: domain.DataCentre(dataCentre)}
+}
+
+// restoredOrEmpty is the disk of a VM that may never have run.
+func (v *vm) restoredOrEmpty() raft.Restored {
+	if v == nil {
+		return raft.Restored{}
+	}
+	return v.restored
+}
