Leave a reserve of each allowance to what a refusal costs most

Tried and lost: counting the last 5 s instead of a bucket. Change: new programs need half of the burst, later turns a fifth, calls nothing; refusals name the bucket's content and the age of the totals.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -16,6 +16,7 @@
 package allowance
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -113,31 +114,51 @@
 	}
 }
 
-// Standing says whether a request begins a program or belongs to one that was
-// served before.
+// Standing says what is lost when a request is refused.
 type Standing int
 
 // The standings.
 const (
-	// Begins is the first request of a program. It leaves the reserve to programs
-	// under way: a program that is cut off in the middle has wasted all that it
-	// received.
+	// Begins is the first request of a program: nothing was spent on it yet.
 	Begins Standing = iota
-	// Continues is every later request, and any request outside of programs.
+	// Continues is a later turn of a program. Its caller sends it again some times.
 	Continues
+	// Calls is a plain call. A program ends when one of its calls is refused, and
+	// all that it received is wasted.
+	Calls
 )
 
-// reserveShare is the part of the burst that is left to programs under way. One
-// program needs some ten requests, so a quarter of a burst of one second lets
-// those under way end while no new ones begin.
-const reserveShare = 0.25
+// reserves are the parts of the burst that a request leaves to those with more
+// to lose. New programs begin only while half of the burst is there: a program
+// needs some ten requests more, as many as a burst of a small account holds for
+// a few programs.
+var reserves = map[Standing]float64{Begins: 0.5, Continues: 0.2, Calls: 0}
 
-// Admit takes one request from the account's bucket. When it is refused, retry
-// is the time until the bucket holds a request again.
-func (g *Gateway) Admit(now time.Time, account domain.Account, standing Standing) (ok bool, retry time.Duration) {
+// Decision is the outcome of Admit with what decided it.
+type Decision struct {
+	Admitted bool
+	// Retry is the time until the bucket holds a request again.
+	Retry time.Duration
+	// Level is what the bucket holds, Limit the account's allowance.
+	Level float64
+	Limit Limit
+	// Age is the time since the last totals; Alone says that the gateway uses only
+	// its own fraction of the rate.
+	Age   time.Duration
+	Alone bool
+}
+
+// String describes the inputs for a log.
+func (d Decision) String() string {
+	return fmt.Sprintf("bucket holds %.1f, rate %g/s, burst %g, totals are %d ms old, alone %t",
+		d.Level, d.Limit.RatePerSecond, d.Limit.Burst, d.Age.Milliseconds(), d.Alone)
+}
+
+// Admit takes one request from the account's bucket.
+func (g *Gateway) Admit(now time.Time, account domain.Account, standing Standing) Decision {
 	limit, limited := g.limits(account)
 	if !limited || limit.RatePerSecond <= 0 {
-		return true, 0
+		return Decision{Admitted: true}
 	}
 	g.checkSilence(now)
 	// Active accounts have a bucket since the last answer, so a new one here is
@@ -147,21 +168,20 @@
 		share = 1 / float64(g.gateways)
 	}
 	b := g.fill(now, account, limit, share)
-	least := 1.0
-	if standing == Begins {
-		least += reserveShare * b.capacity
-	}
+	least := 1 + reserves[standing]*b.capacity
+	d := Decision{Level: b.level, Limit: limit, Age: now.Sub(g.answered), Alone: g.alone}
 	if b.level < least {
-		wait := (least - b.level) / g.usableRate(b, limit)
-		return false, time.Duration(wait * float64(time.Second))
+		d.Retry = time.Duration((least - b.level) / g.usableRate(b, limit) * float64(time.Second))
+		return d
 	}
+	d.Admitted = true
 	b.level--
 	if b.returned > 0 {
 		b.returned--
 	} else {
 		b.admitted++
 	}
-	return true, 0
+	return d
 }
 
 // Return gives back a request that was admitted and reached no target.
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -63,7 +63,7 @@
 		for range f.arrivals(rate * tick.Seconds()) {
 			f.offered++
 			i := int(f.rand.Float64() * f.rand.Float64() * float64(len(f.gateways)))
-			if ok, _ := f.gateways[i].Admit(f.now, "a", Continues); ok {
+			if f.gateways[i].Admit(f.now, "a", Calls).Admitted {
 				f.admitted = append(f.admitted, f.now)
 			} else {
 				f.refused++
@@ -156,8 +156,7 @@
 	now := time.Unix(1000, 0)
 	g := NewGateway(limits, now)
 	for range 10 * int(limit.Burst) {
-		ok, _ := g.Admit(now, "a", Continues)
-		must.True(t, ok)
+		must.True(t, g.Admit(now, "a", Calls).Admitted)
 		g.Return("a")
 	}
 	must.Eq(t, 1, g.Report()[0].Admitted)
@@ -169,10 +168,9 @@
 	now := time.Unix(1000, 0)
 	g := NewGateway(limits, now)
 	begun := 0
-	for ok := true; ok; begun++ {
-		ok, _ = g.Admit(now, "a", Begins)
+	for g.Admit(now, "a", Begins).Admitted {
+		begun++
 	}
-	ok, _ := g.Admit(now, "a", Continues)
-	must.True(t, ok)
+	must.True(t, g.Admit(now, "a", Continues).Admitted)
 	must.Less(t, int(limit.Burst), begun)
 }
--- a/node/gateway/programs.go
+++ b/node/gateway/programs.go
@@ -23,10 +23,11 @@
 
 func newPrograms() *programs { return &programs{seen: map[tokens.Program]time.Time{}} }
 
-// standing says whether a request begins a program, as far as this gateway knows.
-func (p *programs) standing(now time.Time, account domain.Account, name string) allowance.Standing {
-	if name == "" {
-		return allowance.Continues
+// standing says what is lost when a request is refused, as far as this gateway
+// knows the program.
+func (p *programs) standing(now time.Time, account domain.Account, name string, isTurn bool) allowance.Standing {
+	if name == "" || !isTurn {
+		return allowance.Calls
 	}
 	if now.Sub(p.seen[tokens.Program{Account: account, Name: name}]) < programKnownFor {
 		return allowance.Continues
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/mangoknot/mangoknot/core/allowance"
 	"github.com/mangoknot/mangoknot/core/balance"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
@@ -96,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(ctx, x.timeLeft())
 	defer cancel()
 	x.body = x.Body
-	if x.Program != "" && x.Budget > 0 && x.route.Kind == manifest.Stream {
+	if x.isTurn() {
 		if refusal := x.prepareTurn(ctx); refusal != nil {
 			return refusal
 		}
@@ -106,6 +107,11 @@
 	return refusal
 }
 
+// isTurn says whether the request is a turn of a program with a token budget.
+func (x *exchange) isTurn() bool {
+	return x.Program != "" && x.Budget > 0 && x.route.Kind == manifest.Stream
+}
+
 // admit finds the route and the client account and takes one request of its
 // rate.
 func (x *exchange) admit(ctx context.Context) *Refusal {
@@ -157,16 +163,15 @@
 	if x.account == "" {
 		return nil
 	}
-	var ok bool
-	var retry time.Duration
+	var d allowance.Decision
 	err := x.g.loop.Do(ctx, func(now time.Time) {
-		ok, retry = x.g.allowances.Admit(now, x.account, x.g.programs.standing(now, x.account, x.Program))
+		d = x.g.allowances.Admit(now, x.account, x.g.programs.standing(now, x.account, x.Program, x.isTurn()))
 	})
 	switch {
 	case err != nil:
 		return notRun(Overloaded, minRetry, err)
-	case !ok:
-		return notRun(OverRate, max(minRetry, retry), nil)
+	case !d.Admitted:
+		return notRun(OverRate, max(minRetry, d.Retry), errors.New(d.String()))
 	default:
 		x.counted = true
 		return nil
