Tell a restarted gateway what is left of each burst

Change: the coordinator returns what the fleet admitted in the last 4 s; a gateway sets buckets that it made before any answer from that. The first counts of a new process are counted.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -58,6 +58,16 @@
 type Total struct {
 	Account  domain.Account
 	Admitted float64
+	// Recent is the part of the last 4 s.
+	Recent float64
+}
+
+// Counts is what one gateway reports.
+type Counts struct {
+	// Unanswered says that no coordinator has counted this process yet, so that its
+	// counts are all new.
+	Unanswered bool
+	Counts     []Count
 }
 
 // Totals is the coordinator's answer to a report.
@@ -81,8 +91,10 @@
 	reported, sent uint64
 	total          float64
 	known          bool
-	own, all       float64 // averaged requests per second
-	measured       time.Time
+	// estimated says that the level was set or kept with a coordinator's answer.
+	estimated bool
+	own, all  float64 // averaged requests per second
+	measured  time.Time
 	// assumed is what the others were taken to have admitted since the last total.
 	assumed float64
 }
@@ -168,6 +180,7 @@
 		share = 1 / float64(g.gateways)
 	}
 	b := g.fill(now, account, limit, share)
+	b.estimated = b.estimated || !g.alone
 	least := 1 + reserves[standing]*b.capacity
 	d := Decision{Level: b.level, Limit: limit, Age: now.Sub(g.answered), Alone: g.alone}
 	if b.level < least {
@@ -214,11 +227,11 @@
 }
 
 func (g *Gateway) fraction(b *bucket) float64 {
-	least := 1 / float64(2*max(1, g.gateways))
+	even := 1 / float64(max(1, g.gateways))
 	if b.all <= 0 {
-		return least
+		return even
 	}
-	return min(1, max(least, b.own/b.all))
+	return min(1, max(even/2, b.own/b.all))
 }
 
 // usableRate is what the bucket gains, less what the others are taken to admit
@@ -254,15 +267,15 @@
 }
 
 // Report returns the counts of all accounts that changed since the last answer.
-func (g *Gateway) Report() []Count {
-	var counts []Count
+func (g *Gateway) Report() Counts {
+	out := Counts{Unanswered: g.origin == ""}
 	for account, b := range g.buckets {
 		b.sent = b.admitted
 		if b.admitted > 0 {
-			counts = append(counts, Count{Account: account, Admitted: b.admitted})
+			out.Counts = append(out.Counts, Count{Account: account, Admitted: b.admitted})
 		}
 	}
-	return counts
+	return out
 }
 
 // Answer applies the totals that answer the last report.
@@ -274,21 +287,36 @@
 		if !limited || limit.RatePerSecond <= 0 {
 			continue
 		}
-		// What is left of an active account's burst is not known to a gateway that
-		// has just started.
-		b := g.fill(now, total.Account, limit, 1/float64(max(1, g.gateways)))
+		b := g.fill(now, total.Account, limit, 1)
 		if sameOrigin && b.known {
 			b.subtractOthers(now, total.Admitted, limit)
 		}
+		b.estimate(total.Recent, limit)
 		b.known, b.total, b.reported, b.measured, b.assumed = true, total.Admitted, b.sent, now, 0
 	}
-	if !sameOrigin {
-		for account, b := range g.buckets {
-			b.known = hasTotal(t.Totals, account)
+	for account, b := range g.buckets {
+		if hasTotal(t.Totals, account) {
+			continue
+		}
+		b.known = b.known && sameOrigin
+		if limit, limited := g.limits(account); limited {
+			b.estimate(0, limit)
 		}
 	}
 }
 
+// estimate sets the level of a bucket that was made before any answer, from what
+// the fleet admitted lately: a bucket that was full then holds at least this.
+func (b *bucket) estimate(recent float64, limit Limit) {
+	if b.estimated {
+		return
+	}
+	b.estimated = true
+	sinceReport := float64(b.admitted - b.sent)
+	gained := limit.RatePerSecond * recentSpan.Seconds()
+	b.level = min(limit.Burst, limit.Burst+gained-recent) - sinceReport
+}
+
 func hasTotal(totals []Total, account domain.Account) bool {
 	for _, t := range totals {
 		if t.Account == account {
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +39,8 @@
 	admitted []time.Time
 	refused  int
 	offered  int
+	// starts numbers the processes, so that a restarted gateway is another one.
+	starts [6]int
 }
 
 type pendingAnswer struct {
@@ -86,7 +89,7 @@
 			continue
 		}
 		f.next[i] = f.now.Add(ReportInterval)
-		totals := f.leader.Report(f.now, fmt.Sprint(i, "/1"), g.Report())
+		totals := f.leader.Report(f.now, fmt.Sprint(i, "/", f.starts[i]), g.Report())
 		f.pending = append(f.pending, pendingAnswer{f.now.Add(roundTrip), i, totals})
 	}
 	var later []pendingAnswer
@@ -138,6 +141,45 @@
 	}
 }
 
+// restart replaces a gateway by a new process that knows nothing.
+func (f *fleet) restart(i int) {
+	f.gateways[i] = NewGateway(limits, f.now)
+	f.starts[i]++
+	f.next[i] = f.now
+	f.pending = slices.DeleteFunc(f.pending, func(p pendingAnswer) bool { return p.gateway == i })
+}
+
+// Guards against a burst that an account gets anew with each gateway that
+// restarts.
+func TestRestartsGiveNoNewBurst(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(6, seed)
+		f.run(2*time.Second, 40)
+		for i := range 12 {
+			f.run(time.Second, 300)
+			f.restart(i % 6)
+		}
+		f.run(2*time.Second, 300)
+		f.mustHold(t, seed)
+	}
+}
+
+// Guards against refusals inside the rate after a power loss of everything: the
+// fleet's bucket is full again, and each gateway must learn that.
+func TestNothingIsRefusedAfterARestartOfAll(t *testing.T) {
+	f := newFleet(6, 1)
+	f.run(5*time.Second, 60)
+	f.now = f.now.Add(time.Second)
+	f.leader = NewFleet("2")
+	for i := range f.gateways {
+		f.restart(i)
+	}
+	f.run(300*time.Millisecond, 0)
+	f.refused = 0
+	f.run(5*time.Second, 85)
+	must.Eq(t, 0, f.refused)
+}
+
 // Guards against refusals inside the rate, also after a coordinator change.
 func TestNothingIsRefusedInsideTheRate(t *testing.T) {
 	for seed := range uint64(10) {
@@ -159,7 +201,7 @@
 		must.True(t, g.Admit(now, "a", Calls).Admitted)
 		g.Return("a")
 	}
-	must.Eq(t, 1, g.Report()[0].Admitted)
+	must.Eq(t, 1, g.Report().Counts[0].Admitted)
 }
 
 // Guards against new programs that take the last requests from programs under
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -18,9 +18,45 @@
 	extrapolated time.Time
 }
 
+const (
+	// recentSpan is the span over which the coordinator can tell a gateway that has
+	// just started what was admitted. A bucket of one second's burst is full again
+	// within it.
+	recentSpan  = 4 * time.Second
+	recentSlots = 8
+)
+
 type accountTotal struct {
 	admitted float64
 	changed  time.Time
+	// slots count the requests of the last spans of recentSpan/recentSlots.
+	slots  [recentSlots]float64
+	newest int64
+}
+
+// advance forgets the slots that are older than recentSpan.
+func (t *accountTotal) advance(now time.Time) {
+	slot := now.UnixNano() / int64(recentSpan/recentSlots)
+	for steps := min(slot-t.newest, recentSlots); steps > 0; steps-- {
+		t.slots[(slot-steps+1)%recentSlots] = 0
+	}
+	t.newest = max(t.newest, slot)
+}
+
+func (t *accountTotal) add(now time.Time, requests float64) {
+	t.advance(now)
+	t.slots[t.newest%recentSlots] += requests
+	t.admitted += requests
+	t.changed = now
+}
+
+func (t *accountTotal) recent(now time.Time) float64 {
+	t.advance(now)
+	sum := 0.0
+	for _, n := range t.slots {
+		sum += n
+	}
+	return sum
 }
 
 // Fleet is the coordinator's count over all gateways. It is not safe for
@@ -38,16 +74,19 @@
 }
 
 // Report adds the counts of one start of a gateway and returns the totals.
-func (f *Fleet) Report(now time.Time, gateway string, counts []Count) Totals {
+func (f *Fleet) Report(now time.Time, gateway string, reported Counts) Totals {
 	r := f.reporters[gateway]
 	if r == nil {
 		r = &reporter{seen: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}}
 		f.reporters[gateway] = r
-		for _, c := range counts {
-			r.counts[c.Account] = c.Admitted
+		// An earlier coordinator has counted what a known process admitted.
+		for _, c := range reported.Counts {
+			if !reported.Unanswered {
+				r.counts[c.Account] = c.Admitted
+			}
 		}
 	}
-	f.add(now, r, counts)
+	f.add(now, r, reported.Counts)
 	r.seen, r.extrapolated = now, now
 	f.countSilent(now)
 	return f.answer(now)
@@ -74,8 +113,7 @@
 		t = &accountTotal{}
 		f.totals[account] = t
 	}
-	t.admitted += requests
-	t.changed = now
+	t.add(now, requests)
 }
 
 // countSilent counts the usual rates of gateways that do not report, because
@@ -108,7 +146,7 @@
 	out := Totals{Origin: f.origin, Gateways: len(f.reporters)}
 	for account, t := range f.totals {
 		if now.Sub(t.changed) < activeFor {
-			out.Totals = append(out.Totals, Total{Account: account, Admitted: t.admitted})
+			out.Totals = append(out.Totals, Total{Account: account, Admitted: t.admitted, Recent: t.recent(now)})
 		}
 	}
 	return out
--- a/core/coordinator/messages.go
+++ b/core/coordinator/messages.go
@@ -122,7 +122,7 @@
 	Document manifest.Version
 	Stores   domain.Epoch
 	Targets  uint64
-	Counts   []allowance.Count
+	Counts   allowance.Counts
 }
 
 // MessageName implements domain.Message.
