Weigh the parts of a prompt that a target does not hold

Change: the balancer remembers which parts it sent to each target, and counts the tokens that a target has to read against load and distance.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -21,9 +21,12 @@
 	// bytes on the way.
 	otherDataCentreMillis = 4
 	otherRegionMillis     = 30
-	// coldCacheMillis is the prefill of a session's earlier turns on a target that
-	// has not seen them.
-	coldCacheMillis = 12
+	// coldObjectMillis is the extra work of a target that has not handled a plain
+	// request's object lately.
+	coldObjectMillis = 12
+	// prefillTokensPerMilli is about what an engine reads of a prompt in a
+	// millisecond. It weighs cold parts of a prompt against load.
+	prefillTokensPerMilli = 100
 	// jitterMillis breaks ties, so that gateways with the same view do not all
 	// choose the same target.
 	jitterMillis = 5
@@ -40,10 +43,22 @@
 	// queueFactor is the number of requests per slot at which a target counts as
 	// full: one batch runs and half of one waits.
 	queueFactor = 1.5
-	// sessionLimit bounds the remembered sessions.
-	sessionLimit = 20_000
+	// partTrust is the time for which a target is taken to keep a part of a prompt.
+	// At full load a cache turns over in some seconds.
+	partTrust = 6 * time.Second
+	// partLimit bounds the remembered parts of one target.
+	partLimit = 4_000
+	// objectLimit bounds the remembered objects of plain requests.
+	objectLimit = 20_000
 )
 
+// Part is one part of a prompt, in order. A target that keeps a part and all
+// parts before it does not read them again.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
 // Target is one entry of the platform's list.
 type Target struct {
 	ID         domain.Target
@@ -84,6 +99,54 @@
 	failures   int
 	pauseUntil time.Time
 	gone       bool
+	// parts holds when this gateway last sent a part to the target, and how many
+	// tokens it had then.
+	parts map[string]keptPart
+}
+
+type keptPart struct {
+	at     time.Time
+	tokens int
+}
+
+// coldTokens is what the target has to read of a prompt.
+func (s *state) coldTokens(now time.Time, parts []Part) int {
+	cold := 0
+	for i, p := range parts {
+		kept, ok := s.parts[p.ID]
+		if !ok || now.Sub(kept.at) > partTrust {
+			return cold + tokensOf(parts[i:])
+		}
+		cold += max(0, p.Tokens-kept.tokens)
+	}
+	return cold
+}
+
+func tokensOf(parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+func (s *state) keep(now time.Time, parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
+	if len(s.parts) >= partLimit {
+		for id, kept := range s.parts {
+			if now.Sub(kept.at) > partTrust {
+				delete(s.parts, id)
+			}
+		}
+	}
+	if s.parts == nil || len(s.parts) >= partLimit {
+		s.parts = map[string]keptPart{}
+	}
+	for _, p := range parts {
+		s.parts[p.ID] = keptPart{at: now, tokens: p.Tokens}
+	}
 }
 
 // Place is where the gateway runs.
@@ -98,14 +161,15 @@
 	rand     *rand.Rand
 	targets  map[domain.Target]*state
 	services map[string][]*state
-	sessions map[string]domain.Target
+	// objects holds the target that handled an object last.
+	objects map[string]domain.Target
 }
 
 // New returns a balancer without targets.
 func New(place Place, r *rand.Rand) *Balancer {
 	return &Balancer{
 		place: place, rand: r, targets: map[domain.Target]*state{},
-		services: map[string][]*state{}, sessions: map[string]domain.Target{},
+		services: map[string][]*state{}, objects: map[string]domain.Target{},
 	}
 }
 
@@ -135,8 +199,11 @@
 // Ask describes the request that needs a target.
 type Ask struct {
 	Service string
-	// Session is the key under which a target may hold cached state, or "".
-	Session string
+	// Object names what a plain request is about, or is "": a target that has
+	// handled it lately is faster.
+	Object string
+	// Parts describes the prompt of a generation.
+	Parts []Part
 	// Tried lists targets that have rejected or failed the request.
 	Tried []domain.Target
 	// ConnectionCap bounds the requests of this gateway at one target; 0 means no
@@ -164,7 +231,8 @@
 		return Target{}, refusal
 	}
 	best.inFlight++
-	b.remember(ask.Session, best.ID)
+	b.remember(ask.Object, best.ID)
+	best.keep(now, ask.Parts)
 	return best.Target, ""
 }
 
@@ -213,20 +281,21 @@
 	default:
 		cost += otherRegionMillis
 	}
-	if ask.Session != "" && b.sessions[ask.Session] != s.ID {
-		cost += coldCacheMillis
+	if ask.Object != "" && b.objects[ask.Object] != s.ID {
+		cost += coldObjectMillis
 	}
+	cost += float64(s.coldTokens(now, ask.Parts)) / prefillTokensPerMilli
 	return cost + jitterMillis*b.rand.Float64()
 }
 
-func (b *Balancer) remember(session string, id domain.Target) {
-	if session == "" {
+func (b *Balancer) remember(object string, id domain.Target) {
+	if object == "" {
 		return
 	}
-	if len(b.sessions) >= sessionLimit {
-		clear(b.sessions)
+	if len(b.objects) >= objectLimit {
+		clear(b.objects)
 	}
-	b.sessions[session] = id
+	b.objects[object] = id
 }
 
 // Done ends one request at a target.
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -34,8 +34,10 @@
 	Body       []byte
 	// TimeLeft is how long the caller waits; 0 means that it did not say.
 	TimeLeft time.Duration
-	// Session names cached state at targets, or is "".
-	Session string
+	// Object names what a plain request is about, or is ""; Parts describes the
+	// prompt of a generation. Both lead to targets that hold state for them.
+	Object string
+	Parts  []balance.Part
 	// Resume is the id of the last event that the caller has, or "".
 	Resume string
 	// Program, Budget, Most and Previous describe a turn: its program, the tokens
@@ -200,7 +202,7 @@
 	}
 	w := &waiter{
 		ask: balance.Ask{
-			Service: x.service.Name, Session: x.sessionKey(), Tried: x.tried,
+			Service: x.service.Name, Object: x.objectKey(), Parts: x.Parts, Tried: x.tried,
 			ConnectionCap: x.g.connectionCap(x.service),
 		},
 		priority: x.route.Priority,
@@ -253,9 +255,10 @@
 	}
 }
 
-func (x *exchange) sessionKey() string {
-	if x.Session == "" {
+// objectKey keeps the objects of services apart.
+func (x *exchange) objectKey() string {
+	if x.Object == "" {
 		return ""
 	}
-	return string(x.account) + "/" + x.Session
+	return x.service.Name + "/" + x.Object
 }
