Quarantine requests that crash targets and bound the wait for idempotent ones

Cause: a request that crashes whoever runs it comes again at any gateway, and nothing counted its crashes over gateways; an idempotent request whose answer was lost waited for its whole time. An idempotent request goes to another target after twice its objective. A caller that leaves no longer makes storage VMs suspect.

--- a/core/coordinator/coordinator.go
+++ b/core/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/mangoknot/mangoknot/core/allowance"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/raft"
 )
@@ -108,6 +109,7 @@
 	joiners     map[domain.VM]time.Time
 	stores      map[quorum.StoreID]*storeSeen
 	fleet       *allowance.Fleet
+	census      *quarantine.Census
 	gateways    map[string]string
 	targets     *TargetList
 	listedAt    time.Time
@@ -134,6 +136,7 @@
 		heard: map[domain.VM]time.Time{}, joiners: map[domain.VM]time.Time{},
 		stores: map[quorum.StoreID]*storeSeen{}, gateways: map[string]string{},
 		fleet: allowance.NewFleet(string(cfg.Self)), sequence: cfg.Rand.Uint64() | 1,
+		census: quarantine.NewCensus(),
 	}
 	if cfg.Applied != nil {
 		c.state = *cfg.Applied
--- a/core/coordinator/messages.go
+++ b/core/coordinator/messages.go
@@ -13,6 +13,7 @@
 	"github.com/mangoknot/mangoknot/core/balance"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 )
 
@@ -123,6 +124,7 @@
 	Stores   domain.Epoch
 	Targets  uint64
 	Counts   allowance.Counts
+	Crashes  []quarantine.Crash
 }
 
 // MessageName implements domain.Message.
@@ -140,6 +142,8 @@
 	Stores       *quorum.Set
 	Targets      *TargetList
 	Allowances   allowance.Totals
+	// Quarantined lists the requests that must not run any more.
+	Quarantined []quarantine.Fingerprint
 }
 
 // MessageName implements domain.Message.
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -38,6 +38,8 @@
 	if r.Gateway {
 		c.seeGateway(r.Process)
 		view.Allowances = c.fleet.Report(now, r.Process, r.Counts)
+		c.census.Report(now, r.Crashes)
+		view.Quarantined = c.census.Quarantined(now)
 	}
 	return view
 }
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -11,6 +11,10 @@
 	"github.com/mangoknot/mangoknot/port"
 )
 
+// patienceFactor times the objective is when an idempotent request goes to
+// another target. Almost all answers come within the objective itself.
+const patienceFactor = 2
+
 // maxAnswerBytes bounds an answer that is not a stream.
 const maxAnswerBytes = 16 << 20
 
@@ -19,11 +23,17 @@
 func (x *exchange) attempt(ctx context.Context, target balance.Target) (again bool, refusal *Refusal) {
 	x.target, x.sentAt = target.ID, x.elapsed()
 	x.tried = append(x.tried, target.ID)
+	caller := ctx
+	if wait, bounded := x.attemptPatience(); bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait)
+		defer cancel()
+	}
 	answer, err := x.g.o.Targets.Exchange(ctx, port.TargetRequest{
 		Target: target, Account: x.account, Body: x.body, TimeLeft: x.timeLeft(), Resume: x.resumePoint(), Wire: x.Wire,
 	})
 	if err != nil {
-		return x.failedBefore(ctx, target, err)
+		return x.failedBefore(caller, target, err)
 	}
 	defer answer.Close()
 	x.runs++
@@ -32,12 +42,21 @@
 	} else {
 		err = x.passWhole(answer)
 	}
-	x.free(target, outcomeOf(ctx, err), answer.Head().Load)
+	x.free(target, outcomeOf(caller, err), answer.Head().Load)
 	if err == nil {
 		x.outcome = "served"
 		return false, nil
 	}
-	return x.failedAfter(ctx, err)
+	return x.failedAfter(caller, err)
+}
+
+// attemptPatience is how long one target may take for a request that can go to
+// another one. An answer can be lost while its connection stays open.
+func (x *exchange) attemptPatience() (time.Duration, bool) {
+	if x.route.Kind != manifest.Idempotent || x.runs+1 >= x.route.MaxAttempts {
+		return 0, false
+	}
+	return patienceFactor * x.route.Objective, true
 }
 
 func outcomeOf(ctx context.Context, err error) balance.Outcome {
@@ -54,6 +73,12 @@
 func (x *exchange) free(target balance.Target, outcome balance.Outcome, load *balance.Load) {
 	x.g.loop.Deliver(func(now time.Time) {
 		x.g.programs.served(now, x.account, x.Program)
+		switch outcome {
+		case balance.Failed:
+			x.g.watch.Broke(now, x.fingerprint, target.ID)
+		case balance.Served:
+			x.g.watch.Served(x.fingerprint)
+		}
 		x.g.finish(now, target.ID, outcome, load)
 	})
 }
@@ -71,6 +96,7 @@
 		var unreachable *port.UnreachableError
 		if errors.As(err, &unreachable) {
 			outcome = balance.Failed
+			x.g.loop.Deliver(func(now time.Time) { x.g.watch.Unreachable(now, target.ID) })
 		}
 		x.free(target, outcome, nil)
 		x.retried("not_run")
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/mangoknot/mangoknot/core/coordinator"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/node/loop"
 	"github.com/mangoknot/mangoknot/port"
@@ -61,6 +62,8 @@
 	stores   *quorum.Set
 	suspects map[quorum.StoreID]bool
 	stopping bool
+	// quarantined requests must not run any more.
+	quarantined map[quarantine.Fingerprint]bool
 }
 
 // complete says whether the gateway knows enough to serve. Any coordinator's
@@ -85,6 +88,7 @@
 	targets    uint64
 	queue      []*waiter
 	programs   *programs
+	watch      quarantine.Watch
 
 	// gatewayCount is the number of gateways that report, for traffic goroutines.
 	gatewayCount atomic.Int64
@@ -214,7 +218,7 @@
 // Report implements follower.Process.
 func (g *Gateway) Report(ctx context.Context) (*coordinator.Report, error) {
 	r := &coordinator.Report{Process: g.o.Process, Gateway: true}
-	err := g.loop.Do(ctx, func(time.Time) {
+	err := g.loop.Do(ctx, func(now time.Time) {
 		v := g.view.Load()
 		if v.index != nil {
 			r.Document = v.index.Manifest.Version
@@ -224,6 +228,7 @@
 		}
 		r.Targets = g.targets
 		r.Counts = g.allowances.Report()
+		r.Crashes = g.watch.Crashes(now)
 	})
 	return r, err
 }
@@ -266,6 +271,20 @@
 		return
 	}
 	g.allowances.Answer(now, v.Allowances)
+	g.followQuarantine(v.Quarantined)
+}
+
+func (g *Gateway) followQuarantine(list []quarantine.Fingerprint) {
+	if len(list) == len(g.view.Load().quarantined) {
+		// Entries only come one by one and leave together after a long time.
+		return
+	}
+	set := map[quarantine.Fingerprint]bool{}
+	for _, f := range list {
+		set[f] = true
+	}
+	g.o.Log.Info("the quarantine changed", "requests", len(list))
+	g.publish(func(v *view) { v.quarantined = set })
 }
 
 func (g *Gateway) setTargets(list []balance.Target) {
--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -52,8 +52,8 @@
 
 // ask sends a question to the nearest members, and to the rest when one of them
 // fails, is slow, or does not settle the question.
-func (g *Gateway) ask(ctx context.Context, q question) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+func (g *Gateway) ask(caller context.Context, q question) error {
+	ctx, cancel := context.WithTimeout(caller, storeTimeout)
 	defer cancel()
 	members := g.order(q.set)
 	answers := make(chan storeAnswer, len(members))
@@ -76,7 +76,10 @@
 		case a := <-answers:
 			delete(open, a.member.ID)
 			if a.err != nil {
-				g.suspect(a.member.ID, a.err)
+				// A caller that has left says nothing about the member.
+				if caller.Err() == nil {
+					g.suspect(a.member.ID, a.err)
+				}
 				start()
 				continue
 			}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/allowance"
 	"github.com/mangoknot/mangoknot/core/balance"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -46,6 +48,8 @@
 	Program      string
 	Budget, Most domain.Tokens
 	Previous     string
+	// Method is part of what makes two requests the same.
+	Method string
 	// Wire is what the front end keeps of the request for the target.
 	Wire any
 }
@@ -66,15 +70,16 @@
 	turn     *turn
 	body     []byte
 
-	tried   []domain.Target
-	runs    int
-	target  domain.Target
-	sentAt  time.Duration
-	firstAt time.Duration
-	events  int
-	begun   bool
-	lastID  string
-	outcome string
+	tried       []domain.Target
+	runs        int
+	target      domain.Target
+	sentAt      time.Duration
+	firstAt     time.Duration
+	events      int
+	begun       bool
+	lastID      string
+	outcome     string
+	fingerprint quarantine.Fingerprint
 	// counted says that the request has taken one of its account's allowance.
 	counted  bool
 	rejected error
@@ -133,10 +138,24 @@
 	if limit := index.Manifest.Limits.MaxBodyBytes; limit > 0 && int64(len(x.Body)) > limit {
 		return notRun(BodyTooLarge, 0, nil)
 	}
+	x.fingerprint = x.fingerprintOf()
+	if x.view.quarantined[x.fingerprint] {
+		return notRun(SuspectRequest, 0, nil)
+	}
 	x.setDeadline()
 	return x.takeAllowance(ctx)
 }
 
+// fingerprintOf identifies the request over its attempts, which have other ids.
+func (x *exchange) fingerprintOf() quarantine.Fingerprint {
+	h := fnv.New64a()
+	for _, part := range [][]byte{[]byte(x.account), []byte(x.Method), []byte(x.Host), []byte(x.Path), x.Body} {
+		h.Write(part)
+		h.Write([]byte{0})
+	}
+	return quarantine.Fingerprint(h.Sum64())
+}
+
 func (x *exchange) identify(index *manifest.Index) *Refusal {
 	if len(index.Manifest.Accounts) == 0 {
 		return nil
