Confirm a repeated write only after the first one is synced

Cause: found by review: a write whose records the store already had was confirmed at once, also while the first write was still being synced. Change: such a write waits for a sync of its own. Roles share one actor for the control goroutine.

--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -53,10 +53,8 @@
 
 // Node is one running coordinator.
 type Node struct {
-	o    Options
-	loop *loop.Loop
-	ctx  context.Context
-	end  context.CancelFunc
+	o Options
+	loop.Actor
 
 	// The fields below belong to the control goroutine.
 	coordinator *coordinator.Coordinator
@@ -68,29 +66,16 @@
 
 // New returns a node that is not running yet.
 func New(o Options) *Node {
-	ctx, end := context.WithCancel(context.Background())
 	n := &Node{
-		o: o, ctx: ctx, end: end,
+		o:           o,
 		coordinator: coordinator.New(o.Config, o.Restored, o.Clock.Now()),
 		waiting:     map[coordinator.Ticket]chan error{},
 		sending:     make(chan struct{}, sendLimit),
 	}
-	n.loop = loop.New(o.Clock, n.settle)
+	n.Actor = loop.NewActor(o.Clock, n.settle)
 	return n
 }
 
-// Run is the control goroutine. It ends after Stop.
-func (n *Node) Run() error {
-	err := n.loop.Run(n.ctx)
-	if n.ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
-// Stop ends Run and everything that the node has under way.
-func (n *Node) Stop() { n.end() }
-
 // settle passes the coordinator's output to the adapters.
 func (n *Node) settle(now time.Time) time.Time {
 	n.coordinator.Tick(now)
@@ -131,7 +116,7 @@
 		return
 	}
 	done := func(err error) {
-		n.loop.Deliver(func(now time.Time) { n.persisted(now, e.Token, err) })
+		n.Deliver(func(now time.Time) { n.persisted(now, e.Token, err) })
 	}
 	if e.Replace {
 		n.o.Disk.Replace(Stream, e.Records, done)
@@ -169,7 +154,7 @@
 
 func (n *Node) sendOne(s domain.Send) {
 	defer func() { <-n.sending }()
-	ctx, cancel := context.WithTimeout(n.ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(n.Context(), sendTimeout)
 	defer cancel()
 	envelope := &coordinator.Envelope{From: n.o.Config.Self, To: s.To, Body: s.Body}
 	if _, err := n.o.Calls.Call(ctx, coordinator.VMAddress(s.To), envelope); err != nil {
@@ -178,10 +163,10 @@
 }
 
 func (n *Node) listTargets() {
-	ctx, cancel := context.WithTimeout(n.ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(n.Context(), listTimeout)
 	defer cancel()
 	list, err := n.o.Targets.List(ctx)
-	n.loop.Deliver(func(now time.Time) { n.coordinator.TargetsListed(now, list, err) })
+	n.Deliver(func(now time.Time) { n.coordinator.TargetsListed(now, list, err) })
 }
 
 // Answer implements port.Answerer.
@@ -190,13 +175,13 @@
 	case *coordinator.Envelope:
 		reply = &coordinator.Received{}
 		if m.To == n.o.Config.Self {
-			n.loop.Post(func(now time.Time) { n.coordinator.Receive(now, m.From, m.Body) })
+			n.Post(func(now time.Time) { n.coordinator.Receive(now, m.From, m.Body) })
 		}
 		return reply, nil
 	case *coordinator.Report:
-		err = n.loop.Do(ctx, func(now time.Time) { reply = n.coordinator.Report(now, m) })
+		err = n.Do(ctx, func(now time.Time) { reply = n.coordinator.Report(now, m) })
 	case *coordinator.Join:
-		err = n.loop.Do(ctx, func(now time.Time) { reply = n.coordinator.Join(now, m) })
+		err = n.Do(ctx, func(now time.Time) { reply = n.coordinator.Join(now, m) })
 	default:
 		return nil, fmt.Errorf("coordination: message %s is not for a coordinator; check that both VMs run compatible versions", m.MessageName())
 	}
@@ -212,12 +197,12 @@
 	leader := ""
 	for {
 		select {
-		case <-n.ctx.Done():
+		case <-n.Context().Done():
 			return nil
 		case <-time.After(joinInterval):
 		}
 		wants := false
-		if err := n.loop.Do(n.ctx, func(time.Time) { wants = n.coordinator.WantsToJoin() }); err != nil || !wants {
+		if err := n.Do(n.Context(), func(time.Time) { wants = n.coordinator.WantsToJoin() }); err != nil || !wants {
 			continue
 		}
 		address := leader
@@ -232,7 +217,7 @@
 
 // askToJoin returns the address to ask next, or "" for the next seed.
 func (n *Node) askToJoin(address string) string {
-	ctx, cancel := context.WithTimeout(n.ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(n.Context(), sendTimeout)
 	defer cancel()
 	reply, err := n.o.Calls.Call(ctx, address, &coordinator.Join{VM: n.o.Config.Self})
 	if err != nil {
@@ -255,7 +240,7 @@
 // wait runs an operation on the control goroutine and waits for its outcome.
 func (n *Node) wait(ctx context.Context, operation func(now time.Time) (coordinator.Ticket, error)) error {
 	done := make(chan error, 1)
-	err := n.loop.Do(ctx, func(now time.Time) {
+	err := n.Do(ctx, func(now time.Time) {
 		ticket, err := operation(now)
 		if err != nil || ticket == 0 {
 			done <- err
@@ -282,7 +267,7 @@
 // Read returns the newest manifest.
 func (n *Node) Read(ctx context.Context) (d manifest.Document, err error) {
 	var refused error
-	err = n.loop.Do(ctx, func(now time.Time) { d, refused = n.coordinator.Read(now) })
+	err = n.Do(ctx, func(now time.Time) { d, refused = n.coordinator.Read(now) })
 	if err == nil {
 		err = refused
 	}
@@ -297,7 +282,7 @@
 // Retired says whether a storage VM is empty.
 func (n *Node) Retired(ctx context.Context, name string) (empty bool, err error) {
 	var refused error
-	err = n.loop.Do(ctx, func(now time.Time) { empty, refused = n.coordinator.Retired(now, name) })
+	err = n.Do(ctx, func(now time.Time) { empty, refused = n.coordinator.Retired(now, name) })
 	if err == nil {
 		err = refused
 	}
@@ -306,5 +291,5 @@
 
 // HandOver gives up leadership before a planned stop.
 func (n *Node) HandOver(ctx context.Context) error {
-	return n.loop.Do(ctx, func(now time.Time) { n.coordinator.HandOver(now) })
+	return n.Do(ctx, func(now time.Time) { n.coordinator.HandOver(now) })
 }
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -71,7 +71,7 @@
 }
 
 func (x *exchange) free(target balance.Target, outcome balance.Outcome, load *balance.Load) {
-	x.g.loop.Deliver(func(now time.Time) {
+	x.g.Deliver(func(now time.Time) {
 		x.g.programs.served(now, x.account, x.Program)
 		switch outcome {
 		case balance.Failed:
@@ -96,7 +96,7 @@
 		var unreachable *port.UnreachableError
 		if errors.As(err, &unreachable) {
 			outcome = balance.Failed
-			x.g.loop.Deliver(func(now time.Time) { x.g.watch.Unreachable(now, target.ID) })
+			x.g.Deliver(func(now time.Time) { x.g.watch.Unreachable(now, target.ID) })
 		}
 		x.free(target, outcome, nil)
 		x.retried("not_run")
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -73,10 +73,8 @@
 
 // Gateway is one running gateway.
 type Gateway struct {
-	o    Options
-	loop *loop.Loop
-	ctx  context.Context
-	end  context.CancelFunc
+	o Options
+	loop.Actor
 	view atomic.Pointer[view]
 
 	// The fields below belong to the control goroutine.
@@ -96,9 +94,8 @@
 
 // New returns a gateway that is not running yet.
 func New(o Options) *Gateway {
-	ctx, end := context.WithCancel(context.Background())
 	g := &Gateway{
-		o: o, ctx: ctx, end: end,
+		o:         o,
 		balancer:  balance.New(balance.Place{DataCentre: o.DataCentre, Region: o.Region}, o.Rand),
 		cache:     newTurnCache(),
 		settling:  newSettlements(),
@@ -107,7 +104,7 @@
 	}
 	g.view.Store(&view{})
 	g.allowances = allowance.NewGateway(g.limit, o.Clock.Now())
-	g.loop = loop.New(o.Clock, g.settle)
+	g.Actor = loop.NewActor(o.Clock, g.settle)
 	return g
 }
 
@@ -123,18 +120,6 @@
 	return allowance.Limit{RatePerSecond: a.RatePerSecond, Burst: a.Burst}, true
 }
 
-// Run is the control goroutine. It ends after Stop.
-func (g *Gateway) Run() error {
-	err := g.loop.Run(g.ctx)
-	if g.ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
-// Stop ends Run.
-func (g *Gateway) Stop() { g.end() }
-
 func (g *Gateway) settle(now time.Time) time.Time {
 	for id, until := range g.suspicion {
 		if !now.Before(until) {
@@ -169,10 +154,10 @@
 
 // suspect asks a storage VM last for a while.
 func (g *Gateway) suspect(id quorum.StoreID, cause error) {
-	if g.view.Load().suspects[id] || g.ctx.Err() != nil {
+	if g.view.Load().suspects[id] || g.Context().Err() != nil {
 		return
 	}
-	g.loop.Post(func(now time.Time) {
+	g.Post(func(now time.Time) {
 		if _, ok := g.suspicion[id]; ok {
 			return
 		}
@@ -185,7 +170,7 @@
 func (g *Gateway) adoptSet(set *quorum.Set) {
 	// The traffic goroutine that found the newer set waits for it, because it
 	// starts again with the view's set.
-	err := g.loop.Do(g.ctx, func(time.Time) { g.followSet(set) })
+	err := g.Do(g.Context(), func(time.Time) { g.followSet(set) })
 	if err != nil {
 		g.o.Log.V(1).Info("a newer storage set was not adopted", "error", err.Error())
 	}
@@ -209,7 +194,7 @@
 
 // Drain makes the gateway not ready. Requests are still served.
 func (g *Gateway) Drain() {
-	g.loop.Deliver(func(time.Time) { g.publish(func(v *view) { v.stopping = true }) })
+	g.Deliver(func(time.Time) { g.publish(func(v *view) { v.stopping = true }) })
 }
 
 // Stopping says whether Drain was called.
@@ -218,7 +203,7 @@
 // Report implements follower.Process.
 func (g *Gateway) Report(ctx context.Context) (*coordinator.Report, error) {
 	r := &coordinator.Report{Process: g.o.Process, Gateway: true}
-	err := g.loop.Do(ctx, func(now time.Time) {
+	err := g.Do(ctx, func(now time.Time) {
 		v := g.view.Load()
 		if v.index != nil {
 			r.Document = v.index.Manifest.Version
@@ -236,7 +221,7 @@
 // Apply implements follower.Process.
 func (g *Gateway) Apply(v *coordinator.View) {
 	index := g.decode(v.Document)
-	g.loop.Deliver(func(now time.Time) { g.apply(now, v, index) })
+	g.Deliver(func(now time.Time) { g.apply(now, v, index) })
 }
 
 // decode builds the lookups outside of the control goroutine.
--- a/node/gateway/queue.go
+++ b/node/gateway/queue.go
@@ -71,7 +71,7 @@
 // giveBack ends the wait of a request that no longer needs a target. A target
 // that it got meanwhile is freed.
 func (g *Gateway) giveBack(w *waiter) {
-	g.loop.Deliver(func(now time.Time) {
+	g.Deliver(func(now time.Time) {
 		g.queue = slices.DeleteFunc(g.queue, func(other *waiter) bool { return other == w })
 		select {
 		case r := <-w.result:
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -231,7 +231,7 @@
 		Authoritative: true, Document: &manifest.Document{Version: 1}, Stores: r.set,
 		Targets: &coordinator.TargetList{Sequence: 1, Targets: list}, Allowances: allowance.Totals{Gateways: 1},
 	})
-	must.NoError(r.t, g.loop.Do(context.Background(), func(time.Time) {}))
+	must.NoError(r.t, g.Do(context.Background(), func(time.Time) {}))
 	return g
 }
 
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -91,7 +91,7 @@
 	x := &exchange{Request: req, g: g, reply: reply, view: g.view.Load(), started: g.o.Clock.Now()}
 	refusal := x.serve(ctx)
 	if x.counted && refusal != nil && refusal.NotRun {
-		g.loop.Deliver(func(time.Time) { g.allowances.Return(x.account) })
+		g.Deliver(func(time.Time) { g.allowances.Return(x.account) })
 	}
 	x.log(refusal)
 	return refusal
@@ -185,7 +185,7 @@
 		return nil
 	}
 	var d allowance.Decision
-	err := x.g.loop.Do(ctx, func(now time.Time) {
+	err := x.g.Do(ctx, func(now time.Time) {
 		d = x.g.allowances.Admit(now, x.account, x.g.programs.standing(now, x.account, x.Program, x.isTurn()))
 	})
 	switch {
@@ -227,7 +227,7 @@
 		priority: x.route.Priority,
 		result:   make(chan pickResult, 1),
 	}
-	if err := x.g.loop.Do(ctx, func(now time.Time) { x.g.pickOrWait(now, w) }); err != nil {
+	if err := x.g.Do(ctx, func(now time.Time) { x.g.pickOrWait(now, w) }); err != nil {
 		x.g.giveBack(w)
 		return balance.Target{}, x.ended(ctx, err)
 	}
--- a/node/gateway/settle.go
+++ b/node/gateway/settle.go
@@ -33,7 +33,7 @@
 func (g *Gateway) settleLater(program tokens.Program, grant tokens.Grant, used domain.Tokens) {
 	grant.Settled, grant.Used = true, used
 	entry := turnstore.GrantEntry{Program: program, Grant: grant}
-	g.loop.Deliver(func(now time.Time) { g.addSettlements(now, settleDelay, entry) })
+	g.Deliver(func(now time.Time) { g.addSettlements(now, settleDelay, entry) })
 }
 
 func (g *Gateway) addSettlements(now time.Time, delay time.Duration, entries ...turnstore.GrantEntry) {
@@ -66,10 +66,10 @@
 }
 
 func (g *Gateway) writeSettlements(batch []turnstore.GrantEntry) {
-	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(g.Context(), storeTimeout)
 	defer cancel()
 	_, err := g.write(ctx, nil, batch, false)
-	g.loop.Deliver(func(now time.Time) {
+	g.Deliver(func(now time.Time) {
 		g.settling.writing = false
 		if err != nil {
 			g.o.Log.Info("settlements were not stored; they are tried again", "count", len(batch), "error", err.Error())
--- a/node/gateway/turn.go
+++ b/node/gateway/turn.go
@@ -72,7 +72,7 @@
 	}
 	key := turnstore.TurnKey{Account: x.account, ID: x.Previous}
 	var chain []*turnstore.Turn
-	err := x.g.loop.Do(ctx, func(time.Time) { chain = x.g.cache.chain(key) })
+	err := x.g.Do(ctx, func(time.Time) { chain = x.g.cache.chain(key) })
 	if err == nil && chain == nil {
 		chain, err = x.g.chain(ctx, key)
 		if err == nil {
@@ -91,7 +91,7 @@
 
 // remember caches turns that were read.
 func (g *Gateway) remember(chain []*turnstore.Turn) {
-	g.loop.Post(func(now time.Time) {
+	g.Post(func(now time.Time) {
 		for _, t := range chain {
 			g.cache.add(now, t)
 		}
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -48,38 +48,27 @@
 
 // Node is one running storage VM.
 type Node struct {
-	o    Options
-	loop *loop.Loop
-	ctx  context.Context
-	end  context.CancelFunc
+	o Options
+	loop.Actor
 
 	// The fields below belong to the control goroutine.
 	store   *turnstore.Store
 	copying bool
 	written int
-	failed  error
+	// unsynced is the number of appends that are under way.
+	unsynced int
+	// failed is the disk's first error. What reached the disk is unknown after it,
+	// so the store refuses everything.
+	failed error
 }
 
 // New returns a node that is not running yet.
 func New(o Options) *Node {
-	ctx, end := context.WithCancel(context.Background())
-	n := &Node{o: o, store: o.Store, ctx: ctx, end: end}
-	n.loop = loop.New(o.Clock, n.settle)
+	n := &Node{o: o, store: o.Store}
+	n.Actor = loop.NewActor(o.Clock, n.settle)
 	return n
 }
 
-// Run is the control goroutine. It ends after Stop.
-func (n *Node) Run() error {
-	err := n.loop.Run(n.ctx)
-	if n.ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
-// Stop ends Run and the copy under way.
-func (n *Node) Stop() { n.end() }
-
 func (n *Node) settle(now time.Time) time.Time {
 	if n.store.MustCopy() && !n.copying && n.failed == nil {
 		n.copying = true
@@ -99,40 +88,38 @@
 		return
 	}
 	n.written = live
-	n.o.Disk.Replace(Stream, n.store.Live(), n.persisted(func() {}))
-}
-
-// persisted returns a completion that runs then, or records that the disk
-// failed. What reached the disk is unknown after a failure, so the store refuses
-// everything from then on.
-func (n *Node) persisted(then func()) func(error) {
-	return func(err error) {
-		if err == nil {
-			then()
-			return
+	n.o.Disk.Replace(Stream, n.store.Live(), func(err error) {
+		if err != nil {
+			n.o.Log.Error(err, "the disk failed; this storage VM refuses requests")
+			n.Deliver(func(time.Time) { n.failed = err })
 		}
-		n.o.Log.Error(err, "the disk failed; this storage VM refuses requests")
-		n.loop.Deliver(func(time.Time) { n.failed = err })
-	}
+	})
 }
 
 // durable appends records on the control goroutine and returns a channel that is
-// closed when they are synced.
+// closed when they are synced. Without records it waits for the earlier ones: a
+// repeated write must not be confirmed before the first one is synced.
 func (n *Node) durable(records []domain.Record) <-chan error {
-	done := make(chan error, 1)
-	if len(records) == 0 {
-		done <- n.failed
-		return done
+	if n.failed != nil || (len(records) == 0 && n.unsynced == 0) {
+		return confirmed(n.failed)
 	}
+	done := make(chan error, 1)
 	for _, r := range records {
 		if t, ok := r.(*turnstore.Turn); ok {
 			n.written += len(t.Input)
 		}
 	}
+	n.unsynced++
 	n.o.Disk.Append(Stream, records, func(err error) {
 		if err != nil {
-			n.persisted(nil)(err)
+			n.o.Log.Error(err, "the disk failed; this storage VM refuses requests")
 		}
+		n.Deliver(func(time.Time) {
+			n.unsynced--
+			if err != nil {
+				n.failed = err
+			}
+		})
 		done <- err
 	})
 	return done
@@ -142,7 +129,7 @@
 func (n *Node) Answer(ctx context.Context, m domain.Message) (domain.Message, error) {
 	var reply domain.Message
 	var synced <-chan error
-	err := n.loop.Do(ctx, func(now time.Time) { reply, synced = n.handle(now, m) })
+	err := n.Do(ctx, func(now time.Time) { reply, synced = n.handle(now, m) })
 	if err != nil {
 		return nil, err
 	}
@@ -168,16 +155,26 @@
 		reply, records = n.store.Write(now, m)
 	case *turnstore.ReadChain:
 		reply, records = n.store.Read(now, m)
+		if len(records) == 0 {
+			// A turn never changes, so it may be read before it is synced.
+			return reply, confirmed(n.failed)
+		}
 	case *turnstore.Pull:
 		reply, records = n.store.Pull(m)
 	}
 	return reply, n.durable(records)
 }
 
+func confirmed(err error) <-chan error {
+	done := make(chan error, 1)
+	done <- err
+	return done
+}
+
 // Report implements follower.Process.
 func (n *Node) Report(ctx context.Context) (*coordinator.Report, error) {
 	r := &coordinator.Report{Process: n.o.Process, Document: maxVersion}
-	err := n.loop.Do(ctx, func(time.Time) {
+	err := n.Do(ctx, func(time.Time) {
 		if n.failed != nil {
 			return
 		}
@@ -200,7 +197,7 @@
 	if v.Stores == nil {
 		return
 	}
-	n.loop.Deliver(func(time.Time) { n.adopt(v.Stores) })
+	n.Deliver(func(time.Time) { n.adopt(v.Stores) })
 }
 
 func (n *Node) adopt(set *quorum.Set) {
@@ -233,10 +230,10 @@
 	} else {
 		select {
 		case <-time.After(copyPause):
-		case <-n.ctx.Done():
+		case <-n.Context().Done():
 		}
 	}
-	n.loop.Deliver(func(now time.Time) {
+	n.Deliver(func(now time.Time) {
 		n.copying = false
 		turns, programs, bytes := n.store.Counts()
 		n.o.Log.Info("a copy ended", "epoch", set.Epoch, "complete", complete, "sources", sources,
@@ -252,7 +249,7 @@
 			return err
 		}
 		var synced <-chan error
-		if err := n.loop.Do(n.ctx, func(now time.Time) { synced = n.durable(n.store.Copy(now, reply)) }); err != nil {
+		if err := n.Do(n.Context(), func(now time.Time) { synced = n.durable(n.store.Copy(now, reply)) }); err != nil {
 			return err
 		}
 		if err := <-synced; err != nil {
@@ -266,7 +263,7 @@
 }
 
 func (n *Node) pull(set *quorum.Set, from quorum.Member, after int) (*turnstore.PullReply, error) {
-	ctx, cancel := context.WithTimeout(n.ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(n.Context(), pullTimeout)
 	defer cancel()
 	m, err := n.o.Calls.Call(ctx, from.ID.Address(), &turnstore.Pull{Set: set, After: after})
 	if err != nil {
@@ -277,7 +274,7 @@
 		return nil, fmt.Errorf("storage: %s answered with %s", from.ID, m.MessageName())
 	}
 	if newer := reply.Standing.NewerSet; newer != nil {
-		n.loop.Deliver(func(time.Time) { n.adopt(newer) })
+		n.Deliver(func(time.Time) { n.adopt(newer) })
 	}
 	if !reply.Standing.Accepted || !reply.Standing.Complete {
 		return nil, fmt.Errorf("storage: %s follows epoch %d or has not copied yet", from.ID, reply.Standing.Epoch)
@@ -288,7 +285,7 @@
 func (n *Node) finishCopy(set *quorum.Set) bool {
 	var record domain.Record
 	var synced <-chan error
-	err := n.loop.Do(n.ctx, func(time.Time) {
+	err := n.Do(n.Context(), func(time.Time) {
 		if record = n.store.FinishCopy(set); record != nil {
 			synced = n.durable([]domain.Record{record})
 		}
