--- a/internal/roles/coordinator.go
+++ b/internal/roles/coordinator.go
@@ -50,19 +50,23 @@
 	if err != nil {
 		return err
 	}
+	metrics := newEvents("mangoknot_coordinator_events_total", "Changes of belief, by kind.")
 	n := coordination.New(coordination.Options{
 		Config: coordinator.Config{
 			Self: identity.VM, Voters: identity.Voters, Tolerance: p.settings.Tolerance,
 			ElectionTimeout: electionTimeout, Heartbeat: heartbeat, Applied: applied, Rand: p.rand,
 		},
 		Restored: restored, Disk: d, Calls: p.calls, Targets: platform.NewLister(p.settings),
-		Clock: p.clock, Seeds: p.seeds, Log: p.log,
+		Clock: p.clock, Seeds: p.seeds, Log: p.log, Metrics: metrics,
 	})
 	p.group.Add(n.Run, func(error) { n.Stop() })
 	p.group.Add(n.KeepJoining, func(error) { n.Stop() })
 	if err := p.addGRPC(n); err != nil {
 		return err
 	}
+	if err := p.addMetrics(metrics.registry); err != nil {
+		return err
+	}
 	operator, err := platform.NewOperator(n, p.settings.OperatorAddress, p.log)
 	if err != nil {
 		return err
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -33,10 +33,11 @@
 	if err != nil {
 		return err
 	}
+	metrics := newGatewayMetrics()
 	g := gateway.New(gateway.Options{
 		Process: p.settings.PeerAddress + "/" + p.start, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
 		Calls: p.calls, Targets: platform.NewWorkers(), Decode: platform.DecodeManifest,
-		Clock: p.clock, Rand: p.rand, Metrics: newGatewayMetrics(), Log: p.log,
+		Clock: p.clock, Rand: p.rand, Metrics: metrics, Log: p.log,
 	})
 	p.group.Add(g.Run, func(error) { g.Stop() })
 	f := follower.New(p.calls, g, p.seeds, p.log)
@@ -44,6 +45,9 @@
 	if err := p.addHTTP(p.settings.ReadyAddress, platform.ReadyHandler(g.Ready)); err != nil {
 		return err
 	}
+	if err := p.addMetrics(metrics.registry); err != nil {
+		return err
+	}
 	if err := p.addIngress(g); err != nil {
 		return err
 	}
--- a/internal/roles/metrics.go
+++ b/internal/roles/metrics.go
@@ -1,19 +1,56 @@
 package roles
 
 import (
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/mangoknot/mangoknot/node/gateway"
 )
 
+// metricsAddress is where each role shows its metrics. The port is fixed, because
+// the platform's deploy file names it; it lies outside of the ports that the
+// platform hands out.
+const (
+	metricsPort = "9464"
+	metricsPath = "/metrics"
+)
+
+// addMetrics serves the metrics of a role.
+func (p *process) addMetrics(r *prometheus.Registry) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	return p.addHTTP(net.JoinHostPort(p.settings.IP, metricsPort), mux)
+}
+
+// events counts what a role does, by kind.
+type events struct {
+	registry *prometheus.Registry
+	counts   *prometheus.CounterVec
+}
+
+func newEvents(name, help string) *events {
+	e := &events{
+		registry: prometheus.NewRegistry(),
+		counts:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{"event"}),
+	}
+	e.registry.MustRegister(e.counts)
+	return e
+}
+
+// Count implements the metrics of coordinators and storage VMs.
+func (e *events) Count(event string) { e.counts.WithLabelValues(event).Inc() }
+
 // gatewayMetrics counts what a gateway does.
 type gatewayMetrics struct {
 	registry *prometheus.Registry
 	served   *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	retried  *prometheus.CounterVec
+	latency  prometheus.Histogram
 }
 
 func newGatewayMetrics() *gatewayMetrics {
@@ -29,12 +66,19 @@
 			Name: "mangoknot_gateway_retried_total", Help: "Requests sent to another target, by reason.",
 		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.served, m.refused, m.retried)
+	m.latency = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "mangoknot_gateway_seconds", Help: "Time from a request to the end of its answer.",
+		Buckets: []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4},
+	})
+	m.registry.MustRegister(m.served, m.refused, m.retried, m.latency)
 	return m
 }
 
 // Served implements gateway.Metrics.
-func (m *gatewayMetrics) Served(route string, _ time.Duration) { m.served.WithLabelValues(route).Inc() }
+func (m *gatewayMetrics) Served(route string, took time.Duration) {
+	m.served.WithLabelValues(route).Inc()
+	m.latency.Observe(took.Seconds())
+}
 
 // Refused implements gateway.Metrics.
 func (m *gatewayMetrics) Refused(kind gateway.Kind) { m.refused.WithLabelValues(string(kind)).Inc() }
--- a/internal/roles/storage.go
+++ b/internal/roles/storage.go
@@ -29,14 +29,18 @@
 	if err != nil {
 		return err
 	}
+	metrics := newEvents("mangoknot_storage_events_total", "Requests answered and copies ended, by kind.")
 	n := storage.New(storage.Options{
 		Store: store, Name: p.settings.Name, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
-		Process: p.settings.PeerAddress + "/" + p.start, Disk: d, Calls: p.calls, Clock: p.clock, Log: p.log,
+		Process: p.settings.PeerAddress + "/" + p.start, Disk: d, Calls: p.calls, Clock: p.clock, Log: p.log, Metrics: metrics,
 	})
 	p.group.Add(n.Run, func(error) { n.Stop() })
 	if err := p.addGRPC(n); err != nil {
 		return err
 	}
+	if err := p.addMetrics(metrics.registry); err != nil {
+		return err
+	}
 	f := follower.New(p.calls, n, p.seeds, p.log)
 	p.addContext(f.Run)
 	p.addSignals(func() {})
--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -43,7 +43,9 @@
 	Clock    port.Clock
 	// Seeds are peer addresses of coordinators.
 	Seeds func() []string
-	Log   logr.Logger
+	// Metrics counts changes of belief by kind.
+	Metrics interface{ Count(event string) }
+	Log     logr.Logger
 }
 
 type held struct {
@@ -93,6 +95,7 @@
 	}
 	for _, e := range effects.Events {
 		n.o.Log.Info(e.What, "detail", e.Detail)
+		n.o.Metrics.Count(e.What)
 	}
 	if effects.ListTargets {
 		go n.listTargets()
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -152,6 +152,7 @@
 func (noMetrics) Served(string, time.Duration) {}
 func (noMetrics) Refused(Kind)                 {}
 func (noMetrics) Retried(string)               {}
+func (noMetrics) Count(string)                 {}
 
 // rig runs storage nodes in three data centres of two regions, and gateways.
 type rig struct {
@@ -189,6 +190,7 @@
 	n := storage.New(storage.Options{
 		Store: store, Name: string(id), DataCentre: dataCentre, Region: region, Process: address,
 		Disk: disk.NewMemory(0), Calls: r.network.from(address), Clock: systemclock.Boot{}, Log: logr.Discard(),
+		Metrics: noMetrics{},
 	})
 	go n.Run() //nolint:errcheck // ends with Stop
 	r.t.Cleanup(n.Stop)
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -43,6 +43,8 @@
 	Disk    port.Disk
 	Calls   port.Calls
 	Clock   port.Clock
+	// Metrics counts requests and copies by kind.
+	Metrics interface{ Count(event string) }
 	Log     logr.Logger
 }
 
@@ -138,7 +140,9 @@
 	}
 	select {
 	case err := <-synced:
+		n.o.Metrics.Count(m.MessageName())
 		if err != nil {
+			n.o.Metrics.Count("refused: the disk failed")
 			return nil, fmt.Errorf("storage: the disk failed; replace the VM: %w", err)
 		}
 		return reply, nil
@@ -235,6 +239,7 @@
 	}
 	n.Deliver(func(now time.Time) {
 		n.copying = false
+		n.o.Metrics.Count("copy ended")
 		turns, programs, bytes := n.store.Counts()
 		n.o.Log.Info("a copy ended", "epoch", set.Epoch, "complete", complete, "sources", sources,
 			"turns", turns, "programs", programs, "bytes", bytes, "took_ms", now.Sub(started).Milliseconds())
--- a/node/storage/node_test.go
+++ b/node/storage/node_test.go
@@ -15,6 +15,10 @@
 	"github.com/mangoknot/mangoknot/core/turnstore"
 )
 
+type noMetrics struct{}
+
+func (noMetrics) Count(string) {}
+
 // heldDisk syncs only when the test says so.
 type heldDisk struct{ appends chan func(error) }
 
@@ -28,7 +32,7 @@
 	d := &heldDisk{appends: make(chan func(error), 8)}
 	store := turnstore.New()
 	store.Name("a/1")
-	n := New(Options{Store: store, Disk: d, Clock: systemclock.Boot{}, Log: logr.Discard()})
+	n := New(Options{Store: store, Disk: d, Clock: systemclock.Boot{}, Log: logr.Discard(), Metrics: noMetrics{}})
 	go n.Run() //nolint:errcheck // ends with Stop
 	t.Cleanup(n.Stop)
 	n.Apply(&coordinator.View{Stores: &quorum.Set{Epoch: 1, Members: []quorum.Member{{ID: "a/1"}}}})
