Test the roles as processes over loopback

Guards turns, budgets and manifests against a wiped storage VM, killed coordinators and gateways, and planned stops against cut requests.

--- a/cmd/mangoknot-node/main.go
+++ b/cmd/mangoknot-node/main.go
@@ -12,6 +12,7 @@
 )
 
 type arguments struct {
+	MetricsPort int       `arg:"--metrics-port,env:MANGOKNOT_METRICS_PORT" default:"9464" help:"port of the metrics; 0 shows none"`
 	Gateway     *struct{} `arg:"subcommand:gateway" help:"serve callers"`
 	Storage     *struct{} `arg:"subcommand:storage" help:"keep turns and token budgets"`
 	Coordinator *struct{} `arg:"subcommand:coordinator" help:"agree on the configuration"`
@@ -27,13 +28,14 @@
 }
 
 func serve(parser *arg.Parser, a arguments) error {
+	options := roles.Options{MetricsPort: a.MetricsPort}
 	switch {
 	case a.Gateway != nil:
-		return roles.Gateway()
+		return roles.Gateway(options)
 	case a.Storage != nil:
-		return roles.Storage()
+		return roles.Storage(options)
 	case a.Coordinator != nil:
-		return roles.Coordinator()
+		return roles.Coordinator(options)
 	default:
 		parser.WriteHelp(os.Stderr)
 		return fmt.Errorf("name a role: gateway, storage or coordinator")
--- a/internal/roles/coordinator.go
+++ b/internal/roles/coordinator.go
@@ -29,8 +29,8 @@
 )
 
 // Coordinator runs the role that agrees on the configuration.
-func Coordinator() error {
-	p, err := newProcess("coordinator")
+func Coordinator(o Options) error {
+	p, err := newProcess("coordinator", o)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/roles/fleet_test.go
@@ -0,0 +1,374 @@
+package roles
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// roleVariable makes the test binary run a role instead of the tests.
+const roleVariable = "MANGOKNOT_TEST_ROLE"
+
+func TestMain(m *testing.M) {
+	run := map[string]func(Options) error{"gateway": Gateway, "storage": Storage, "coordinator": Coordinator}[os.Getenv(roleVariable)]
+	if run == nil {
+		os.Exit(m.Run())
+	}
+	if err := run(Options{}); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// fleet runs the roles as processes on addresses of the loopback range.
+type fleet struct {
+	t         *testing.T
+	peerPort  int
+	operators int
+	callers   int
+	ready     int
+	dir       string
+	seeds     []string
+	list      string
+	workers   *standIns
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
+}
+
+// freePort returns a port that is free on all addresses of the fleet.
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp4", "0.0.0.0:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		t: t, peerPort: freePort(t), operators: freePort(t), callers: freePort(t), ready: freePort(t),
+		dir: t.TempDir(), processes: map[string]*exec.Cmd{}, workers: newStandIns(t),
+	}
+	f.list = f.workers.listAddress
+	for i := range 3 {
+		f.seeds = append(f.seeds, net.JoinHostPort(ip("coordinator", i), strconv.Itoa(f.operators)))
+	}
+	t.Cleanup(f.killAll)
+	return f
+}
+
+func ip(role string, i int) string {
+	return fmt.Sprintf("127.0.%d.%d", map[string]int{"gateway": 31, "storage": 32, "coordinator": 33}[role], i+1)
+}
+
+var zones = []string{"a", "b", "c"}
+
+func (f *fleet) start(role string, i int, first bool) {
+	f.t.Helper()
+	name := fmt.Sprintf("%s-%d", role, i)
+	address := ip(role, i)
+	settings := map[string]any{
+		"nodeName": name, "ip": address, "zone": zones[i], "region": "r", "zones": map[string]string{"a": "r", "b": "r", "c": "r"},
+		"internalPorts": []int{f.peerPort, f.peerPort}, "seeds": f.seeds, "firstStart": first,
+		"dataDir": filepath.Join(f.dir, name), "limits": map[string]any{"memoryMb": 256},
+		"faultTolerance": map[string]any{"machines": 1}, "bounds": map[string]any{"graceS": 8},
+		"cloud": map[string]any{"address": f.list},
+		"listen": map[string]string{
+			"front": fmt.Sprintf("%s:%d", address, f.callers), "ready": fmt.Sprintf("%s:%d", address, f.ready),
+			"control": fmt.Sprintf("%s:%d", address, f.operators),
+		},
+	}
+	data, err := json.Marshal(settings)
+	must.NoError(f.t, err)
+	path := filepath.Join(f.dir, name+".json")
+	must.NoError(f.t, os.WriteFile(path, data, 0o600))
+	self, err := os.Executable()
+	must.NoError(f.t, err)
+	process := exec.Command(self)
+	process.Env = append(os.Environ(), roleVariable+"="+role, "MANGOKNOT_BOOT="+path)
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must.NoError(f.t, err)
+	process.Stdout, process.Stderr = log, log
+	must.NoError(f.t, process.Start())
+	f.mu.Lock()
+	f.processes[name] = process
+	f.mu.Unlock()
+}
+
+func (f *fleet) signal(name string, s os.Signal) {
+	must.NoError(f.t, f.processes[name].Process.Signal(s))
+}
+
+func (f *fleet) kill(name string) {
+	f.signal(name, syscall.SIGKILL)
+	f.processes[name].Wait() //nolint:errcheck // killed
+}
+
+func (f *fleet) killAll() {
+	for name, p := range f.processes {
+		if p.ProcessState == nil {
+			p.Process.Kill() //nolint:errcheck // may have ended
+			p.Wait()         //nolint:errcheck // killed
+		}
+		if f.t.Failed() {
+			log, _ := os.ReadFile(filepath.Join(f.dir, name+".log"))
+			f.t.Logf("log of %s:\n%s", name, log[max(0, len(log)-3000):])
+		}
+	}
+}
+
+func (f *fleet) startAll() {
+	for i := range 3 {
+		f.start("coordinator", i, true)
+		f.start("storage", i, true)
+	}
+	f.start("gateway", 0, true)
+	f.start("gateway", 1, true)
+}
+
+// wait polls a condition; the bound only ends a test that would hang.
+func (f *fleet) wait(what string, condition func() bool) {
+	f.t.Helper()
+	for range 600 {
+		if condition() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Fatalf("%s: not within 30 s", what)
+}
+
+// putConfig sends a manifest to any coordinator until one acknowledges it.
+func (f *fleet) putConfig(version int) {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"turns","host":"h","pathPrefix":"/turn/","kind":"streaming","timeoutMs":8000,
+"targetLatencyMs":1000,"service":"s","maxAttempts":1,"retainContext":true,"retentionS":60}],
+"services":[{"name":"s","engine":{"tokensPerEvent":10}}],"tenants":[{"name":"acme","apiKeys":["key"]}]}`, version)
+	i := 0
+	f.wait("manifest acknowledged", func() bool {
+		i++
+		u := fmt.Sprintf("http://%s:%d/config", ip("coordinator", i%3), f.operators)
+		request, err := http.NewRequest(http.MethodPut, u, strings.NewReader(body))
+		must.NoError(f.t, err)
+		return succeeds(request)
+	})
+}
+
+var client = &http.Client{Timeout: 10 * time.Second}
+
+func succeeds(r *http.Request) bool {
+	response, err := client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	io.Copy(io.Discard, response.Body) //nolint:errcheck // only the status counts
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *fleet) waitReady(i int) {
+	f.t.Helper()
+	f.wait("gateway ready", func() bool {
+		request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/ready", ip("gateway", i), f.ready), nil)
+		must.NoError(f.t, err)
+		return succeeds(request)
+	})
+}
+
+// turn sends one turn and returns its status and body.
+func (f *fleet) turn(gateway int, id, previous string) (int, string, error) {
+	u := fmt.Sprintf("http://%s:%d/turn/x", ip("gateway", gateway), f.callers)
+	request, err := http.NewRequest(http.MethodPost, u, strings.NewReader("["+id+"]"))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Host = "h"
+	for name, value := range map[string]string{
+		"Request-Id": id, "Authorization": "Bearer key", "Program-Id": "p", "Token-Budget": "1000", "Token-Usage": "10,20", "Previous-Turn": previous,
+	} {
+		if value != "" {
+			request.Header.Set(name, value)
+		}
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+// mustTurn repeats a refused turn under new ids, as callers do.
+func (f *fleet) mustTurn(gateway int, id, previous string) string {
+	f.t.Helper()
+	attempt := 0
+	var used string
+	f.wait("turn "+id, func() bool {
+		attempt++
+		used = fmt.Sprintf("%s.%d", id, attempt)
+		status, _, err := f.turn(gateway, used, previous)
+		return err == nil && status == http.StatusOK
+	})
+	return used
+}
+
+// standIns are a worker and the platform's list, which names it.
+type standIns struct {
+	listAddress string
+	mu          sync.Mutex
+	bodies      []string
+	// hold delays the second event of each stream.
+	hold chan struct{}
+}
+
+func newStandIns(t *testing.T) *standIns {
+	s := &standIns{}
+	worker := serveHTTP(t, http.HandlerFunc(s.work))
+	s.listAddress = serveHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"instances":[{"id":"w","service":"s","address":%q,"zone":"a","slots":8,"state":"ready"}],"next":null}`, worker)
+	}))
+	return s
+}
+
+func serveHTTP(t *testing.T, h http.Handler) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &http.Server{Handler: h}
+	go server.Serve(l) //nolint:errcheck // ends with Close
+	t.Cleanup(func() { server.Close() })
+	return l.Addr().String()
+}
+
+func (s *standIns) work(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.bodies = append(s.bodies, string(body))
+	hold := s.hold
+	s.mu.Unlock()
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Signature", "sig")
+	fmt.Fprint(w, "id: 1\ndata: one\n\n")
+	http.NewResponseController(w).Flush() //nolint:errcheck // the write below fails too
+	if hold != nil {
+		<-hold
+	}
+	fmt.Fprint(w, "id: 2\ndata: two\n\n")
+}
+
+func (s *standIns) lastBody() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bodies[len(s.bodies)-1]
+}
+
+// Guards against turns, budgets and manifests that do not survive in real
+// processes: a storage VM that loses its disk, a killed leader, and a kill of
+// everything.
+func TestFleetSurvivesLosses(t *testing.T) {
+	f := newFleet(t)
+	f.startAll()
+	f.putConfig(1)
+	f.waitReady(0)
+	f.waitReady(1)
+	first := f.mustTurn(0, "1", "")
+	second := f.mustTurn(1, "2", first)
+	must.Eq(t, "["+first+"]one\ntwo\n["+second+"]", f.workers.lastBody())
+	f.kill("storage-0")
+	must.NoError(t, os.RemoveAll(filepath.Join(f.dir, "storage-0")))
+	f.start("storage", 0, false)
+	f.wait("storage-0 has copied", func() bool { return f.logged("storage-0", `"complete":true,"sources":2`) })
+	f.kill("storage-1")
+	third := f.mustTurn(1, "3", second)
+	for i := range 3 {
+		f.kill(fmt.Sprintf("coordinator-%d", i))
+	}
+	fourth := f.mustTurn(0, "4", third)
+	for i := range 3 {
+		f.start("coordinator", i, false)
+	}
+	f.start("storage", 1, false)
+	f.putConfig(2)
+	f.kill("gateway-0")
+	f.start("gateway", 0, false)
+	f.waitReady(0)
+	f.mustTurn(0, "5", fourth)
+	must.Eq(t, 5, strings.Count(f.workers.lastBody(), "["))
+}
+
+func (f *fleet) logged(name, text string) bool {
+	data, err := os.ReadFile(filepath.Join(f.dir, name+".log"))
+	return err == nil && strings.Contains(string(data), text)
+}
+
+// Guards against a planned stop that cuts a request or leaves the gateway ready,
+// and against a reload that ends the process.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.startAll()
+	f.putConfig(1)
+	f.waitReady(0)
+	f.mustTurn(0, "0", "")
+	f.signal("gateway-0", syscall.SIGHUP)
+	f.wait("reload", func() bool { return f.logged("gateway-0", "SIGHUP") })
+	f.workers.mu.Lock()
+	f.workers.hold = make(chan struct{})
+	f.workers.mu.Unlock()
+	before := len(f.workers.bodies)
+	type outcome struct {
+		status int
+		body   string
+		err    error
+	}
+	ended := make(chan outcome, 1)
+	go func() {
+		status, body, err := f.turn(0, "1", "")
+		ended <- outcome{status, body, err}
+	}()
+	f.wait("request at the worker", func() bool {
+		f.workers.mu.Lock()
+		defer f.workers.mu.Unlock()
+		return len(f.workers.bodies) > before
+	})
+	f.signal("gateway-0", syscall.SIGTERM)
+	f.wait("not ready", func() bool {
+		response, err := client.Get(fmt.Sprintf("http://%s:%d/ready", ip("gateway", 0), f.ready))
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
+	close(f.workers.hold)
+	o := <-ended
+	must.NoError(t, o.err)
+	must.Eq(t, http.StatusOK, o.status)
+	must.StrHasSuffix(t, "data: two\n\n", o.body)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	exit := make(chan error, 1)
+	go func() { exit <- f.processes["gateway-0"].Wait() }()
+	select {
+	case err := <-exit:
+		must.NoError(t, err)
+	case <-ctx.Done():
+		must.NoError(t, errors.New("the gateway did not end after SIGTERM"))
+	}
+}
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -28,8 +28,8 @@
 var errSignal = errors.New("stopped by a signal")
 
 // Gateway runs the role that serves callers.
-func Gateway() error {
-	p, err := newProcess("gateway")
+func Gateway(o Options) error {
+	p, err := newProcess("gateway", o)
 	if err != nil {
 		return err
 	}
--- a/internal/roles/metrics.go
+++ b/internal/roles/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,19 +12,16 @@
 	"github.com/mangoknot/mangoknot/node/gateway"
 )
 
-// metricsAddress is where each role shows its metrics. The port is fixed, because
-// the platform's deploy file names it; it lies outside of the ports that the
-// platform hands out.
-const (
-	metricsPort = "9464"
-	metricsPath = "/metrics"
-)
+const metricsPath = "/metrics"
 
-// addMetrics serves the metrics of a role.
+// addMetrics serves the metrics of a role on the port of the options.
 func (p *process) addMetrics(r *prometheus.Registry) error {
+	if p.options.MetricsPort == 0 {
+		return nil
+	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
-	return p.addHTTP(net.JoinHostPort(p.settings.IP, metricsPort), mux)
+	return p.addHTTP(net.JoinHostPort(p.settings.IP, strconv.Itoa(p.options.MetricsPort)), mux)
 }
 
 // events counts what a role does, by kind.
--- a/internal/roles/process.go
+++ b/internal/roles/process.go
@@ -45,8 +45,15 @@
 	bytesPerMiB      = 1 << 20
 )
 
+// Options are the settings that the platform does not know.
+type Options struct {
+	// MetricsPort is the port of the metrics on the VM's address; 0 shows none.
+	MetricsPort int
+}
+
 // process is what all roles share.
 type process struct {
+	options  Options
 	settings *platform.Settings
 	codec    *codec.Codec
 	calls    *rpc.Client
@@ -63,7 +70,7 @@
 	start string
 }
 
-func newProcess(role string) (*process, error) {
+func newProcess(role string, o Options) (*process, error) {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return nil, err
@@ -83,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{settings: settings, codec: c, calls: rpc.NewClient(c), clock: systemclock.Boot{}, output: logging.NewAsync(os.Stdout)}
+	p := &process{options: o, settings: settings, codec: c, calls: rpc.NewClient(c), clock: systemclock.Boot{}, output: logging.NewAsync(os.Stdout)}
 	root, err := logging.New(p.output, logging.Options{Format: logging.FormatJSON})
 	if err != nil {
 		return nil, err
--- a/internal/roles/storage.go
+++ b/internal/roles/storage.go
@@ -16,8 +16,8 @@
 )
 
 // Storage runs the role that keeps turns and budgets.
-func Storage() error {
-	p, err := newProcess("storage")
+func Storage(o Options) error {
+	p, err := newProcess("storage", o)
 	if err != nil {
 		return err
 	}
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -1,16 +1,21 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
+	"github.com/mangoknot/mangoknot/adapter/systemclock"
 	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -213,3 +218,51 @@
 	must.Eq(t, next.Epoch, g.view.Load().stores.Epoch)
 	must.Eq(t, quorum.StoreID(storeAddress(7)+"/disk"), g.view.Load().stores.Members[2].ID)
 }
+
+// Guards against a wrong 401 or 404 of a gateway that has not received the
+// configuration.
+func TestServesNothingWithoutManifest(t *testing.T) {
+	r := newRig(t)
+	g := New(Options{
+		Process: "new", Calls: r.network.from("new"), Targets: r.targets, Clock: systemclock.Boot{},
+		Rand: rand.New(rand.NewPCG(1, 1)), Metrics: noMetrics{}, Log: logr.Discard(),
+	})
+	must.False(t, g.Ready())
+	refusal, _ := r.serve(g, turnRequest("1", ""))
+	must.Eq(t, NoManifest, refusal.Kind)
+	must.True(t, refusal.NotRun)
+}
+
+// Guards against a request that goes on crashing targets after the coordinators
+// have counted its crashes.
+func TestQuarantinedRequestIsRefused(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	request := &Request{ID: "1", Host: "h", Path: "/look/1", Key: "key", Method: "GET", Body: []byte("x")}
+	probe := &exchange{Request: request, account: "acme"}
+	g.Apply(&coordinator.View{Authoritative: true, Quarantined: []quarantine.Fingerprint{probe.fingerprintOf()}})
+	must.NoError(t, g.Do(t.Context(), func(time.Time) {}))
+	refusal, _ := r.serve(g, request)
+	must.Eq(t, SuspectRequest, refusal.Kind)
+	must.SliceEmpty(t, r.targets.bodies())
+	other := *request
+	other.Body = []byte("y")
+	refusal, _ = r.serve(g, &other)
+	must.Nil(t, refusal)
+}
+
+// Guards against targets that are at work, or get a request, for a caller that
+// has left.
+func TestCallerThatLeavesCancels(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	ctx, leave := context.WithCancel(t.Context())
+	r.targets.exchange = func(ctx context.Context, _ port.TargetRequest) (port.Answer, error) {
+		leave()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	refusal := g.Serve(ctx, &Request{ID: "1", Host: "h", Path: "/look/1", Key: "key"}, &recorded{})
+	must.NotNil(t, refusal)
+	must.Len(t, 1, r.targets.bodies())
+}
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -66,13 +66,18 @@
 	mu     sync.Mutex
 	orders []port.TargetRequest
 	answer func(n int, r port.TargetRequest) (port.Answer, error)
+	// exchange replaces answer when a test needs the context.
+	exchange func(ctx context.Context, r port.TargetRequest) (port.Answer, error)
 }
 
-func (t *targets) Exchange(_ context.Context, r port.TargetRequest) (port.Answer, error) {
+func (t *targets) Exchange(ctx context.Context, r port.TargetRequest) (port.Answer, error) {
 	t.mu.Lock()
 	t.orders = append(t.orders, r)
 	n := len(t.orders)
 	t.mu.Unlock()
+	if t.exchange != nil {
+		return t.exchange(ctx, r)
+	}
 	return t.answer(n, r)
 }
 
