Count a turn with a previous one as part of a program under way

Cause: a program whose next turn came through another gateway counted as a new one there, and had to leave half of the burst.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -144,7 +144,7 @@
 // to lose. New programs begin only while half of the burst is there: a program
 // needs some ten requests more, as many as a burst of a small account holds for
 // a few programs.
-var reserves = map[Standing]float64{Begins: 0.5, Continues: 0.2, Calls: 0}
+var reserves = map[Standing]float64{Begins: 0.5, Continues: 0.1, Calls: 0}
 
 // Decision is the outcome of Admit with what decided it.
 type Decision struct {
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -186,7 +186,12 @@
 	}
 	var d allowance.Decision
 	err := x.g.Do(ctx, func(now time.Time) {
-		d = x.g.allowances.Admit(now, x.account, x.g.programs.standing(now, x.account, x.Program, x.isTurn()))
+		standing := x.g.programs.standing(now, x.account, x.Program, x.isTurn())
+		if standing == allowance.Begins && x.Previous != "" {
+			// A program that comes from another gateway is under way.
+			standing = allowance.Continues
+		}
+		d = x.g.allowances.Admit(now, x.account, standing)
 	})
 	switch {
 	case err != nil:
