Resume streams at the target whose connection broke

Change: a resumable stream goes back to the same target, up to twice; a target that cannot be reached has ended and no longer counts.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -288,6 +288,13 @@
 	return cost + jitterMillis*b.rand.Float64()
 }
 
+// Return counts a request that goes back to a target.
+func (b *Balancer) Return(id domain.Target) {
+	if s := b.targets[id]; s != nil {
+		s.inFlight++
+	}
+}
+
 func (b *Balancer) remember(object string, id domain.Target) {
 	if object == "" {
 		return
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -4,13 +4,19 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/balance"
+	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
 	"github.com/mangoknot/mangoknot/port"
 )
 
+// maxReturns bounds how often a stream goes back to the target whose connection
+// broke. A route's limit counts targets, and the same target is no further one.
+const maxReturns = 2
+
 // patienceFactor times the objective is when an idempotent request goes to
 // another target. Almost all answers come within the objective itself.
 const patienceFactor = 2
@@ -22,7 +28,9 @@
 // is to be tried.
 func (x *exchange) attempt(ctx context.Context, target balance.Target) (again bool, refusal *Refusal) {
 	x.target, x.sentAt = target.ID, x.elapsed()
-	x.tried = append(x.tried, target.ID)
+	if !slices.Contains(x.tried, target.ID) {
+		x.tried = append(x.tried, target.ID)
+	}
 	caller := ctx
 	if wait, bounded := x.attemptPatience(); bounded {
 		var cancel context.CancelFunc
@@ -36,7 +44,7 @@
 		return x.failedBefore(caller, target, err)
 	}
 	defer answer.Close()
-	x.runs++
+	x.ran(target)
 	if x.route.Kind == manifest.Stream && answer.Head().Success {
 		err = x.passStream(ctx, answer)
 	} else {
@@ -47,13 +55,22 @@
 		x.outcome = "served"
 		return false, nil
 	}
-	return x.failedAfter(caller, err)
+	return x.failedAfter(caller, target, err)
+}
+
+// ran counts a request that a target may have run. Several runs at one target
+// count once against the route's limit.
+func (x *exchange) ran(target balance.Target) {
+	x.runs++
+	if !slices.Contains(x.ranAt, target.ID) {
+		x.ranAt = append(x.ranAt, target.ID)
+	}
 }
 
 // attemptPatience is how long one target may take for a request that can go to
 // another one. An answer can be lost while its connection stays open.
 func (x *exchange) attemptPatience() (time.Duration, bool) {
-	if x.route.Kind != manifest.Idempotent || x.runs+1 >= x.route.MaxAttempts {
+	if x.route.Kind != manifest.Idempotent || len(x.ranAt)+1 >= x.route.MaxAttempts {
 		return 0, false
 	}
 	return patienceFactor * x.route.Objective, true
@@ -96,15 +113,18 @@
 		var unreachable *port.UnreachableError
 		if errors.As(err, &unreachable) {
 			outcome = balance.Failed
+			// The process that ran the request before has ended, so its run no longer
+			// counts against the limit.
+			x.ranAt = slices.DeleteFunc(x.ranAt, func(id domain.Target) bool { return id == target.ID })
 			x.g.Deliver(func(now time.Time) { x.g.watch.Unreachable(now, target.ID) })
 		}
 		x.free(target, outcome, nil)
 		x.retried("not_run")
 		return ctx.Err() == nil, x.endedOrNil(ctx, err)
 	}
-	x.runs++
+	x.ran(target)
 	x.free(target, outcomeOf(ctx, err), nil)
-	return x.failedAfter(ctx, err)
+	return x.failedAfter(ctx, target, err)
 }
 
 func (x *exchange) endedOrNil(ctx context.Context, err error) *Refusal {
@@ -115,14 +135,20 @@
 }
 
 // failedAfter handles a request that may have run.
-func (x *exchange) failedAfter(ctx context.Context, err error) (bool, *Refusal) {
+func (x *exchange) failedAfter(ctx context.Context, target balance.Target, err error) (bool, *Refusal) {
 	x.rejected = err
 	x.outcome = "broken_off"
-	resumable := x.begun && x.route.Resumable
-	if ctx.Err() == nil && x.route.Repeatable() && x.runs < x.route.MaxAttempts && (!x.begun || resumable) &&
-		!errors.Is(err, errReply) && !errors.Is(err, errNotStored) {
-		x.retried("target_failed")
-		return true, nil
+	if x.mayRepeat(ctx, err) {
+		if len(x.ranAt) < x.route.MaxAttempts {
+			x.retried("target_failed")
+			return true, nil
+		}
+		if x.route.Kind == manifest.Stream && x.returns < maxReturns {
+			x.returns++
+			x.returnTo = &target
+			x.retried("connection_failed")
+			return true, nil
+		}
 	}
 	if x.begun {
 		x.reply.Abort()
@@ -134,6 +160,18 @@
 	return false, &Refusal{Kind: OutcomeUnknown, Cause: err}
 }
 
+// mayRepeat says whether the request, or the rest of its stream, may be sent
+// again after it may have run.
+func (x *exchange) mayRepeat(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || errors.Is(err, errReply) || errors.Is(err, errNotStored) {
+		return false
+	}
+	if x.begun {
+		return x.route.Kind == manifest.Stream && x.route.Resumable
+	}
+	return x.route.Repeatable()
+}
+
 func (x *exchange) retried(reason string) { x.g.o.Metrics.Retried(reason) }
 
 func (x *exchange) elapsed() time.Duration { return x.g.o.Clock.Now().Sub(x.started) }
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -266,3 +266,39 @@
 	must.NotNil(t, refusal)
 	must.Len(t, 1, r.targets.bodies())
 }
+
+// Guards against a resumable stream that is broken off for good although its
+// target runs, against events that come twice, and against more targets than the
+// route allows.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.targets.answer = func(n int, request port.TargetRequest) (port.Answer, error) {
+		if n == 1 {
+			return &scripted{status: 200, events: []string{"a", "b"}, err: io.ErrUnexpectedEOF}, nil
+		}
+		must.Eq(t, "2", request.Resume)
+		return &scripted{status: 200, events: []string{"a", "b", "c"}, next: 2}, nil
+	}
+	refusal, reply := r.serve(g, &Request{ID: "1", Host: "h", Path: "/resume/1", Key: "key"})
+	must.Nil(t, refusal)
+	must.True(t, reply.ended)
+	must.Eq(t, []string{"a", "b", "c"}, reply.events)
+	must.Eq(t, r.targets.orders[0].Target.ID, r.targets.orders[1].Target.ID)
+	// A target that has ended no longer counts, so another one goes on.
+	r.targets.orders = nil
+	r.targets.answer = func(n int, request port.TargetRequest) (port.Answer, error) {
+		switch n {
+		case 1:
+			return &scripted{status: 200, events: []string{"a"}, err: io.ErrUnexpectedEOF}, nil
+		case 2:
+			return nil, &port.UnreachableError{Address: "x", Err: io.EOF}
+		default:
+			return &scripted{status: 200, events: []string{"a", "b"}, next: 1}, nil
+		}
+	}
+	refusal, reply = r.serve(g, &Request{ID: "2", Host: "h", Path: "/resume/1", Key: "key"})
+	must.Nil(t, refusal)
+	must.Eq(t, []string{"a", "b"}, reply.events)
+	must.NotEq(t, r.targets.orders[0].Target.ID, r.targets.orders[2].Target.ID)
+}
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -210,6 +210,8 @@
 	Routes: []manifest.Route{
 		{Name: "chat", Host: "h", Prefix: "/chat/", Kind: manifest.Stream, Timeout: time.Second, Objective: 300 * time.Millisecond,
 			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 1, KeepsHistory: true, Retention: time.Minute},
+		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: manifest.Stream, Timeout: time.Second, Objective: 300 * time.Millisecond,
+			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 1, Resumable: true},
 		{Name: "look", Host: "h", Prefix: "/look/", Kind: manifest.Idempotent, Timeout: time.Second, Objective: 150 * time.Millisecond,
 			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 2},
 		{Name: "order", Host: "h", Prefix: "/order/", Kind: manifest.RunOnce, Timeout: time.Second, Objective: 150 * time.Millisecond,
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -70,8 +70,15 @@
 	turn     *turn
 	body     []byte
 
-	tried       []domain.Target
-	runs        int
+	tried []domain.Target
+	// runs is the number of times that a target may have run the request; ranAt
+	// lists those targets, without the ones that have ended since.
+	runs  int
+	ranAt []domain.Target
+	// returnTo is the target of the next attempt, if it is the same again.
+	returnTo *balance.Target
+	returns  int
+
 	target      domain.Target
 	sentAt      time.Duration
 	firstAt     time.Duration
@@ -221,6 +228,12 @@
 
 // pick waits for a target with a free place.
 func (x *exchange) pick(ctx context.Context) (balance.Target, *Refusal) {
+	if x.returnTo != nil {
+		target := *x.returnTo
+		x.returnTo = nil
+		x.g.Deliver(func(time.Time) { x.g.balancer.Return(target.ID) })
+		return target, nil
+	}
 	if len(x.tried) >= maxTargets {
 		return balance.Target{}, x.noTarget(AllFull)
 	}
