--- /dev/null
+++ b/core/quorum/quorum_test.go
@@ -0,0 +1,71 @@
+package quorum
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+func setOf(n int) *Set {
+	s := &Set{Epoch: 1}
+	for i := range n {
+		s.Members = append(s.Members, Member{ID: StoreID(string(rune('a'+i)) + "/1"), DataCentre: domain.DataCentre(rune('a' + i))})
+	}
+	return s
+}
+
+// Guards against a joining member that copies from too few others: for every
+// majority that may hold a record and every member that may be gone, the sources
+// must include a holder.
+func TestCopySourcesIncludeAHolder(t *testing.T) {
+	for n := 2; n <= 7; n++ {
+		s := setOf(n)
+		for holders := range 1 << n {
+			if popcount(holders) != s.Majority() {
+				continue
+			}
+			others := holders >> 1 // member 0 is gone
+			for sources := range 1 << (n - 1) {
+				if popcount(sources) == s.CopySources() {
+					must.NotEq(t, 0, others&sources, must.Sprintf("n=%d holders=%b sources=%b", n, holders, sources))
+				}
+			}
+		}
+	}
+}
+
+func popcount(x int) int {
+	n := 0
+	for ; x > 0; x >>= 1 {
+		n += x & 1
+	}
+	return n
+}
+
+// Guards against a disk that counts as the member that it replaced.
+func TestReplaceFencesTheOldMember(t *testing.T) {
+	s := setOf(3)
+	next := s.Replace("a/1", Member{ID: "a/2"})
+	must.Eq(t, 2, next.Epoch)
+	_, in := next.Member("a/1")
+	must.False(t, in)
+	joined, in := next.Member("a/2")
+	must.True(t, in)
+	must.Eq(t, 2, joined.Joined)
+	must.Eq(t, "a", joined.ID.Address())
+	must.Len(t, 3, s.Members)
+}
+
+// Guards against paid bytes: the nearest members come first.
+func TestNear(t *testing.T) {
+	s := &Set{Members: []Member{
+		{ID: "far", DataCentre: "c", Region: "south"}, {ID: "same", DataCentre: "b", Region: "north"}, {ID: "own", DataCentre: "a", Region: "north"},
+	}}
+	var ids []StoreID
+	for _, m := range s.Near("a", "north") {
+		ids = append(ids, m.ID)
+	}
+	must.Eq(t, []StoreID{"own", "same", "far"}, ids)
+}
