Keep turns without a budget and refuse after the deadline of a thawed VM

Cause: found by review. A turn on a route that keeps history was stored only if its program had a budget. The timer of a request stands still while the VM is suspended, so a thawed gateway could send a request whose caller had given up. Change: turns are kept with or without a budget; the deadline is judged on the clock that counts suspension before each attempt.

--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -302,3 +302,15 @@
 	must.Eq(t, []string{"a", "b"}, reply.events)
 	must.NotEq(t, r.targets.orders[0].Target.ID, r.targets.orders[2].Target.ID)
 }
+
+// Guards against turns that are not stored because their program has no budget.
+func TestTurnsWithoutBudgetAreKept(t *testing.T) {
+	r := newRig(t)
+	for i, id := range []string{"1", "2"} {
+		request := turnRequest(id, strings.TrimPrefix(fmt.Sprint(i), "0"))
+		request.Program, request.Budget = "", 0
+		refusal, _ := r.serve(r.startGateway(i), request)
+		must.Nil(t, refusal)
+	}
+	must.Eq(t, "[1]x\n[2]", r.targets.bodies()[1])
+}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -121,11 +121,14 @@
 	return refusal
 }
 
-// isTurn says whether the request is a turn of a program with a token budget.
+// isTurn says whether the request is a turn: one whose history is kept, or of a
+// program with a token budget.
 func (x *exchange) isTurn() bool {
-	return x.Program != "" && x.Budget > 0 && x.route.Kind == manifest.Stream
+	return x.route.Kind == manifest.Stream && (x.route.KeepsHistory || x.hasBudget())
 }
 
+func (x *exchange) hasBudget() bool { return x.Program != "" && x.Budget > 0 }
+
 // admit finds the route and the client account and takes one request of its
 // rate.
 func (x *exchange) admit(ctx context.Context) *Refusal {
@@ -228,6 +231,10 @@
 
 // pick waits for a target with a free place.
 func (x *exchange) pick(ctx context.Context) (balance.Target, *Refusal) {
+	if left := x.timeLeft(); left <= 0 {
+		// The timer of the context stands still while the machine is suspended.
+		return balance.Target{}, x.outOfTime(errNoTimeLeft)
+	}
 	if x.returnTo != nil {
 		target := *x.returnTo
 		x.returnTo = nil
@@ -280,16 +287,22 @@
 	return notRun(kind, fullRetry, x.rejected)
 }
 
+// errNoTimeLeft is the cause of a refusal after the deadline.
+var errNoTimeLeft = errors.New("the deadline has passed")
+
 // ended is the refusal of a request whose context ended.
 func (x *exchange) ended(ctx context.Context, cause error) *Refusal {
-	switch {
-	case x.runs > 0:
+	if x.runs > 0 || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return x.outOfTime(cause)
+	}
+	return notRun(Overloaded, minRetry, cause)
+}
+
+func (x *exchange) outOfTime(cause error) *Refusal {
+	if x.runs > 0 {
 		return &Refusal{Kind: TimedOut, Cause: cause}
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return notRun(TimedOutNotRun, fullRetry, cause)
-	default:
-		return notRun(Overloaded, minRetry, cause)
 	}
+	return notRun(TimedOutNotRun, fullRetry, cause)
 }
 
 // objectKey keeps the objects of services apart.
--- a/node/gateway/settle.go
+++ b/node/gateway/settle.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/mangoknot/mangoknot/core/domain"
-	"github.com/mangoknot/mangoknot/core/tokens"
 	"github.com/mangoknot/mangoknot/core/turnstore"
 )
 
@@ -29,11 +27,11 @@
 
 func newSettlements() *settlements { return &settlements{} }
 
-// settleLater records the tokens that a turn has used, with the next batch.
-func (g *Gateway) settleLater(program tokens.Program, grant tokens.Grant, used domain.Tokens) {
-	grant.Settled, grant.Used = true, used
-	entry := turnstore.GrantEntry{Program: program, Grant: grant}
-	g.Deliver(func(now time.Time) { g.addSettlements(now, settleDelay, entry) })
+// settleLater records what turns have used, with the next batch.
+func (g *Gateway) settleLater(entries []turnstore.GrantEntry) {
+	if len(entries) > 0 {
+		g.Deliver(func(now time.Time) { g.addSettlements(now, settleDelay, entries...) })
+	}
 }
 
 func (g *Gateway) addSettlements(now time.Time, delay time.Duration, entries ...turnstore.GrantEntry) {
--- a/node/gateway/turn.go
+++ b/node/gateway/turn.go
@@ -21,8 +21,10 @@
 	program tokens.Program
 	grant   tokens.Grant
 	keeps   bool
-	input   []byte
-	events  [][]byte
+	// budgeted says that the turn has a grant.
+	budgeted bool
+	input    []byte
+	events   [][]byte
 	// stored says that the grant was settled together with the turn.
 	stored bool
 }
@@ -31,10 +33,11 @@
 // continues, at the same time: both are round trips before the first token.
 func (x *exchange) prepareTurn(ctx context.Context) *Refusal {
 	x.turn = &turn{
-		program: tokens.Program{Account: x.account, Name: x.Program},
-		grant:   tokens.Grant{ID: x.ID, Most: x.Most},
-		keeps:   x.route.KeepsHistory,
-		input:   x.Body,
+		program:  tokens.Program{Account: x.account, Name: x.Program},
+		grant:    tokens.Grant{ID: x.ID, Most: x.Most},
+		keeps:    x.route.KeepsHistory,
+		budgeted: x.hasBudget(),
+		input:    x.Body,
 	}
 	granted := make(chan *Refusal, 1)
 	go func() { granted <- x.reserve(ctx) }()
@@ -54,6 +57,9 @@
 // reserve writes the grant and decides from all grants that a majority knows.
 func (x *exchange) reserve(ctx context.Context) *Refusal {
 	t := x.turn
+	if !t.budgeted {
+		return nil
+	}
 	union, err := x.g.write(ctx, nil, []turnstore.GrantEntry{{Program: t.program, Grant: t.grant}}, true)
 	if err != nil {
 		return notRun(StorageUnavailable, storageRetry, err)
@@ -130,13 +136,11 @@
 	if t == nil || !t.keeps {
 		return nil
 	}
-	settled := t.grant
-	settled.Settled, settled.Used = true, x.used()
 	record := &turnstore.Turn{
 		Key: turnstore.TurnKey{Account: x.account, ID: x.ID}, Previous: x.Previous,
 		Input: t.input, Events: t.events, KeepFor: x.route.Retention,
 	}
-	_, err := x.g.write(ctx, record, []turnstore.GrantEntry{{Program: t.program, Grant: settled}}, false)
+	_, err := x.g.write(ctx, record, t.settlement(x), false)
 	if err != nil {
 		return errors.Join(errNotStored, err)
 	}
@@ -145,10 +149,20 @@
 	return nil
 }
 
+// settlement is the grant with what the caller received.
+func (t *turn) settlement(x *exchange) []turnstore.GrantEntry {
+	if !t.budgeted {
+		return nil
+	}
+	settled := t.grant
+	settled.Settled, settled.Used = true, x.used()
+	return []turnstore.GrantEntry{{Program: t.program, Grant: settled}}
+}
+
 // settle frees what the turn did not use.
 func (t *turn) settle(x *exchange) {
 	if t == nil || t.stored {
 		return
 	}
-	x.g.settleLater(t.program, t.grant, x.used())
+	x.g.settleLater(t.settlement(x))
 }
