Use a target again that came back under its name, and keep the leader's list

Cause: found by review. After another process had answered at a target's address the target was never used again, though a worker may start under the name that it had. Change: such a target is avoided for 5 s; the leader's list is passed on however old it is, a list of a VM without a leader while it is fresh.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -40,6 +40,10 @@
 	// failures. The first one is below the time a crashed target takes to return.
 	firstPause = 400 * time.Millisecond
 	lastPause  = 4 * time.Second
+	// gonePause is the time for which a target is avoided after another process
+	// answered at its address. The list names the new process within about two
+	// seconds, and a target may come back under its old name.
+	gonePause = 5 * time.Second
 	// queueFactor is the number of requests per slot at which a target counts as
 	// full: one batch runs and half of one waits.
 	queueFactor = 1.5
@@ -98,7 +102,6 @@
 	foreignAt  time.Time
 	failures   int
 	pauseUntil time.Time
-	gone       bool
 	// parts holds when this gateway last sent a part to the target, and how many
 	// tokens it had then.
 	parts map[string]keptPart
@@ -241,7 +244,7 @@
 	bestCost := 0.0
 	refusal := NoTarget
 	for _, s := range b.services[ask.Service] {
-		if s.Leaving || s.gone || slices.Contains(ask.Tried, s.ID) {
+		if s.Leaving || slices.Contains(ask.Tried, s.ID) {
 			continue
 		}
 		if now.Before(s.pauseUntil) && !paused {
@@ -325,7 +328,7 @@
 		s.failures++
 		s.pauseUntil = now.Add(pause(s.failures))
 	case Gone:
-		s.gone = true
+		s.pauseUntil = now.Add(gonePause)
 	}
 	if !s.listed && s.inFlight == 0 {
 		delete(b.targets, id)
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -45,6 +45,9 @@
 	b.Done(now, "near", Gone, nil)
 	picked, _ = b.Pick(now.Add(lastPause), Ask{Service: "s"})
 	must.Eq(t, "far", picked.ID)
+	// A target may come back under the name and address that it had.
+	picked, _ = b.Pick(now.Add(gonePause), Ask{Service: "s"})
+	must.Eq(t, "near", picked.ID)
 }
 
 // Guards against refusals while a target has places, and against more requests
--- a/core/coordinator/coordinator_test.go
+++ b/core/coordinator/coordinator_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/mangoknot/mangoknot/core/balance"
 	"github.com/mangoknot/mangoknot/core/manifest"
 	"github.com/mangoknot/mangoknot/core/quorum"
 )
@@ -133,3 +134,28 @@
 	slices.Sort(ids)
 	must.Eq(r.t, want, ids)
 }
+
+// Guards against gateways without targets while the platform does not answer the
+// leader, and against an old or empty list of a VM that knows no leader.
+func TestListOfTargets(t *testing.T) {
+	r := newRig(t, 5)
+	r.run(2 * time.Second)
+	list := []balance.Target{{ID: "t"}}
+	l := r.leader()
+	l.c.TargetsListed(r.now, list, nil)
+	r.run(5 * time.Second)
+	l.c.TargetsListed(r.now, nil, errors.New("the platform does not answer"))
+	must.NotNil(t, l.c.Report(r.now, &Report{}).Targets)
+	for _, v := range r.vms {
+		if v != l {
+			r.cut[VMAddress(v.identity.VM)] = true
+		}
+	}
+	r.run(3 * time.Second)
+	for _, v := range r.vms {
+		v.c.TargetsListed(r.now, list, nil)
+		must.NotNil(t, v.c.Report(r.now, &Report{}).Targets)
+		r.run(listFresh + time.Second)
+		must.Nil(t, v.c.Report(r.now, &Report{}).Targets)
+	}
+}
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -25,8 +25,7 @@
 		view.Stores = c.state.Stores
 	}
 	view.Allowances.Gateways = c.state.Gateways
-	fresh := now.Sub(c.listedAt) < listFresh
-	if c.targets != nil && c.targets.Sequence != r.Targets && c.mustList() && fresh {
+	if c.mayPassList(now) && c.targets.Sequence != r.Targets {
 		view.Targets = c.targets
 	}
 	if !view.Authoritative {
@@ -44,6 +43,21 @@
 	return view
 }
 
+// mayPassList says whether this VM's list of targets is one to use. The leader's
+// is, however old: while the platform does not answer, an old list is better than
+// none. Without a leader a list counts while it is fresh, and an empty one says
+// little, because the platform fills it after a start.
+func (c *Coordinator) mayPassList(now time.Time) bool {
+	switch {
+	case c.targets == nil:
+		return false
+	case c.leading:
+		return true
+	default:
+		return c.mustList() && now.Sub(c.listedAt) <= listFresh && len(c.targets.Targets) > 0
+	}
+}
+
 func (c *Coordinator) addresses(m raft.Members) []string {
 	var out []string
 	for _, vm := range slices.Concat(m.Voters, m.Learners) {
