Copy only missing turns from the second member

Change: a member passes on the keys of its turns, and the joining one fetches those it lacks, from the nearest member first and with three calls at a time.

--- a/core/turnstore/messages.go
+++ b/core/turnstore/messages.go
@@ -141,11 +141,11 @@
 // MessageName implements domain.Message.
 func (*Pull) MessageName() string { return "turnstore.Pull" }
 
-// PullReply answers Pull. Last is the position of the last record; Done says
-// that there are no more.
+// PullReply answers Pull with the keys of turns and with grants. Last is the
+// position of the last record; Done says that there are no more.
 type PullReply struct {
 	Standing Standing
-	Turns    []*Turn
+	Turns    []TurnKey
 	Grants   []GrantEntry
 	Last     int
 	Done     bool
@@ -154,7 +154,24 @@
 // MessageName implements domain.Message.
 func (*PullReply) MessageName() string { return "turnstore.PullReply" }
 
+// Fetch asks another member for turns. A joining member has most turns from the
+// first member that it copied from, and the link to the next one may be narrow.
+type Fetch struct{ Turns []TurnKey }
+
+// MessageName implements domain.Message.
+func (*Fetch) MessageName() string { return "turnstore.Fetch" }
+
+// FetchReply answers Fetch. It handles the first Handled of the asked turns and
+// holds those that are still kept.
+type FetchReply struct {
+	Turns   []*Turn
+	Handled int
+}
+
+// MessageName implements domain.Message.
+func (*FetchReply) MessageName() string { return "turnstore.FetchReply" }
+
 // Messages lists the message types of the package for codecs.
 func Messages() []domain.Message {
-	return []domain.Message{&Write{}, &WriteReply{}, &ReadChain{}, &ChainReply{}, &Pull{}, &PullReply{}}
+	return []domain.Message{&Write{}, &WriteReply{}, &ReadChain{}, &ChainReply{}, &Pull{}, &PullReply{}, &Fetch{}, &FetchReply{}}
 }
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -13,7 +13,7 @@
 const (
 	// turnOverheadBytes is the memory of a stored turn beside its bytes.
 	turnOverheadBytes = 200
-	// pullBytes bounds one PullReply, so that a copy never delays the writes of
+	// pullBytes bounds one part of a copy, so that a copy never delays the writes of
 	// traffic by more than some milliseconds of a small link.
 	pullBytes = 256 << 10
 	// keepFactor multiplies the retention of a turn. A turn is dropped after twice
@@ -279,12 +279,8 @@
 
 func (s *Store) addToPull(reply *PullReply, p position) int {
 	if p.isTurn {
-		stored, ok := s.turns[p.turn]
-		if !ok {
-			return 0
-		}
-		reply.Turns = append(reply.Turns, stored.turn)
-		return stored.turn.size()
+		reply.Turns = append(reply.Turns, p.turn)
+		return len(p.turn.Account) + len(p.turn.ID)
 	}
 	stored, ok := s.programs[p.program]
 	if !ok {
@@ -296,14 +292,43 @@
 	return len(stored.grants) * turnOverheadBytes
 }
 
-// Copy stores the records of a PullReply and returns those to sync.
-func (s *Store) Copy(now time.Time, reply *PullReply) []domain.Record {
+// Missing returns the turns of a PullReply that this store does not have.
+func (s *Store) Missing(reply *PullReply) []TurnKey {
+	var out []TurnKey
+	for _, key := range reply.Turns {
+		if _, ok := s.turns[key]; !ok {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// Fetch returns turns for a member that copies.
+func (s *Store) Fetch(f *Fetch) *FetchReply {
+	reply := &FetchReply{}
+	for size := 0; reply.Handled < len(f.Turns) && size < pullBytes; reply.Handled++ {
+		if stored, ok := s.turns[f.Turns[reply.Handled]]; ok {
+			reply.Turns = append(reply.Turns, stored.turn)
+			size += stored.turn.size()
+		}
+	}
+	return reply
+}
+
+// CopyTurns stores turns of another member and returns the records to sync.
+func (s *Store) CopyTurns(now time.Time, turns []*Turn) []domain.Record {
 	var records []domain.Record
-	for _, t := range reply.Turns {
+	for _, t := range turns {
 		if s.addTurn(now, t) {
 			records = append(records, t)
 		}
 	}
+	return records
+}
+
+// CopyGrants stores the grants of a PullReply and returns the records to sync.
+func (s *Store) CopyGrants(now time.Time, reply *PullReply) []domain.Record {
+	var records []domain.Record
 	for i := range reply.Grants {
 		if s.addGrant(now, reply.Grants[i]) {
 			records = append(records, &reply.Grants[i])
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -25,6 +26,8 @@
 	idleWake = 2 * time.Second
 	// copyPause is the pause before a failed copy is tried again.
 	copyPause = 100 * time.Millisecond
+	// fetchCalls is the number of calls that copy turns at a time.
+	fetchCalls = 3
 	// pullTimeout bounds one part of a copy.
 	pullTimeout = time.Second
 	// compactSlackBytes is the size of dropped records at which the disk is
@@ -165,6 +168,9 @@
 		}
 	case *turnstore.Pull:
 		reply, records = n.store.Pull(m)
+	case *turnstore.Fetch:
+		// What is not synced yet is synced by the member that copies.
+		return n.store.Fetch(m), confirmed(n.failed)
 	}
 	return reply, n.durable(records)
 }
@@ -213,12 +219,12 @@
 	n.durable([]domain.Record{record})
 }
 
-// copy pulls the records of the other members until enough of them have passed
-// everything on.
+// copy pulls the records of the other members, the nearest first, until enough of
+// them have passed everything on.
 func (n *Node) copy(set *quorum.Set) {
 	started := n.o.Clock.Now()
 	sources := 0
-	for _, m := range set.Members {
+	for _, m := range set.Near(n.o.DataCentre, n.o.Region) {
 		if m.ID == n.store.ID() {
 			continue
 		}
@@ -246,6 +252,7 @@
 	})
 }
 
+// pullAll copies all records of one member that this one does not have yet.
 func (n *Node) pullAll(set *quorum.Set, from quorum.Member) error {
 	after := 0
 	for {
@@ -253,24 +260,74 @@
 		if err != nil {
 			return err
 		}
-		var synced <-chan error
-		if err := n.Do(n.Context(), func(now time.Time) { synced = n.durable(n.store.Copy(now, reply)) }); err != nil {
+		var missing []turnstore.TurnKey
+		err = n.keep(func(now time.Time) []domain.Record {
+			missing = n.store.Missing(reply)
+			return n.store.CopyGrants(now, reply)
+		})
+		if err == nil {
+			err = n.fetchAll(from, missing)
+		}
+		if err != nil || reply.Done {
 			return err
 		}
-		if err := <-synced; err != nil {
+		after = reply.Last
+	}
+}
+
+// keep changes the store on the control goroutine and waits until the records
+// are synced.
+func (n *Node) keep(change func(now time.Time) []domain.Record) error {
+	var synced <-chan error
+	if err := n.Do(n.Context(), func(now time.Time) { synced = n.durable(change(now)) }); err != nil {
+		return err
+	}
+	return <-synced
+}
+
+// fetchAll copies turns over several calls at a time, because one call leaves the
+// link idle while its part is on the way and synced.
+func (n *Node) fetchAll(from quorum.Member, missing []turnstore.TurnKey) error {
+	ended := make(chan error, fetchCalls)
+	share := (len(missing) + fetchCalls - 1) / fetchCalls
+	for i := range fetchCalls {
+		part := missing[min(i*share, len(missing)):min((i+1)*share, len(missing))]
+		go func() { ended <- n.fetchPart(from, part) }()
+	}
+	var failed error
+	for range fetchCalls {
+		failed = errors.Join(failed, <-ended)
+	}
+	return failed
+}
+
+func (n *Node) fetchPart(from quorum.Member, missing []turnstore.TurnKey) error {
+	for len(missing) > 0 {
+		m, err := n.askMember(from, &turnstore.Fetch{Turns: missing})
+		if err != nil {
 			return err
 		}
-		if reply.Done {
-			return nil
+		reply, ok := m.(*turnstore.FetchReply)
+		if !ok || reply.Handled <= 0 {
+			return fmt.Errorf("storage: %s answered a request for turns with %s", from.ID, m.MessageName())
 		}
-		after = reply.Last
+		err = n.keep(func(now time.Time) []domain.Record { return n.store.CopyTurns(now, reply.Turns) })
+		if err != nil {
+			return err
+		}
+		missing = missing[min(reply.Handled, len(missing)):]
 	}
+	return nil
 }
 
-func (n *Node) pull(set *quorum.Set, from quorum.Member, after int) (*turnstore.PullReply, error) {
+func (n *Node) askMember(from quorum.Member, m domain.Message) (domain.Message, error) {
 	ctx, cancel := context.WithTimeout(n.Context(), pullTimeout)
 	defer cancel()
-	m, err := n.o.Calls.Call(ctx, from.ID.Address(), &turnstore.Pull{Set: set, After: after})
+	return n.o.Calls.Call(ctx, from.ID.Address(), m)
+}
+
+func (n *Node) pull(set *quorum.Set, from quorum.Member, after int) (*turnstore.PullReply, error) {
+	m, err := n.askMember(from, &turnstore.Pull{Set: set, After: after})
 	if err != nil {
 		return nil, err
 	}
