--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -160,9 +160,10 @@
 	for seed := range uint64(20) {
 		f := newFleet(6, seed)
 		f.run(2*time.Second, 40)
-		for i := range 12 {
-			f.run(time.Second, 300)
-			f.restart(i % 6)
+		// The gateway with most callers restarts again and again.
+		for range 24 {
+			f.run(500*time.Millisecond, 300)
+			f.restart(0)
 		}
 		f.run(2*time.Second, 300)
 		f.mustHold(t, seed)
--- a/core/coordinator/coordinator_test.go
+++ b/core/coordinator/coordinator_test.go
@@ -82,13 +82,27 @@
 	d, err := l.c.Read(r.now)
 	must.NoError(t, err)
 	must.Eq(t, "7", string(d.Raw))
+	// Two operators race: the older change is proposed while the newer one is not
+	// decided yet.
+	for _, version := range []manifest.Version{9, 8} {
+		ticket, err := l.c.Put(r.now, manifest.Document{Version: version, Raw: fmt.Append(nil, version)})
+		must.NoError(t, err)
+		must.NotEq(t, 0, ticket)
+	}
+	r.run(time.Second)
+	must.Eq(t, 9, r.read())
 }
 
 // Guards against state that is lost in a restart of all VMs after the log was
 // replaced by a snapshot.
 func TestRestartAfterSnapshot(t *testing.T) {
 	r := newRig(t, 3)
-	r.run(2 * time.Second)
+	for i, zone := range []string{"a", "b", "c", "a"} {
+		r.stores = append(r.stores, storeStatus(fmt.Sprintf("s%d", i), "1", zone))
+	}
+	r.run(3 * time.Second)
+	_, err := r.leader().c.Retire(r.now, "s1")
+	must.NoError(t, err)
 	for version := range manifest.Version(3 * compactEntries) {
 		r.put(version + 1)
 	}
@@ -97,6 +111,8 @@
 	}
 	r.run(3 * time.Second)
 	must.Eq(t, 3*compactEntries, r.read())
+	must.Eq(t, []string{"s1"}, r.leader().c.state.Retired)
+	r.expectMembers("s0/1", "s2/1", "s3/1")
 }
 
 // Guards against a storage set that stays without a lost member, that counts a
@@ -129,6 +145,26 @@
 	must.True(t, errors.Is(err, ErrUnknownStore))
 }
 
+// Guards against a second exchange while a joining store copies: it could remove
+// the only copy of a record.
+func TestStoresAreReplacedOneByOne(t *testing.T) {
+	r := newRig(t, 6)
+	for i, zone := range []string{"a", "b", "c"} {
+		r.stores = append(r.stores, storeStatus(fmt.Sprintf("s%d", i), "1", zone))
+	}
+	r.run(3 * time.Second)
+	r.copying["s0/2"] = true
+	r.stores[0] = storeStatus("s0", "2", "a")
+	r.run(3 * time.Second)
+	r.expectMembers("s0/2", "s1/1", "s2/1")
+	r.stores[1] = storeStatus("s1", "2", "b")
+	r.run(3 * time.Second)
+	r.expectMembers("s0/2", "s1/1", "s2/1")
+	r.copying["s0/2"] = false
+	r.run(3 * time.Second)
+	r.expectMembers("s0/2", "s1/2", "s2/1")
+}
+
 func (r *rig) expectMembers(want ...quorum.StoreID) {
 	ids := memberIDs(r.leader().c.state.Stores)
 	slices.Sort(ids)
--- a/core/coordinator/rig_test.go
+++ b/core/coordinator/rig_test.go
@@ -43,10 +43,12 @@
 	net    []message
 	cut    map[string]bool
 	stores []StoreStatus
+	// copying stores report that they are not complete.
+	copying map[quorum.StoreID]bool
 }
 
 func newRig(t must.T, seed uint64) *rig {
-	r := &rig{t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, cut: map[string]bool{}}
+	r := &rig{t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, cut: map[string]bool{}, copying: map[quorum.StoreID]bool{}}
 	var voters []domain.VM
 	for i := range 3 {
 		voters = append(voters, NewVM(address(i), "first"))
@@ -149,7 +151,7 @@
 	for i := range r.stores {
 		s := r.stores[i]
 		if set := v.c.state.Stores; set != nil {
-			s.Epoch, s.Complete = set.Epoch, true
+			s.Epoch, s.Complete = set.Epoch, !r.copying[s.ID]
 		}
 		v.c.Report(r.now, &Report{Process: string(s.ID), Store: &s})
 	}
