--- /dev/null
+++ b/core/turnstore/copy.go
@@ -0,0 +1,105 @@
+package turnstore
+
+import (
+	"sort"
+	"time"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/quorum"
+)
+
+// pullBytes bounds one part of a copy, so that a copy never delays the writes of
+// traffic by more than some milliseconds of a small link.
+const pullBytes = 256 << 10
+
+// Pull returns records for a member that copies. The caller syncs the returned
+// record before it sends the reply, because the copier relies on this store to
+// refuse writes of older sets from then on.
+func (s *Store) Pull(p *Pull) (*PullReply, []domain.Record) {
+	var records []domain.Record
+	if r := s.Adopt(p.Set); r != nil {
+		records = append(records, r)
+	}
+	reply := &PullReply{Standing: s.standing(p.Set.Epoch), Last: p.After}
+	if !reply.Standing.Accepted {
+		return reply, records
+	}
+	i := sort.Search(len(s.order), func(i int) bool { return s.order[i].sequence > p.After })
+	for size := 0; i < len(s.order) && size < pullBytes; i++ {
+		size += s.addToPull(reply, s.order[i])
+		reply.Last = s.order[i].sequence
+	}
+	reply.Done = i >= len(s.order)
+	return reply, records
+}
+
+func (s *Store) addToPull(reply *PullReply, p position) int {
+	if p.isTurn {
+		reply.Turns = append(reply.Turns, p.turn)
+		return len(p.turn.Account) + len(p.turn.ID)
+	}
+	stored, ok := s.programs[p.program]
+	if !ok {
+		return 0
+	}
+	for _, g := range stored.grants {
+		reply.Grants = append(reply.Grants, GrantEntry{Program: p.program, Grant: g})
+	}
+	return len(stored.grants) * turnOverheadBytes
+}
+
+// Missing returns the turns of a PullReply that this store does not have.
+func (s *Store) Missing(reply *PullReply) []TurnKey {
+	var out []TurnKey
+	for _, key := range reply.Turns {
+		if _, ok := s.turns[key]; !ok {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// Fetch returns turns for a member that copies.
+func (s *Store) Fetch(f *Fetch) *FetchReply {
+	reply := &FetchReply{}
+	for size := 0; reply.Handled < len(f.Turns) && size < pullBytes; reply.Handled++ {
+		if stored, ok := s.turns[f.Turns[reply.Handled]]; ok {
+			reply.Turns = append(reply.Turns, stored.turn)
+			size += stored.turn.size()
+		}
+	}
+	return reply
+}
+
+// CopyTurns stores turns of another member and returns the records to sync.
+func (s *Store) CopyTurns(now time.Time, turns []*Turn) []domain.Record {
+	var records []domain.Record
+	for _, t := range turns {
+		if s.addTurn(now, t) {
+			records = append(records, t)
+		}
+	}
+	return records
+}
+
+// CopyGrants stores the grants of a PullReply and returns the records to sync.
+func (s *Store) CopyGrants(now time.Time, reply *PullReply) []domain.Record {
+	var records []domain.Record
+	for i := range reply.Grants {
+		if s.addGrant(now, reply.Grants[i]) {
+			records = append(records, &reply.Grants[i])
+		}
+	}
+	return records
+}
+
+// FinishCopy records that everything acknowledged before the joining epoch was
+// copied. It returns nil when the set has changed meanwhile.
+func (s *Store) FinishCopy(set *quorum.Set) domain.Record {
+	m, ok := s.member()
+	if !ok || s.set.Epoch != set.Epoch {
+		return nil
+	}
+	s.copied = m.Joined
+	return &Copied{Joined: m.Joined}
+}
