Log the program of every request that belongs to one

Cause: plain calls of a program were logged without it, so the refusals that end a program could not be found from its id. Change: each line names the program; turns also name the previous turn.

--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -11,8 +11,11 @@
 	if x.target != "" {
 		fields = append(fields, "target", x.target, "targets_tried", len(x.tried), "sent_ms", x.sentAt.Milliseconds())
 	}
+	if x.Program != "" {
+		fields = append(fields, "program", x.Program)
+	}
 	if x.turn != nil {
-		fields = append(fields, "program", x.Program, "previous", x.Previous, "events", x.events)
+		fields = append(fields, "previous", x.Previous, "events", x.events)
 	}
 	if x.firstAt > 0 {
 		fields = append(fields, "first_ms", x.firstAt.Milliseconds())
