Run the coordinators on the storage VMs

Ruled out: coordinators on the gateways' VMs, which have no disk; one process for both roles, which would give one control goroutine two jobs. Change: both roles run on one VM with a port each. A VM that retires gives up its vote as well: its coordinator is replaced by a learner, the leader hands over first, and the VM counts as empty only after that.

--- a/core/coordinator/coordinator.go
+++ b/core/coordinator/coordinator.go
@@ -231,9 +231,8 @@
 			c.event("storage set in force", map[string]any{"epoch": command.Set.Epoch, "members": memberIDs(command.Set)})
 		}
 	case *RetireStore:
-		if !slices.Contains(c.state.Retired, command.Name) {
-			c.state.Retired = append(slices.Clone(c.state.Retired), command.Name)
-			c.event("storage VM is to be emptied", map[string]any{"name": command.Name})
+		if c.state.retire(command.Retirement) {
+			c.event("storage VM is to be emptied", map[string]any{"name": command.Retirement.Name, "host": command.Retirement.Host})
 		}
 	case *PutGateways:
 		c.state.Gateways = command.Gateways
--- a/core/coordinator/coordinator_test.go
+++ b/core/coordinator/coordinator_test.go
@@ -10,8 +10,10 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/mangoknot/mangoknot/core/balance"
+	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
 	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/raft"
 )
 
 // Guards against an acknowledged manifest that is lost or older when voters lose
@@ -111,7 +113,7 @@
 	}
 	r.run(3 * time.Second)
 	must.Eq(t, 3*compactEntries, r.read())
-	must.Eq(t, []string{"s1"}, r.leader().c.state.Retired)
+	must.Eq(t, []Retirement{{Name: "s1", Host: "s1"}}, r.leader().c.state.Retired)
 	r.expectMembers("s0/1", "s2/1", "s3/1")
 }
 
@@ -145,6 +147,36 @@
 	must.True(t, errors.Is(err, ErrUnknownStore))
 }
 
+// Guards against a VM that is taken away as empty while its coordinator still has
+// a vote: the next loss would then leave no majority. The leader's VM retires as
+// well as a follower's.
+func TestRetiredVMGivesUpItsVote(t *testing.T) {
+	for seed := range uint64(8) {
+		r := newRig(t, seed)
+		for i, zone := range []string{"a", "b", "c", "a"} {
+			r.stores = append(r.stores, StoreStatus{
+				ID: quorum.StoreID(fmt.Sprintf("10.0.0.%d:2/1", i)), Name: fmt.Sprintf("vm%d", i), DataCentre: domain.DataCentre(zone),
+			})
+		}
+		r.start(Identity{VM: NewVM(address(3), "x")}, raft.Restored{})
+		r.run(3 * time.Second)
+		r.put(1)
+		retired := int(seed % 3)
+		_, err := r.leader().c.Retire(r.now, fmt.Sprintf("vm%d", retired))
+		must.NoError(t, err)
+		r.run(5 * time.Second)
+		empty, err := r.leader().c.Retired(r.now, fmt.Sprintf("vm%d", retired))
+		must.NoError(t, err)
+		must.True(t, empty, must.Sprintf("seed %d: vm%d is not empty", seed, retired))
+		// The VM is taken away, and another one is lost.
+		delete(r.vms, address(retired))
+		r.put(2)
+		r.vms[address((retired+1)%3)].down = true
+		r.put(3)
+		must.Eq(t, 3, r.read(), must.Sprintf("seed %d", seed))
+	}
+}
+
 // Guards against a second exchange while a joining store copies: it could remove
 // the only copy of a record.
 func TestStoresAreReplacedOneByOne(t *testing.T) {
--- a/core/coordinator/messages.go
+++ b/core/coordinator/messages.go
@@ -24,6 +24,15 @@
 	return address
 }
 
+// hostOf returns the host of a peer address. Roles on the same VM have the same
+// host and different ports.
+func hostOf(address string) string {
+	if i := strings.LastIndexByte(address, ':'); i >= 0 {
+		return address[:i]
+	}
+	return address
+}
+
 // NewVM returns the identity of a disk at an address.
 func NewVM(address, disk string) domain.VM { return domain.VM(address + "/" + disk) }
 
@@ -40,8 +49,12 @@
 // RecordName implements domain.Record.
 func (*PutStores) RecordName() string { return "coordinator.PutStores" }
 
-// RetireStore is the command that empties a storage VM for good.
-type RetireStore struct{ Name string }
+// Retirement is a storage VM that is emptied for good. A coordinator on the same
+// host gives up its place as well.
+type Retirement struct{ Name, Host string }
+
+// RetireStore is the command that empties a storage VM.
+type RetireStore struct{ Retirement Retirement }
 
 // RecordName implements domain.Record.
 func (*RetireStore) RecordName() string { return "coordinator.RetireStore" }
@@ -50,13 +63,33 @@
 type State struct {
 	Document manifest.Document
 	Stores   *quorum.Set
-	// Retired lists the names of storage VMs that must not be members.
-	Retired []string
+	// Retired lists the VMs that must not be members any more.
+	Retired []Retirement
 	// Gateways is about the number of gateways. They divide the allowances by it
 	// while no leader counts.
 	Gateways int
 }
 
+// retired says whether a storage VM must not be a member any more.
+func (s *State) retired(name string) bool {
+	return slices.ContainsFunc(s.Retired, func(r Retirement) bool { return r.Name == name })
+}
+
+// retiredHost says whether the VM of a coordinator must not be a voter or a
+// learner any more.
+func (s *State) retiredHost(vm domain.VM) bool {
+	host := hostOf(VMAddress(vm))
+	return slices.ContainsFunc(s.Retired, func(r Retirement) bool { return r.Host == host })
+}
+
+func (s *State) retire(r Retirement) bool {
+	if s.retired(r.Name) {
+		return false
+	}
+	s.Retired = append(slices.Clone(s.Retired), r)
+	return true
+}
+
 // merge keeps what is newer of two decided states.
 func (s *State) merge(other State) {
 	if other.Document.Version > s.Document.Version {
@@ -65,10 +98,8 @@
 	if other.Stores != nil && (s.Stores == nil || other.Stores.Epoch > s.Stores.Epoch) {
 		s.Stores = other.Stores
 	}
-	for _, name := range other.Retired {
-		if !slices.Contains(s.Retired, name) {
-			s.Retired = append(slices.Clone(s.Retired), name)
-		}
+	for _, r := range other.Retired {
+		s.retire(r)
 	}
 	if other.Gateways > 0 {
 		s.Gateways = other.Gateways
--- a/core/coordinator/repair.go
+++ b/core/coordinator/repair.go
@@ -18,7 +18,13 @@
 // repairVoters makes at most one change of the voters.
 func (c *Coordinator) repairVoters(now time.Time) {
 	change, ok := c.voterChange(now)
-	if !ok {
+	switch {
+	case !ok:
+		return
+	case change.VM == c.cfg.Self:
+		// A leader cannot remove itself; its successor does.
+		c.event("the VM of the leader retires; leadership is handed over", map[string]any{"vm": c.cfg.Self})
+		c.HandOver(now)
 		return
 	}
 	_, err := c.raft.ProposeVoters(now, change)
@@ -36,7 +42,7 @@
 	m := c.raft.Status().Members
 	for vm, asked := range c.joiners {
 		switch {
-		case now.Sub(asked) > joinerFresh:
+		case now.Sub(asked) > joinerFresh || c.state.retiredHost(vm):
 			delete(c.joiners, vm)
 		case !slices.Contains(m.Voters, vm) && !slices.Contains(m.Learners, vm):
 			c.heard[vm] = now
@@ -53,15 +59,15 @@
 		}
 	}
 	for _, vm := range m.Learners {
-		if now.Sub(c.heard[vm]) > learnerForgottenAfter {
+		if now.Sub(c.heard[vm]) > learnerForgottenAfter || c.state.retiredHost(vm) {
 			return raft.VoterChange{Kind: raft.Remove, VM: vm}, true
 		}
 	}
 	return raft.VoterChange{}, false
 }
 
-// lostVoter returns a voter that is silent, or whose VM came back with another
-// disk.
+// lostVoter returns a voter that is silent, whose VM came back with another disk,
+// or whose VM retires. A retiring one comes last: it still votes.
 func (c *Coordinator) lostVoter(now time.Time, m raft.Members) (domain.VM, bool) {
 	for _, vm := range m.Voters {
 		if vm == c.cfg.Self {
@@ -72,12 +78,16 @@
 			return vm, true
 		}
 	}
-	return "", false
+	i := slices.IndexFunc(m.Voters, c.state.retiredHost)
+	if i < 0 {
+		return "", false
+	}
+	return m.Voters[i], true
 }
 
 func (c *Coordinator) liveLearner(now time.Time, m raft.Members) (domain.VM, bool) {
 	for _, vm := range m.Learners {
-		if now.Sub(c.heard[vm]) < voterLostAfter {
+		if now.Sub(c.heard[vm]) < voterLostAfter && !c.state.retiredHost(vm) {
 			return vm, true
 		}
 	}
@@ -161,7 +171,7 @@
 func (c *Coordinator) freshStores(now time.Time) []*storeSeen {
 	var out []*storeSeen
 	for _, s := range c.stores {
-		if now.Sub(s.seen) < storeLostAfter && !slices.Contains(c.state.Retired, s.Name) {
+		if now.Sub(s.seen) < storeLostAfter && !c.state.retired(s.Name) {
 			out = append(out, s)
 		}
 	}
@@ -194,7 +204,7 @@
 		return "", false
 	}
 	for _, m := range set.Members {
-		if slices.Contains(c.state.Retired, m.Name) {
+		if c.state.retired(m.Name) {
 			return m.ID, true
 		}
 	}
@@ -227,36 +237,55 @@
 	if err := c.refuse(now); err != nil {
 		return 0, err
 	}
-	if slices.Contains(c.state.Retired, name) {
+	if c.state.retired(name) {
 		return 0, nil
 	}
-	known := c.state.Stores != nil && slices.ContainsFunc(c.state.Stores.Members, func(m quorum.Member) bool { return m.Name == name })
+	host := c.hostOfStore(name)
 	remaining := 0
 	for _, s := range c.freshStores(now) {
-		if s.Name == name {
-			known = true
-		} else {
+		if s.Name != name {
 			remaining++
 		}
 	}
 	switch {
-	case !known:
+	case host == "":
 		return 0, ErrUnknownStore
 	case remaining < c.members():
 		return 0, ErrTooFew
 	}
-	return c.propose(now, &RetireStore{Name: name})
+	return c.propose(now, &RetireStore{Retirement: Retirement{Name: name, Host: host}})
 }
 
-// Retired says whether a storage VM that is being emptied holds nothing any more
-// that the others lack.
+// hostOfStore returns the host of a storage VM that reports or is a member, or "".
+func (c *Coordinator) hostOfStore(name string) string {
+	for _, s := range c.stores {
+		if s.Name == name {
+			return hostOf(s.ID.Address())
+		}
+	}
+	if c.state.Stores == nil {
+		return ""
+	}
+	for _, m := range c.state.Stores.Members {
+		if m.Name == name {
+			return hostOf(m.ID.Address())
+		}
+	}
+	return ""
+}
+
+// Retired says whether a VM that is being emptied holds nothing any more that the
+// others lack: no stored record and no vote.
 func (c *Coordinator) Retired(now time.Time, name string) (bool, error) {
 	if err := c.refuse(now); err != nil {
 		return false, err
 	}
-	if !slices.Contains(c.state.Retired, name) {
+	if !c.state.retired(name) {
 		return false, ErrUnknownStore
 	}
+	if slices.ContainsFunc(c.raft.Status().Members.Voters, c.state.retiredHost) {
+		return false, nil
+	}
 	set := c.state.Stores
 	if set == nil {
 		return true, nil
--- a/internal/roles/coordinator.go
+++ b/internal/roles/coordinator.go
@@ -61,7 +61,7 @@
 	})
 	p.group.Add(n.Run, func(error) { n.Stop() })
 	p.group.Add(n.KeepJoining, func(error) { n.Stop() })
-	if err := p.addGRPC(n); err != nil {
+	if err := p.addGRPC(p.settings.CoordinatorAddress, n); err != nil {
 		return err
 	}
 	if err := p.addMetrics(metrics.registry); err != nil {
@@ -116,9 +116,9 @@
 	if err != nil || found != nil {
 		return found, err
 	}
-	made := &coordinator.Identity{VM: coordinator.NewVM(p.settings.PeerAddress, p.start)}
-	if p.settings.FirstStart && slices.Contains(p.settings.Seeds, p.settings.PeerAddress) {
-		made.VM = coordinator.NewVM(p.settings.PeerAddress, firstDisk)
+	made := &coordinator.Identity{VM: coordinator.NewVM(p.settings.CoordinatorAddress, p.start)}
+	if p.settings.FirstStart && slices.Contains(p.settings.Seeds, p.settings.CoordinatorAddress) {
+		made.VM = coordinator.NewVM(p.settings.CoordinatorAddress, firstDisk)
 		for _, seed := range p.settings.Seeds {
 			made.Voters = append(made.Voters, coordinator.NewVM(seed, firstDisk))
 		}
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -35,7 +35,7 @@
 	}
 	metrics := newGatewayMetrics()
 	g := gateway.New(gateway.Options{
-		Process: p.settings.PeerAddress + "/" + p.start, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
+		Process: p.settings.IP + "/" + p.start, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
 		Calls: p.calls, Targets: platform.NewWorkers(), Decode: platform.DecodeManifest,
 		AllowanceSlack: allowanceSlackShare * p.settings.AllowanceSlack,
 		Clock:          p.clock, Rand: p.rand, Metrics: metrics, Log: p.log,
--- a/internal/roles/process.go
+++ b/internal/roles/process.go
@@ -171,8 +171,8 @@
 }
 
 // addGRPC serves other processes.
-func (p *process) addGRPC(a port.Answerer) error {
-	listener, err := net.Listen("tcp4", p.settings.PeerAddress)
+func (p *process) addGRPC(address string, a port.Answerer) error {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("roles: listen for other processes: %w", err)
 	}
--- a/internal/roles/storage.go
+++ b/internal/roles/storage.go
@@ -33,10 +33,10 @@
 	metrics := newEvents("mangoknot_storage_events_total", "Requests answered and copies ended, by kind.")
 	n := storage.New(storage.Options{
 		Store: store, Name: p.settings.Name, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
-		Process: p.settings.PeerAddress + "/" + p.start, Disk: d, Calls: p.calls, Clock: p.clock, Log: p.log, Metrics: metrics,
+		Process: p.settings.StoreAddress + "/" + p.start, Disk: d, Calls: p.calls, Clock: p.clock, Log: p.log, Metrics: metrics,
 	})
 	p.group.Add(n.Run, func(error) { n.Stop() })
-	if err := p.addGRPC(n); err != nil {
+	if err := p.addGRPC(p.settings.StoreAddress, n); err != nil {
 		return err
 	}
 	if err := p.addMetrics(metrics.registry); err != nil {
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	if store.ID() == "" {
-		id := quorum.StoreID(p.settings.PeerAddress + "/" + p.start)
+		id := quorum.StoreID(p.settings.StoreAddress + "/" + p.start)
 		if err := appendWait(d, storage.Stream, store.Name(id)); err != nil {
 			return nil, err
 		}
