Begin programs only while those under way have enough of the allowance

Cause: an account above its rate began more programs than it could serve. Change: gateways report the programs under way. A new one begins only while the bucket holds what all of them will need in the next second; each gateway uses its fraction of the room until the next report. A refused start may be tried again soon, so that a program begins in time or not at all.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -16,7 +16,7 @@
 package allowance
 
 import (
-	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -51,6 +51,8 @@
 type Count struct {
 	Account  domain.Account
 	Admitted uint64
+	// Programs is the number of its programs that are under way there.
+	Programs int
 }
 
 // Total is the number of requests of an account that all gateways admitted since
@@ -60,6 +62,9 @@
 	Admitted float64
 	// Recent is the part of the last 4 s.
 	Recent float64
+	// Programs is the number of its programs that are under way. One that several
+	// gateways serve counts at each of them.
+	Programs int
 }
 
 // Counts is what one gateway reports.
@@ -97,6 +102,11 @@
 	measured  time.Time
 	// assumed is what the others were taken to have admitted since the last total.
 	assumed float64
+	// begun is the number of programs that began here since the last answer.
+	begun int
+	// sentPrograms is the own number of programs in the last report, and
+	// otherPrograms that of the other gateways in the last total.
+	sentPrograms, otherPrograms int
 }
 
 // Gateway is the state of one gateway. It is not safe for concurrent use.
@@ -107,11 +117,16 @@
 	gateways int
 	answered time.Time
 	alone    bool
+	programs *programs
+	rand     *rand.Rand
 }
 
 // NewGateway returns a gateway that has admitted nothing.
-func NewGateway(limits Limits, now time.Time) *Gateway {
-	return &Gateway{limits: limits, buckets: map[domain.Account]*bucket{}, gateways: unknownGateways, alone: true, answered: now}
+func NewGateway(limits Limits, r *rand.Rand, now time.Time) *Gateway {
+	return &Gateway{
+		limits: limits, buckets: map[domain.Account]*bucket{}, gateways: unknownGateways,
+		alone: true, answered: now, programs: newPrograms(now), rand: r,
+	}
 }
 
 // unknownGateways is the number of gateways that a new one assumes until a
@@ -126,77 +141,6 @@
 	}
 }
 
-// Standing says what is lost when a request is refused.
-type Standing int
-
-// The standings.
-const (
-	// Begins is the first request of a program: nothing was spent on it yet.
-	Begins Standing = iota
-	// Continues is a later turn of a program. Its caller sends it again some times.
-	Continues
-	// Calls is a plain call. A program ends when one of its calls is refused, and
-	// all that it received is wasted.
-	Calls
-)
-
-// reserves are the parts of the burst that a request leaves to those with more
-// to lose. New programs begin only while half of the burst is there: a program
-// needs some ten requests more, as many as a burst of a small account holds for
-// a few programs.
-var reserves = map[Standing]float64{Begins: 0.5, Continues: 0.1, Calls: 0}
-
-// Decision is the outcome of Admit with what decided it.
-type Decision struct {
-	Admitted bool
-	// Retry is the time until the bucket holds a request again.
-	Retry time.Duration
-	// Level is what the bucket holds, Limit the account's allowance.
-	Level float64
-	Limit Limit
-	// Age is the time since the last totals; Alone says that the gateway uses only
-	// its own fraction of the rate.
-	Age   time.Duration
-	Alone bool
-}
-
-// String describes the inputs for a log.
-func (d Decision) String() string {
-	return fmt.Sprintf("bucket holds %.1f, rate %g/s, burst %g, totals are %d ms old, alone %t",
-		d.Level, d.Limit.RatePerSecond, d.Limit.Burst, d.Age.Milliseconds(), d.Alone)
-}
-
-// Admit takes one request from the account's bucket.
-func (g *Gateway) Admit(now time.Time, account domain.Account, standing Standing) Decision {
-	limit, limited := g.limits(account)
-	if !limited || limit.RatePerSecond <= 0 {
-		return Decision{Admitted: true}
-	}
-	g.checkSilence(now)
-	// Active accounts have a bucket since the last answer, so a new one here is
-	// full, unless no answer has come.
-	share := 1.0
-	if g.alone {
-		share = 1 / float64(g.gateways)
-	}
-	b := g.fill(now, account, limit, share)
-	b.estimated = b.estimated || !g.alone
-	least := 1 + reserves[standing]*b.capacity
-	d := Decision{Level: b.level, Limit: limit, Age: now.Sub(g.answered), Alone: g.alone}
-	if b.level < least {
-		d.Retry = time.Duration((least - b.level) / g.usableRate(b, limit) * float64(time.Second))
-		return d
-	}
-	d.Admitted = true
-	b.level--
-	if b.returned > 0 {
-		b.returned--
-	} else {
-		b.admitted++
-	}
-	return d
-}
-
 // Return gives back a request that was admitted and reached no target.
 func (g *Gateway) Return(account domain.Account) {
 	b := g.buckets[account]
@@ -261,12 +205,13 @@
 }
 
 // Report returns the counts of all accounts that changed since the last answer.
-func (g *Gateway) Report() Counts {
+func (g *Gateway) Report(now time.Time) Counts {
 	out := Counts{Unanswered: g.origin == ""}
+	g.programs.count(now)
 	for account, b := range g.buckets {
-		b.sent = b.admitted
+		b.sent, b.sentPrograms = b.admitted, g.programs.underWay[account]
 		if b.admitted > 0 {
-			out.Counts = append(out.Counts, Count{Account: account, Admitted: b.admitted})
+			out.Counts = append(out.Counts, Count{Account: account, Admitted: b.admitted, Programs: b.sentPrograms})
 		}
 	}
 	return out
@@ -286,13 +231,15 @@
 			b.subtractOthers(now, total.Admitted, limit)
 		}
 		b.estimate(total.Recent, limit)
+		b.otherPrograms = max(0, total.Programs-b.sentPrograms)
+		b.begun = 0
 		b.known, b.total, b.reported, b.measured, b.assumed = true, total.Admitted, b.sent, now, 0
 	}
 	for account, b := range g.buckets {
 		if hasTotal(t.Totals, account) {
 			continue
 		}
-		b.known = b.known && sameOrigin
+		b.known, b.otherPrograms = b.known && sameOrigin, 0
 		if limit, limited := g.limits(account); limited {
 			b.estimate(0, limit)
 		}
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/tokens"
 )
 
 const (
@@ -30,6 +31,14 @@
 	limit  = Limit{RatePerSecond: stated.RatePerSecond, Burst: stated.Burst + slack/2}
 )
 
+// call is a plain call outside of any program.
+var call = Ask{Program: tokens.Program{Account: "a"}}
+
+// turnOf is a turn of a program that continues no other turn.
+func turnOf(program int) Ask {
+	return Ask{Program: tokens.Program{Account: "a", Name: fmt.Sprint(program)}, IsTurn: true}
+}
+
 func limits(domain.Account) (Limit, bool) { return limit, true }
 
 // fleet simulates gateways that report to a coordinator.
@@ -54,10 +63,12 @@
 	totals  Totals
 }
 
+func fixedRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
 func newFleet(n int, seed uint64) *fleet {
 	f := &fleet{rand: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), leader: NewFleet("1")}
 	for range n {
-		f.gateways = append(f.gateways, NewGateway(limits, f.now))
+		f.gateways = append(f.gateways, NewGateway(limits, f.rand, f.now))
 		f.cut = append(f.cut, false)
 		f.next = append(f.next, f.now.Add(time.Duration(f.rand.Int64N(int64(ReportInterval)))))
 	}
@@ -71,7 +82,7 @@
 		for range f.arrivals(rate * tick.Seconds()) {
 			f.offered++
 			i := int(f.rand.Float64() * f.rand.Float64() * float64(len(f.gateways)))
-			if f.gateways[i].Admit(f.now, "a", Calls).Admitted {
+			if f.gateways[i].Admit(f.now, call).Admitted {
 				f.admitted = append(f.admitted, f.now)
 			} else {
 				f.refused++
@@ -94,7 +105,7 @@
 			continue
 		}
 		f.next[i] = f.now.Add(ReportInterval)
-		totals := f.leader.Report(f.now, fmt.Sprint(i, "/", f.starts[i]), g.Report())
+		totals := f.leader.Report(f.now, fmt.Sprint(i, "/", f.starts[i]), g.Report(f.now))
 		f.pending = append(f.pending, pendingAnswer{f.now.Add(roundTrip), i, totals})
 	}
 	var later []pendingAnswer
@@ -148,7 +159,7 @@
 
 // restart replaces a gateway by a new process that knows nothing.
 func (f *fleet) restart(i int) {
-	f.gateways[i] = NewGateway(limits, f.now)
+	f.gateways[i] = NewGateway(limits, f.rand, f.now)
 	f.starts[i]++
 	f.next[i] = f.now
 	f.pending = slices.DeleteFunc(f.pending, func(p pendingAnswer) bool { return p.gateway == i })
@@ -202,23 +213,23 @@
 // Guards against requests that reached no target and still use up the rate.
 func TestReturnedRequestsAreNotCounted(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := NewGateway(limits, now)
+	g := NewGateway(limits, fixedRand(), now)
 	for range 10 * int(limit.Burst) {
-		must.True(t, g.Admit(now, "a", Calls).Admitted)
+		must.True(t, g.Admit(now, call).Admitted)
 		g.Return("a")
 	}
-	must.Eq(t, 1, g.Report().Counts[0].Admitted)
+	must.Eq(t, 1, g.Report(now).Counts[0].Admitted)
 }
 
 // Guards against new programs that take the last requests from programs under
 // way.
 func TestReserveForProgramsUnderWay(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := NewGateway(limits, now)
+	g := NewGateway(limits, fixedRand(), now)
 	begun := 0
-	for g.Admit(now, "a", Begins).Admitted {
+	for g.Admit(now, turnOf(begun)).Admitted {
 		begun++
 	}
-	must.True(t, g.Admit(now, "a", Continues).Admitted)
+	must.True(t, g.Admit(now, turnOf(0)).Admitted)
 	must.Less(t, int(limit.Burst), begun)
 }
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -14,6 +14,8 @@
 	seen   time.Time
 	counts map[domain.Account]uint64
 	rates  map[domain.Account]float64
+	// programs holds the programs under way as of the last report.
+	programs map[domain.Account]int
 	// extrapolated is the time up to which a silent gateway's rates were counted.
 	extrapolated time.Time
 }
@@ -77,7 +79,7 @@
 func (f *Fleet) Report(now time.Time, gateway string, reported Counts) Totals {
 	r := f.reporters[gateway]
 	if r == nil {
-		r = &reporter{seen: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}}
+		r = &reporter{seen: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programs: map[domain.Account]int{}}
 		f.reporters[gateway] = r
 		// An earlier coordinator has counted what a known process admitted.
 		for _, c := range reported.Counts {
@@ -97,7 +99,7 @@
 	weight := min(1, seconds/smoothing.Seconds())
 	for _, c := range counts {
 		delta := float64(c.Admitted - min(c.Admitted, r.counts[c.Account]))
-		r.counts[c.Account] = c.Admitted
+		r.counts[c.Account], r.programs[c.Account] = c.Admitted, c.Programs
 		if seconds > 0 {
 			r.rates[c.Account] += weight * (delta/seconds - r.rates[c.Account])
 		}
@@ -142,11 +144,25 @@
 // Forget drops a gateway whose successor on the same VM reports.
 func (f *Fleet) Forget(gateway string) { delete(f.reporters, gateway) }
 
+// programs returns how many programs of an account are under way at gateways
+// that report.
+func (f *Fleet) programs(now time.Time, account domain.Account) int {
+	sum := 0
+	for _, r := range f.reporters {
+		if now.Sub(r.seen) < silentAfter {
+			sum += r.programs[account]
+		}
+	}
+	return sum
+}
+
 func (f *Fleet) answer(now time.Time) Totals {
 	out := Totals{Origin: f.origin, Gateways: len(f.reporters)}
 	for account, t := range f.totals {
 		if now.Sub(t.changed) < activeFor {
-			out.Totals = append(out.Totals, Total{Account: account, Admitted: t.admitted, Recent: t.recent(now)})
+			out.Totals = append(out.Totals, Total{
+				Account: account, Admitted: t.admitted, Recent: t.recent(now), Programs: f.programs(now, account),
+			})
 		}
 	}
 	return out
--- /dev/null
+++ b/core/allowance/programs_test.go
@@ -0,0 +1,135 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/tokens"
+)
+
+// simulated is one program: requests turns, each sent pause after the one before.
+type simulated struct {
+	ask      Ask
+	gateway  int
+	left     int
+	next     time.Time
+	born     time.Time
+	answered bool
+	// refusals counts those in a row.
+	refusals int
+}
+
+const (
+	programRequests = 10
+	programPause    = 100 * time.Millisecond
+	// callerRetry is when a caller sends a refused request again at the earliest.
+	callerRetry = 100 * time.Millisecond
+	// callerTries is the number of refusals after which a caller gives up.
+	callerTries = 6
+)
+
+// work is what became of offered programs.
+type work struct {
+	admitted int
+	// refused counts the requests refused to programs under way.
+	refused int
+	// begun, ended and onTime count programs; one is late after half as long again
+	// as it takes.
+	begun, ended, onTime int
+}
+
+// runPrograms offers programs at a rate.
+func (f *fleet) runPrograms(d time.Duration, perSecond float64) (w work) {
+	var list []*simulated
+	names := 0
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		f.report()
+		for range f.arrivals(perSecond * tick.Seconds()) {
+			names++
+			list = append(list, &simulated{ask: turnOf(names), gateway: f.rand.IntN(len(f.gateways)), left: programRequests, next: f.now, born: f.now})
+		}
+		for _, p := range list {
+			if p.left == 0 || f.now.Before(p.next) {
+				continue
+			}
+			f.send(p, &w)
+		}
+	}
+	return w
+}
+
+func (f *fleet) send(p *simulated, w *work) {
+	g := f.gateways[p.gateway]
+	d := g.Admit(f.now, p.ask)
+	if d.Admitted {
+		g.Ended(f.now, p.ask.Program)
+		w.admitted++
+		if !p.answered {
+			w.begun++
+		}
+		p.left, p.next, p.answered, p.refusals = p.left-1, f.now.Add(programPause), true, 0
+		if p.left == 0 {
+			w.ended++
+			if f.now.Sub(p.born) <= programRequests*programPause*3/2 {
+				w.onTime++
+			}
+		}
+		return
+	}
+	if p.answered {
+		w.refused++
+	}
+	p.next = f.now.Add(max(callerRetry, d.Retry))
+	p.refusals++
+	if p.refusals == callerTries {
+		p.left = 0
+	}
+}
+
+// Guards against an account above its rate that begins more programs than it can
+// serve: then programs under way are refused, and what they received is wasted.
+// It must still use its rate.
+func TestProgramsUnderWayAreServed(t *testing.T) {
+	atLimit := Limit{RatePerSecond: 40, Burst: 50}
+	for seed := range uint64(5) {
+		f := newFleet(6, seed)
+		for i := range f.gateways {
+			f.gateways[i] = NewGateway(func(domain.Account) (Limit, bool) { return atLimit, true }, f.rand, f.now)
+		}
+		f.runPrograms(3*time.Second, 2)
+		const seconds = 20
+		w := f.runPrograms(seconds*time.Second, 8)
+		must.GreaterEq(t, int(0.8*atLimit.RatePerSecond*seconds), w.admitted, must.Sprintf("seed %d: %+v", seed, w))
+		must.GreaterEq(t, w.begun*8/10, w.onTime, must.Sprintf("seed %d: %+v", seed, w))
+	}
+}
+
+// Guards against an account whose burst is smaller than the forecast of a single
+// program, which could then never begin one.
+func TestSmallAccountBeginsPrograms(t *testing.T) {
+	now := time.Unix(1000, 0)
+	small := Limit{RatePerSecond: 1, Burst: 2}
+	g := NewGateway(func(domain.Account) (Limit, bool) { return small, true }, fixedRand(), now)
+	g.Answer(now, Totals{Origin: "1", Gateways: 6})
+	must.True(t, g.Admit(now, turnOf(1)).Admitted)
+}
+
+// Guards against programs that count as under way after they have ended, which
+// would refuse new ones for good.
+func TestEndedProgramsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPrograms(now)
+	program := tokens.Program{Account: "a", Name: "p"}
+	p.began(now, program)
+	p.count(now.Add(time.Minute))
+	must.Eq(t, 1, p.underWay["a"])
+	p.ended(now.Add(time.Minute), program)
+	p.count(now.Add(time.Minute + 2*pauseAtMost))
+	must.Eq(t, 0, p.underWay["a"])
+	must.Eq(t, Continues, p.standing(now.Add(time.Minute+2*pauseAtMost), program, true, false))
+	p.count(now.Add(2 * time.Minute))
+	must.MapEmpty(t, p.known)
+}
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -89,7 +89,6 @@
 
 func (x *exchange) free(target balance.Target, outcome balance.Outcome, load *balance.Load) {
 	x.g.Deliver(func(now time.Time) {
-		x.g.programs.served(now, x.account, x.Program)
 		switch outcome {
 		case balance.Failed:
 			x.g.watch.Broke(now, x.fingerprint, target.ID)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -89,7 +89,6 @@
 	suspicion  map[quorum.StoreID]time.Time
 	targets    uint64
 	queue      []*waiter
-	programs   *programs
 	watch      quarantine.Watch
 
 	// gatewayCount is the number of gateways that report, for traffic goroutines.
@@ -103,11 +102,10 @@
 		balancer:  balance.New(balance.Place{DataCentre: o.DataCentre, Region: o.Region}, o.Rand),
 		cache:     newTurnCache(),
 		settling:  newSettlements(),
-		programs:  newPrograms(),
 		suspicion: map[quorum.StoreID]time.Time{},
 	}
 	g.view.Store(&view{})
-	g.allowances = allowance.NewGateway(g.limit, o.Clock.Now())
+	g.allowances = allowance.NewGateway(g.limit, o.Rand, o.Clock.Now())
 	g.Actor = loop.NewActor(o.Clock, g.settle)
 	return g
 }
@@ -216,7 +214,7 @@
 			r.Stores = v.stores.Epoch
 		}
 		r.Targets = g.targets
-		r.Counts = g.allowances.Report()
+		r.Counts = g.allowances.Report(now)
 		r.Crashes = g.watch.Crashes(now)
 	})
 	return r, err
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
 	"github.com/mangoknot/mangoknot/core/quarantine"
+	"github.com/mangoknot/mangoknot/core/tokens"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -97,13 +98,30 @@
 func (g *Gateway) Serve(ctx context.Context, req *Request, reply port.Reply) *Refusal {
 	x := &exchange{Request: req, g: g, reply: reply, view: g.view.Load(), started: g.o.Clock.Now()}
 	refusal := x.serve(ctx)
-	if x.counted && refusal != nil && refusal.NotRun {
-		g.Deliver(func(time.Time) { g.allowances.Return(x.account) })
-	}
+	x.returnAllowance(refusal)
 	x.log(refusal)
 	return refusal
 }
 
+// returnAllowance ends the use of the account's allowance. What reached no target
+// is given back.
+func (x *exchange) returnAllowance(refusal *Refusal) {
+	if !x.counted {
+		return
+	}
+	x.g.Deliver(func(now time.Time) {
+		x.g.allowances.Ended(now, x.program())
+		if refusal != nil && refusal.NotRun {
+			x.g.allowances.Return(x.account)
+		}
+	})
+}
+
+// program identifies the program of the request; its name is empty without one.
+func (x *exchange) program() tokens.Program {
+	return tokens.Program{Account: x.account, Name: x.Program}
+}
+
 func (x *exchange) serve(ctx context.Context) *Refusal {
 	if refusal := x.admit(ctx); refusal != nil {
 		return refusal
@@ -194,15 +212,8 @@
 	if x.account == "" {
 		return nil
 	}
-	var d allowance.Decision
-	err := x.g.Do(ctx, func(now time.Time) {
-		standing := x.g.programs.standing(now, x.account, x.Program, x.isTurn())
-		if standing == allowance.Begins && x.Previous != "" {
-			// A program that comes from another gateway is under way.
-			standing = allowance.Continues
-		}
-		d = x.g.allowances.Admit(now, x.account, standing)
-	})
+	ask := allowance.Ask{Program: x.program(), IsTurn: x.isTurn(), HasPrevious: x.Previous != ""}
+	d, err := x.askAllowance(ctx, ask)
 	switch {
 	case err != nil:
 		return notRun(Overloaded, minRetry, err)
@@ -214,6 +225,11 @@
 	}
 }
 
+func (x *exchange) askAllowance(ctx context.Context, ask allowance.Ask) (d allowance.Decision, err error) {
+	err = x.g.Do(ctx, func(now time.Time) { d = x.g.allowances.Admit(now, ask) })
+	return d, err
+}
+
 // attempts sends the request to one target after the other until one answers,
 // or none may be tried any more.
 func (x *exchange) attempts(ctx context.Context) *Refusal {
--- a/node/gateway/turn.go
+++ b/node/gateway/turn.go
@@ -33,7 +33,7 @@
 // continues, at the same time: both are round trips before the first token.
 func (x *exchange) prepareTurn(ctx context.Context) *Refusal {
 	x.turn = &turn{
-		program:  tokens.Program{Account: x.account, Name: x.Program},
+		program:  x.program(),
 		grant:    tokens.Grant{ID: x.ID, Most: x.Most},
 		keeps:    x.route.KeepsHistory,
 		budgeted: x.hasBudget(),
