Tell callers of refused programs to retry by the time that is left to them

Change: the adapter passes on when the whole program should have ended, and a refused start may be tried again after a twelfth of that, 50 ms to 1 s.

--- a/core/allowance/admission.go
+++ b/core/allowance/admission.go
@@ -16,10 +16,15 @@
 	// room for new programs. Above it there is room for what all of them begin
 	// until their next reports.
 	contendedPart = 0.9
-	// beginRetry is told to callers whose program may not begin. It is short, so
-	// that a program begins in time for its aim or not at all: one that begins late
+	// beginRetryPart is the part of the time that is left to a program, as a divisor,
+	// after which its caller may try to begin it again. A caller tries a few times,
+	// so a program begins in time for its aim or not at all: one that begins late
 	// uses as much of the allowance as one that ends in time.
-	beginRetry = 100 * time.Millisecond
+	beginRetryPart = 12
+	// minBeginRetry and maxBeginRetry bound that time. The first one is also told
+	// when the time left is unknown.
+	minBeginRetry = 50 * time.Millisecond
+	maxBeginRetry = time.Second
 )
 
 // reserves are the parts of the burst that a request leaves to those with more
@@ -32,6 +37,13 @@
 	Program tokens.Program
 	// IsTurn says that the request is a turn, HasPrevious that it continues one.
 	IsTurn, HasPrevious bool
+	// TimeLeft is the time after which the program should have ended; 0 is unknown.
+	TimeLeft time.Duration
+}
+
+// beginRetry is when the caller of a program that may not begin tries again.
+func (a Ask) beginRetry() time.Duration {
+	return max(minBeginRetry, min(maxBeginRetry, a.TimeLeft/beginRetryPart))
 }
 
 // Decision is the outcome of Admit with what decided it.
@@ -80,6 +92,7 @@
 		Standing: g.programs.standing(now, ask.Program, ask.IsTurn, ask.HasPrevious),
 	}
 	if d.Standing == Begins {
+		d.Retry = ask.beginRetry()
 		g.decideNew(&d, ask.Program.Account, b)
 	} else {
 		g.decideUnderWay(&d, b)
@@ -134,7 +147,6 @@
 	if !g.alone {
 		d.Room *= g.fraction(b)
 	}
-	d.Retry = beginRetry
 	switch {
 	case b.level >= b.capacity-1:
 		// A full bucket admits any program: its account sends nothing else.
--- a/core/allowance/programs_test.go
+++ b/core/allowance/programs_test.go
@@ -25,6 +25,9 @@
 const (
 	programRequests = 10
 	programPause    = 100 * time.Millisecond
+	// programAim is the time in which a program should end: half as long again as
+	// it takes.
+	programAim = programRequests * programPause * 3 / 2
 	// callerRetry is when a caller sends a refused request again at the earliest.
 	callerRetry = 100 * time.Millisecond
 	// callerTries is the number of refusals after which a caller gives up.
@@ -36,8 +39,7 @@
 	admitted int
 	// refused counts the requests refused to programs under way.
 	refused int
-	// begun, ended and onTime count programs; one is late after half as long again
-	// as it takes.
+	// begun, ended and onTime count programs.
 	begun, ended, onTime int
 }
 
@@ -63,6 +65,7 @@
 
 func (f *fleet) send(p *simulated, w *work) {
 	g := f.gateways[p.gateway]
+	p.ask.TimeLeft = p.born.Add(programAim).Sub(f.now)
 	d := g.Admit(f.now, p.ask)
 	if d.Admitted {
 		g.Ended(f.now, p.ask.Program)
@@ -73,7 +76,7 @@
 		p.left, p.next, p.answered, p.refusals = p.left-1, f.now.Add(programPause), true, 0
 		if p.left == 0 {
 			w.ended++
-			if f.now.Sub(p.born) <= programRequests*programPause*3/2 {
+			if f.now.Sub(p.born) <= programAim {
 				w.onTime++
 			}
 		}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -49,6 +49,9 @@
 	Program      string
 	Budget, Most domain.Tokens
 	Previous     string
+	// ProgramLeft is the time after which the whole program should have ended; 0
+	// means that the caller did not say.
+	ProgramLeft time.Duration
 	// Method is part of what makes two requests the same.
 	Method string
 	// Wire is what the front end keeps of the request for the target.
@@ -212,7 +215,7 @@
 	if x.account == "" {
 		return nil
 	}
-	ask := allowance.Ask{Program: x.program(), IsTurn: x.isTurn(), HasPrevious: x.Previous != ""}
+	ask := allowance.Ask{Program: x.program(), IsTurn: x.isTurn(), HasPrevious: x.Previous != "", TimeLeft: x.ProgramLeft}
 	d, err := x.askAllowance(ctx, ask)
 	switch {
 	case err != nil:
