Elect a leader at once when all voters have restarted

Ruled out: a shorter election timeout, which slowed machines would pass often; allowances counted by any coordinator, which gives a cut-off side its own count. Change: a restarted voter asks all replicas twice whether they lead. When none does and none has started between the rounds, promises from before the starts protect no lease, and votes may ignore them. Only the platform's coordinators use it; the daemon's timing is unchanged.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -261,7 +261,8 @@
 // receive routes a control message to the part that it is for.
 func (c *Controller) receive(from domain.VM, m domain.Message) {
 	switch m := m.(type) {
-	case *raft.PreVote, *raft.PreVoteReply, *raft.Vote, *raft.VoteReply, *raft.Append, *raft.AppendReply, *raft.InstallSnapshot, *raft.TimeoutNow:
+	case *raft.PreVote, *raft.PreVoteReply, *raft.Vote, *raft.VoteReply, *raft.Append, *raft.AppendReply, *raft.InstallSnapshot, *raft.TimeoutNow,
+		*raft.Probe, *raft.ProbeReply:
 		if c.raft != nil {
 			c.raft.Step(c.now, from, m)
 		}
--- a/core/coordinator/coordinator.go
+++ b/core/coordinator/coordinator.go
@@ -131,7 +131,7 @@
 		cfg: cfg,
 		raft: raft.New(raft.Config{
 			ID: cfg.Self, Voters: cfg.Voters, Rand: cfg.Rand,
-			ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat,
+			ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat, ElectAfterRestart: true,
 		}, restored, now),
 		heard: map[domain.VM]time.Time{}, joiners: map[domain.VM]time.Time{},
 		stores: map[quorum.StoreID]*storeSeen{}, gateways: map[string]string{},
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -55,10 +55,12 @@
 	r.resetElection(now)
 	// The own vote counts when it is durable, with the next token.
 	r.selfVote = r.issued + 1
-	m := &Vote{Term: r.hard.Term, LastIndex: r.log.last(), LastTerm: r.log.lastTerm(), Transfer: r.transferVote}
 	for _, vm := range r.others() {
 		if r.members.voter(vm) {
-			r.sendAfterSync(vm, m)
+			r.sendAfterSync(vm, &Vote{
+				Term: r.hard.Term, LastIndex: r.log.last(), LastTerm: r.log.lastTerm(),
+				Transfer: r.transferVote, IgnoredStart: r.ignoredStarts[vm],
+			})
 		}
 	}
 }
@@ -120,7 +122,7 @@
 		return
 	}
 	if m.Term > r.hard.Term {
-		if r.promised(now) && !m.Transfer {
+		if r.promised(now) && !m.Transfer && !r.mayIgnorePromise(m) {
 			return
 		}
 		r.becomeFollower(now, m.Term, "")
@@ -129,6 +131,7 @@
 	if granted {
 		r.setHard(HardState{Term: m.Term, Vote: from})
 		r.resetElection(now)
+		r.probe = nil
 	}
 	r.sendAfterSync(from, &VoteReply{Term: r.hard.Term, Granted: granted})
 }
@@ -153,6 +156,7 @@
 func (r *Raft) becomeLeader(now time.Time) {
 	r.role, r.leader, r.transfer = Leader, r.cfg.ID, nil
 	r.progress, r.rounds = map[domain.VM]*progress{}, nil
+	r.heard()
 	r.trackMembers(now)
 	members := r.members
 	r.appendOwn(Entry{Members: &members})
--- a/core/raft/harness_test.go
+++ b/core/raft/harness_test.go
@@ -60,6 +60,7 @@
 	committed map[Index]Entry
 	next      int
 	compactAt Index // 0: never
+	restart   bool  // voters that restarted probe for a leader
 	delay     int   // upper bound of a delivery, in milliseconds
 	step      time.Duration
 }
@@ -68,7 +69,7 @@
 
 func newCluster(t must.T, seed uint64, ids ...domain.VM) *cluster {
 	c := &cluster{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), now: time.Unix(1000, 0),
+		t: t, restart: seed%4 >= 2, rand: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), now: time.Unix(1000, 0),
 		servers: map[domain.VM]*server{}, initial: ids, leaders: map[Term]domain.VM{}, committed: map[Index]Entry{},
 		delay: 15, step: 5 * time.Millisecond,
 	}
@@ -91,7 +92,7 @@
 	}
 	s.writes, s.applied, s.last = nil, map[Index]int{}, 0
 	s.raft = New(Config{
-		ID: id, Voters: voters, Heartbeat: testTimeout / 8, ElectionTimeout: testTimeout, MaxAppendEntries: 8,
+		ID: id, Voters: voters, Heartbeat: testTimeout / 8, ElectionTimeout: testTimeout, MaxAppendEntries: 8, ElectAfterRestart: c.restart,
 		Rand: rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
 	}, restored, c.local(s))
 }
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -34,7 +34,10 @@
 	// MaxAppendEntries bounds one Append. It counts entries, because the size of
 	// a typed record is known only to the codec.
 	MaxAppendEntries int
-	Rand             *rand.Rand
+	// ElectAfterRestart lets voters that have all restarted elect a leader without
+	// waiting for the end of promises from before.
+	ElectAfterRestart bool
+	Rand              *rand.Rand
 }
 
 // Role is the part a VM plays in the current term.
@@ -100,7 +103,15 @@
 
 	// promiseUntil is the end of the promise to the leader not to vote for
 	// another VM. A restarted voter has forgotten it and so promises anew.
-	promiseUntil     time.Time
+	promiseUntil time.Time
+	// start identifies this start of the VM; unled says that no leader was heard
+	// since, and probe is the search for one.
+	start         uint64
+	unled         bool
+	probe         *probe
+	probeDue      time.Time
+	ignoredStarts map[domain.VM]uint64
+
 	electionDeadline time.Time
 	votes            map[domain.VM]bool
 	transferVote     bool
@@ -144,6 +155,9 @@
 	r.loadMembers()
 	r.promiseUntil = now.Add(c.ElectionTimeout)
 	r.resetElection(now)
+	if c.ElectAfterRestart {
+		r.startProbing(now)
+	}
 	return r
 }
 
@@ -185,6 +199,10 @@
 		r.stepSnapshot(now, from, m)
 	case *TimeoutNow:
 		r.stepTimeoutNow(now, from, m)
+	case *Probe:
+		r.stepProbe(now, from, m)
+	case *ProbeReply:
+		r.stepProbeReply(now, from, m)
 	}
 }
 
@@ -197,6 +215,7 @@
 		r.tickLeader(now)
 		return
 	}
+	r.tickProbe(now)
 	if now.Before(r.electionDeadline) {
 		return
 	}
@@ -213,6 +232,8 @@
 		return time.Time{}
 	case r.role == Leader:
 		return r.heartbeatDue
+	case r.unled && r.probeDue.Before(r.electionDeadline):
+		return r.probeDue
 	}
 	return r.electionDeadline
 }
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -85,6 +85,115 @@
 	}
 }
 
+// Guards against VMs that restart together and wait for the end of promises that
+// no leader relies on: nothing is decided meanwhile. Learners do not change that.
+func TestElectionAfterRestartOfAll(t *testing.T) {
+	for seed := range uint64(40) {
+		c := newCluster(t, seed, "a", "b", "c")
+		// One way takes 8 ms of an election timeout of 500 ms on the longest link.
+		c.restart, c.delay, c.step = true, 4, time.Millisecond
+		c.commitOne()
+		c.servers["d"] = &server{rate: 1, slowDisk: 10}
+		c.boot("d", nil)
+		c.change(AddLearner, "d")
+		c.commitOne()
+		c.run(100 * time.Millisecond)
+		for _, id := range c.ids() {
+			c.crash(id)
+		}
+		c.net = nil // connections break
+		c.run(testTimeout * 9 / 10)
+		must.NotEq(t, "", c.leader(), must.Sprintf("seed %d", seed))
+		c.settle()
+	}
+}
+
+// Guards against a broken promise: one VM does not answer the restarted ones and
+// may lead, so they must wait.
+func TestNoElectionWhileOneMayLead(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, seed, "a", "b", "c")
+		c.restart = true
+		c.commitOne()
+		leader := c.leader()
+		c.servers[leader].group = 1
+		for _, id := range c.ids() {
+			if id != leader {
+				c.crash(id)
+			}
+		}
+		c.run(testTimeout * 9 / 10)
+		must.Eq(t, "", c.leader(), must.Sprintf("seed %d", seed))
+		c.settle()
+	}
+}
+
+// Guards against an election although a replica leads, has another set, or has
+// started between the two rounds of a search: its promise may be newer.
+func TestSearchThatProvesNothing(t *testing.T) {
+	answer := func(change func(*ProbeReply)) *ProbeReply {
+		reply := &ProbeReply{Start: 7, Unled: true}
+		if change != nil {
+			change(reply)
+		}
+		return reply
+	}
+	cases := map[string]struct {
+		first, second *ProbeReply
+		elects        bool
+	}{
+		"nobody leads":  {answer(nil), answer(nil), true},
+		"one leads":     {answer(nil), answer(func(r *ProbeReply) { r.Leading = true }), false},
+		"another set":   {answer(nil), answer(func(r *ProbeReply) { r.MembersIndex = 3 }), false},
+		"started anew":  {answer(nil), answer(func(r *ProbeReply) { r.Start = 8 }), false},
+		"one led first": {answer(func(r *ProbeReply) { r.Leading = true }), answer(nil), false},
+		"has promised":  {answer(nil), answer(func(r *ProbeReply) { r.Unled = false }), false},
+	}
+	for name, c := range cases {
+		now := time.Unix(1, 0)
+		r := New(Config{ID: "a", Voters: []domain.VM{"a", "b", "c"}, ElectAfterRestart: true, Rand: rand.New(rand.NewPCG(1, 1))}, Restored{}, now)
+		now = r.NextWake()
+		r.Tick(now)
+		for _, reply := range []*ProbeReply{c.first, c.second} {
+			for _, from := range []domain.VM{"b", "c"} {
+				if r.probe != nil {
+					sent := *reply
+					sent.Round = r.probe.round
+					r.Step(now, from, &sent)
+				}
+			}
+		}
+		must.Eq(t, c.elects, r.role == Candidate, must.Sprint(name))
+	}
+}
+
+// Guards against a vote that ignores a promise made after the candidate's search:
+// the asked VM has started anew, or has heard a leader since.
+func TestPromisesAfterTheSearchHold(t *testing.T) {
+	now := time.Unix(1, 0)
+	voters := []domain.VM{"a", "b", "c"}
+	boot := func() *Raft {
+		return New(Config{ID: "c", Voters: voters, ElectAfterRestart: true, Rand: rand.New(rand.NewPCG(1, 1))}, Restored{}, now)
+	}
+	granted := func(r *Raft, m *Vote) bool {
+		r.Step(now, "a", m)
+		ready := r.Ready()
+		for _, s := range append(ready.Now, ready.AfterSync...) {
+			if reply, ok := s.Body.(*VoteReply); ok && s.To == "a" {
+				return reply.Granted
+			}
+		}
+		return false
+	}
+	r := boot()
+	must.False(t, granted(r, &Vote{Term: 2, IgnoredStart: r.start + 2}))
+	must.False(t, granted(r, &Vote{Term: 2}))
+	must.True(t, granted(r, &Vote{Term: 2, IgnoredStart: r.start}))
+	r = boot()
+	r.Step(now, "b", &Append{Term: 1})
+	must.False(t, granted(r, &Vote{Term: 2, IgnoredStart: r.start}))
+}
+
 // Guards against the same faults as TestRandomSchedules in orders that rapid
 // searches and shrinks.
 func TestFaultProperty(t *testing.T) {
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -148,6 +148,7 @@
 // hearLeader starts a new promise to the leader of the term.
 func (r *Raft) hearLeader(now time.Time, term Term, leader domain.VM) {
 	r.becomeFollower(now, term, leader)
+	r.heard()
 	r.promiseUntil = now.Add(r.cfg.ElectionTimeout)
 	r.resetElection(now)
 }
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -134,6 +134,9 @@
 	LastTerm  Term
 	// Transfer says that the former leader gave up its lease for this VM.
 	Transfer bool
+	// IgnoredStart is the start of the asked VM whose earlier promises no leader
+	// relies on, or 0.
+	IgnoredStart uint64
 }
 
 // MessageName implements domain.Message.
@@ -197,6 +200,7 @@
 func Messages() []domain.Message {
 	return []domain.Message{
 		&PreVote{}, &PreVoteReply{}, &Vote{}, &VoteReply{}, &Append{}, &AppendReply{}, &InstallSnapshot{}, &TimeoutNow{},
+		&Probe{}, &ProbeReply{},
 	}
 }
 
