Find coordinators and storage VMs sooner after they return

After a kill of all stores 67 turns were refused in the 0.5 s after their return. Change: an attempt to connect ends after 200 ms and is repeated within 100 ms; a process without a leader asks three coordinators at a time. A list of targets with the same content changes nothing: without a leader it was applied and logged every 50 ms. Also: an answer of which the caller took only the head is broken off.

--- a/adapter/rpc/rpc.go
+++ b/adapter/rpc/rpc.go
@@ -31,13 +31,15 @@
 	// maxMessageBytes bounds one message: a snapshot with a manifest of many
 	// routes, or one part of a copy between storage VMs.
 	maxMessageBytes = 32 << 20
-	// dialTimeout bounds one attempt to connect; a region is 16 ms away.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds one attempt to connect; a region is 16 ms away. The first
+	// packet to a VM without power is lost and would be sent again after a second,
+	// when the VM may be back for long.
+	dialTimeout = 200 * time.Millisecond
 	// firstRetryDelay and lastRetryDelay bound the pause between two attempts to
 	// connect. The last one is far below the time in which a returned VM must
 	// take part again.
 	firstRetryDelay = 30 * time.Millisecond
-	lastRetryDelay  = 300 * time.Millisecond
+	lastRetryDelay  = 100 * time.Millisecond
 	// bufferBytes is the size of the read and the write buffer of a connection.
 	// Messages are small and memory is dear on small VMs.
 	bufferBytes = 4 << 10
--- a/node/follower/follower.go
+++ b/node/follower/follower.go
@@ -11,6 +11,7 @@
 
 	"github.com/mangoknot/mangoknot/core/allowance"
 	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -18,7 +19,13 @@
 	// callTimeout bounds one report. A region is 16 ms away; a loaded coordinator
 	// answers within some ten milliseconds.
 	callTimeout = 400 * time.Millisecond
-	// retryDelay is the pause before another coordinator is asked.
+	// searchWidth is the number of coordinators that are asked at a time while no
+	// leader is known, as many as today's voters.
+	searchWidth = 3
+	// searchTimeout bounds such a report. It is a few round trips to the other
+	// region, with room for a slowed VM.
+	searchTimeout = 250 * time.Millisecond
+	// retryDelay is the pause before other coordinators are asked.
 	retryDelay = 50 * time.Millisecond
 )
 
@@ -30,8 +37,8 @@
 	Apply(v *coordinator.View)
 }
 
-// Follower asks one coordinator after the other until it finds the leader. It is
-// used by one goroutine.
+// Follower reports to the leader, and asks several coordinators at a time while it
+// knows none. It is used by one goroutine.
 type Follower struct {
 	calls   port.Calls
 	process Process
@@ -44,6 +51,13 @@
 	reached bool
 }
 
+// answer is what one coordinator replied, or its error.
+type answer struct {
+	address string
+	reply   domain.Message
+	err     error
+}
+
 // New returns a follower that starts with the seeds, the peer addresses of some
 // coordinators. They may change while the process runs.
 func New(calls port.Calls, process Process, seeds func() []string, log logr.Logger) *Follower {
@@ -65,45 +79,72 @@
 	}
 }
 
-// once sends one report and says whether the leader answered it.
+// once sends one report and says whether the leader answered it. Without a known
+// leader the first answers count; a coordinator that does not answer must not
+// delay the search.
 func (f *Follower) once(ctx context.Context) bool {
 	report, err := f.process.Report(ctx)
 	if err != nil {
+		f.log.Info("no report was sent", "error", err.Error())
 		return false
 	}
-	address := f.address()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	addresses, timeout := f.asked()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := f.calls.Call(ctx, address, report)
-	if err != nil {
-		f.failed(address, err)
+	answers := make(chan answer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			reply, err := f.calls.Call(ctx, address, report)
+			answers <- answer{address, reply, err}
+		}()
+	}
+	for range addresses {
+		if f.take(<-answers) {
+			return true
+		}
+	}
+	return false
+}
+
+// asked returns the leader, or the next coordinators in turn, and the time that
+// they have to answer.
+func (f *Follower) asked() ([]string, time.Duration) {
+	if f.leader != "" {
+		return []string{f.leader}, callTimeout
+	}
+	var out []string
+	for range min(searchWidth, len(f.known)) {
+		f.next++
+		out = append(out, f.known[f.next%len(f.known)])
+	}
+	return out, searchTimeout
+}
+
+// take applies one answer and says whether it comes from the leader.
+func (f *Follower) take(a answer) bool {
+	if a.err != nil {
+		f.failed(a.address, a.err)
 		return false
 	}
-	view, ok := reply.(*coordinator.View)
+	view, ok := a.reply.(*coordinator.View)
 	if !ok {
-		f.log.Info("a coordinator answered with another message", "coordinator", address, "message", reply.MessageName())
+		f.log.Info("a coordinator answered with another message", "coordinator", a.address, "message", a.reply.MessageName())
 		f.leader = ""
 		return false
 	}
-	f.follow(address, view)
+	f.follow(a.address, view)
 	f.process.Apply(view)
 	return view.Authoritative
 }
 
-// address returns the leader, or the next coordinator in turn.
-func (f *Follower) address() string {
-	if f.leader != "" {
-		return f.leader
-	}
-	f.next++
-	return f.known[f.next%len(f.known)]
-}
-
 func (f *Follower) failed(address string, err error) {
 	if f.reached {
 		f.log.Info("lost the coordinators; the last known state stays in use", "coordinator", address, "error", err.Error())
 	}
-	f.reached, f.leader = false, ""
+	f.reached = false
+	if f.leader == address {
+		f.leader = ""
+	}
 	f.known = union(f.known, f.seeds())
 }
 
@@ -116,9 +157,11 @@
 		f.reached, f.leader = true, address
 		return
 	}
-	f.leader = ""
-	if view.Leader != "" && view.Leader != address {
+	switch {
+	case view.Leader != "" && view.Leader != address:
 		f.leader = view.Leader
+	case f.leader == address:
+		f.leader = ""
 	}
 }
 
--- /dev/null
+++ b/node/follower/follower_test.go
@@ -0,0 +1,89 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/domain"
+)
+
+var errDown = errors.New("the coordinator is down")
+
+// coordinators answers calls by address; an address without a view never answers,
+// and a nil view is an error.
+type coordinators struct {
+	mu    sync.Mutex
+	views map[string]*coordinator.View
+}
+
+func (c *coordinators) Call(ctx context.Context, address string, _ domain.Message) (domain.Message, error) {
+	c.mu.Lock()
+	view, ok := c.views[address]
+	c.mu.Unlock()
+	switch {
+	case !ok:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case view == nil:
+		return nil, errDown
+	default:
+		return view, nil
+	}
+}
+
+func (c *coordinators) set(address string, view *coordinator.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.views[address] = view
+}
+
+// process records the views that it gets.
+type process struct{ applied []*coordinator.View }
+
+func (*process) Report(context.Context) (*coordinator.Report, error) {
+	return &coordinator.Report{}, nil
+}
+
+func (p *process) Apply(v *coordinator.View) { p.applied = append(p.applied, v) }
+
+func newFollower(c *coordinators, p *process) *Follower {
+	return New(c, p, func() []string { return []string{"a", "b", "c"} }, logr.Discard())
+}
+
+// Guards against a search that waits for a coordinator without power before it
+// asks the others: meanwhile the process knows no configuration.
+func TestSilentCoordinatorDelaysNothing(t *testing.T) {
+	decided := &coordinator.View{Document: nil, Coordinators: []string{"a", "b", "c"}}
+	c := &coordinators{views: map[string]*coordinator.View{"b": nil, "c": decided}}
+	p := &process{}
+	f := newFollower(c, p)
+	must.False(t, f.once(t.Context()))
+	must.SliceLen(t, 1, p.applied)
+	c.set("c", &coordinator.View{Authoritative: true, Coordinators: []string{"a", "b", "c"}})
+	must.True(t, f.once(t.Context()))
+	must.Eq(t, "c", f.leader)
+}
+
+// Guards against a follower that asks everyone all the time: once the leader is
+// known only the leader is asked, until it fails.
+func TestOnlyTheLeaderIsAsked(t *testing.T) {
+	known := []string{"a", "b", "c"}
+	c := &coordinators{views: map[string]*coordinator.View{
+		"a": {Leader: "b", Coordinators: known}, "b": {Authoritative: true, Coordinators: known}, "c": {Coordinators: known},
+	}}
+	f := newFollower(c, &process{})
+	must.True(t, f.once(t.Context()))
+	addresses, _ := f.asked()
+	must.Eq(t, []string{"b"}, addresses)
+	c.set("b", nil)
+	must.False(t, f.once(t.Context()))
+	c.set("a", &coordinator.View{Authoritative: true, Coordinators: known})
+	must.True(t, f.once(t.Context()))
+	must.Eq(t, "a", f.leader)
+}
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -191,11 +191,11 @@
 	if err != nil {
 		return err
 	}
-	x.firstAt = x.elapsed()
+	// A refusal must not follow, also when the caller takes a part of the answer.
+	x.begun, x.firstAt = true, x.elapsed()
 	if err := x.reply.Whole(answer.Head(), body); err != nil {
 		return errors.Join(errReply, err)
 	}
-	x.begun = true
 	return nil
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -88,6 +89,7 @@
 	settling   *settlements
 	suspicion  map[quorum.StoreID]time.Time
 	targets    uint64
+	listed     []balance.Target
 	queue      []*waiter
 	watch      quarantine.Watch
 
@@ -275,6 +277,11 @@
 }
 
 func (g *Gateway) setTargets(list []balance.Target) {
+	if slices.Equal(g.listed, list) {
+		// Coordinators without a leader number the same list differently.
+		return
+	}
+	g.listed = list
 	g.balancer.SetTargets(list)
 	addresses := map[string]bool{}
 	leaving := 0
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -20,6 +20,17 @@
 	"github.com/mangoknot/mangoknot/port"
 )
 
+// Guards against a refusal that is written after the head of a target's answer,
+// because the caller took only a part of it.
+func TestNoRefusalAfterTheHead(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.targets.answer = func(int, port.TargetRequest) (port.Answer, error) { return &scripted{status: 200}, nil }
+	reply := &recorded{wholeErr: io.ErrClosedPipe}
+	must.Nil(t, g.Serve(t.Context(), &Request{ID: "1", Host: "h", Path: "/order/1", Key: "key"}, reply))
+	must.True(t, reply.aborted)
+}
+
 // Guards against a chain that is refused or shortened because its turns were
 // written to different majorities: each gateway writes to the stores near it.
 func TestChainOverDifferentMajorities(t *testing.T) {
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -138,11 +138,13 @@
 	events  []string
 	ended   bool
 	aborted bool
+	// wholeErr is what writing a whole answer returns after its head was written.
+	wholeErr error
 }
 
 func (r *recorded) Whole(h port.AnswerHead, _ []byte) error {
-	r.status, r.ended = h.Status, true
-	return nil
+	r.status, r.ended = h.Status, r.wholeErr == nil
+	return r.wholeErr
 }
 func (r *recorded) Begin(h port.AnswerHead) error { r.status = h.Status; return nil }
 func (r *recorded) Event(e port.StreamEvent) error {
