Share the room for new programs by the attempts that are expected

Change: gateways report the attempts to begin a program. An attempt succeeds with the chance that there is room for all that are expected until the next report, whatever gateway they come to.

--- a/core/allowance/admission.go
+++ b/core/allowance/admission.go
@@ -60,12 +60,14 @@
 	Alone bool
 	// Standing is what a refusal loses. Programs is the number of programs of the
 	// account that are under way, Needs what they are taken to need of the bucket
-	// beyond what it gains, and Room the number of programs that may begin here
-	// until the next answer; they are known for new programs only.
+	// beyond what it gains, Room the number of programs that may begin until the
+	// next answer, and Expected the number of attempts until then; they are known for
+	// new programs only.
 	Standing Standing
 	Programs int
 	Needs    float64
 	Room     float64
+	Expected float64
 }
 
 // String describes the inputs for a log.
@@ -73,7 +75,7 @@
 	text := fmt.Sprintf("bucket holds %.1f, rate %g/s, burst %g, totals are %d ms old, alone %t",
 		d.Level, d.Limit.RatePerSecond, d.Limit.Burst, d.Age.Milliseconds(), d.Alone)
 	if d.Standing == Begins {
-		text += fmt.Sprintf(", %d programs under way need %.1f, room for %.1f new ones", d.Programs, d.Needs, d.Room)
+		text += fmt.Sprintf(", %d programs under way need %.1f, room for %.1f new ones of %.1f expected", d.Programs, d.Needs, d.Room, d.Expected)
 	}
 	return text
 }
@@ -138,15 +140,14 @@
 }
 
 // decideNew admits a new program when enough remains for those under way. The
-// other gateways decide from the same level until the next reports, so each uses
-// its fraction of the room, and a part of a program by chance.
+// other gateways decide from the same level until the next reports, so each attempt
+// succeeds with the chance that there is room for all that are expected until then.
 func (g *Gateway) decideNew(d *Decision, account domain.Account, b *bucket) {
 	g.forecast(d, account, b)
 	least := 1 + reserves[Begins]*b.capacity + d.Needs
-	d.Room = (b.level - least) / (g.programs.rate() * forecastSpan.Seconds())
-	if !g.alone {
-		d.Room *= g.fraction(b)
-	}
+	d.Room = (b.level-least)/(g.programs.rate()*forecastSpan.Seconds()) - float64(b.begun)
+	d.Expected = max(1, b.startsPerSecond*ReportInterval.Seconds())
+	b.starts++
 	switch {
 	case b.level >= b.capacity-1:
 		// A full bucket admits any program: its account sends nothing else.
@@ -154,7 +155,7 @@
 	case b.level >= contendedPart*b.capacity:
 		d.Admitted = b.level >= least
 	default:
-		d.Admitted = float64(b.begun)+g.rand.Float64() <= d.Room
+		d.Admitted = g.rand.Float64()*d.Expected <= d.Room
 	}
 	if d.Admitted {
 		b.begun++
--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -53,6 +53,9 @@
 	Admitted uint64
 	// Programs is the number of its programs that are under way there.
 	Programs int
+	// Starts is the number of attempts to begin a program since the start, the
+	// refused ones included.
+	Starts uint64
 }
 
 // Total is the number of requests of an account that all gateways admitted since
@@ -65,6 +68,8 @@
 	// Programs is the number of its programs that are under way. One that several
 	// gateways serve counts at each of them.
 	Programs int
+	// StartsPerSecond is the rate of attempts to begin a program.
+	StartsPerSecond float64
 }
 
 // Counts is what one gateway reports.
@@ -102,8 +107,11 @@
 	measured  time.Time
 	// assumed is what the others were taken to have admitted since the last total.
 	assumed float64
-	// begun is the number of programs that began here since the last answer.
-	begun int
+	// begun is the number of programs that began here since the last answer, starts
+	// that of all attempts, and startsPerSecond their rate over all gateways.
+	begun           int
+	starts          uint64
+	startsPerSecond float64
 	// sentPrograms is the own number of programs in the last report, and
 	// otherPrograms that of the other gateways in the last total.
 	sentPrograms, otherPrograms int
@@ -211,7 +219,7 @@
 	for account, b := range g.buckets {
 		b.sent, b.sentPrograms = b.admitted, g.programs.underWay[account]
 		if b.admitted > 0 {
-			out.Counts = append(out.Counts, Count{Account: account, Admitted: b.admitted, Programs: b.sentPrograms})
+			out.Counts = append(out.Counts, Count{Account: account, Admitted: b.admitted, Programs: b.sentPrograms, Starts: b.starts})
 		}
 	}
 	return out
@@ -232,7 +240,7 @@
 		}
 		b.estimate(total.Recent, limit)
 		b.otherPrograms = max(0, total.Programs-b.sentPrograms)
-		b.begun = 0
+		b.begun, b.startsPerSecond = 0, total.StartsPerSecond
 		b.known, b.total, b.reported, b.measured, b.assumed = true, total.Admitted, b.sent, now, 0
 	}
 	for account, b := range g.buckets {
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -54,7 +54,7 @@
 	refused  int
 	offered  int
 	// starts numbers the processes, so that a restarted gateway is another one.
-	starts [6]int
+	starts [60]int
 }
 
 type pendingAnswer struct {
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -14,8 +14,10 @@
 	seen   time.Time
 	counts map[domain.Account]uint64
 	rates  map[domain.Account]float64
-	// programs holds the programs under way as of the last report.
+	// programs holds the programs under way as of the last report, starts the
+	// attempts to begin one so far.
 	programs map[domain.Account]int
+	starts   map[domain.Account]uint64
 	// extrapolated is the time up to which a silent gateway's rates were counted.
 	extrapolated time.Time
 }
@@ -28,39 +30,49 @@
 	recentSlots = 8
 )
 
-type accountTotal struct {
-	admitted float64
-	changed  time.Time
-	// slots count the requests of the last spans of recentSpan/recentSlots.
+// recentCount counts what happened in the last recentSpan.
+type recentCount struct {
+	// slots count spans of recentSpan/recentSlots.
 	slots  [recentSlots]float64
 	newest int64
 }
 
 // advance forgets the slots that are older than recentSpan.
-func (t *accountTotal) advance(now time.Time) {
+func (c *recentCount) advance(now time.Time) {
 	slot := now.UnixNano() / int64(recentSpan/recentSlots)
-	for steps := min(slot-t.newest, recentSlots); steps > 0; steps-- {
-		t.slots[(slot-steps+1)%recentSlots] = 0
+	for steps := min(slot-c.newest, recentSlots); steps > 0; steps-- {
+		c.slots[(slot-steps+1)%recentSlots] = 0
 	}
-	t.newest = max(t.newest, slot)
+	c.newest = max(c.newest, slot)
 }
 
-func (t *accountTotal) add(now time.Time, requests float64) {
-	t.advance(now)
-	t.slots[t.newest%recentSlots] += requests
-	t.admitted += requests
-	t.changed = now
+func (c *recentCount) add(now time.Time, n float64) {
+	c.advance(now)
+	c.slots[c.newest%recentSlots] += n
 }
 
-func (t *accountTotal) recent(now time.Time) float64 {
-	t.advance(now)
+func (c *recentCount) sum(now time.Time) float64 {
+	c.advance(now)
 	sum := 0.0
-	for _, n := range t.slots {
+	for _, n := range c.slots {
 		sum += n
 	}
 	return sum
 }
 
+type accountTotal struct {
+	admitted float64
+	changed  time.Time
+	// requests counts those admitted, starts the attempts to begin a program.
+	requests, starts recentCount
+}
+
+func (t *accountTotal) add(now time.Time, requests float64) {
+	t.requests.add(now, requests)
+	t.admitted += requests
+	t.changed = now
+}
+
 // Fleet is the coordinator's count over all gateways. It is not safe for
 // concurrent use.
 type Fleet struct {
@@ -79,12 +91,12 @@
 func (f *Fleet) Report(now time.Time, gateway string, reported Counts) Totals {
 	r := f.reporters[gateway]
 	if r == nil {
-		r = &reporter{seen: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programs: map[domain.Account]int{}}
+		r = &reporter{seen: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programs: map[domain.Account]int{}, starts: map[domain.Account]uint64{}}
 		f.reporters[gateway] = r
 		// An earlier coordinator has counted what a known process admitted.
 		for _, c := range reported.Counts {
 			if !reported.Unanswered {
-				r.counts[c.Account] = c.Admitted
+				r.counts[c.Account], r.starts[c.Account] = c.Admitted, c.Starts
 			}
 		}
 	}
@@ -106,16 +118,24 @@
 		if delta > 0 {
 			f.count(now, c.Account, delta)
 		}
+		if starts := c.Starts - min(c.Starts, r.starts[c.Account]); starts > 0 {
+			f.total(c.Account).starts.add(now, float64(starts))
+		}
+		r.starts[c.Account] = c.Starts
 	}
 }
 
 func (f *Fleet) count(now time.Time, account domain.Account, requests float64) {
+	f.total(account).add(now, requests)
+}
+
+func (f *Fleet) total(account domain.Account) *accountTotal {
 	t := f.totals[account]
 	if t == nil {
 		t = &accountTotal{}
 		f.totals[account] = t
 	}
-	t.add(now, requests)
+	return t
 }
 
 // countSilent counts the usual rates of gateways that do not report, because
@@ -161,7 +181,8 @@
 	for account, t := range f.totals {
 		if now.Sub(t.changed) < activeFor {
 			out.Totals = append(out.Totals, Total{
-				Account: account, Admitted: t.admitted, Recent: t.recent(now), Programs: f.programs(now, account),
+				Account: account, Admitted: t.admitted, Recent: t.requests.sum(now), Programs: f.programs(now, account),
+				StartsPerSecond: t.starts.sum(now) / recentSpan.Seconds(),
 			})
 		}
 	}
--- a/core/allowance/programs_test.go
+++ b/core/allowance/programs_test.go
@@ -39,8 +39,8 @@
 	admitted int
 	// refused counts the requests refused to programs under way.
 	refused int
-	// begun, ended and onTime count programs.
-	begun, ended, onTime int
+	// offered, begun, ended and onTime count programs.
+	offered, begun, ended, onTime int
 }
 
 // runPrograms offers programs at a rate.
@@ -51,6 +51,7 @@
 		f.report()
 		for range f.arrivals(perSecond * tick.Seconds()) {
 			names++
+			w.offered++
 			list = append(list, &simulated{ask: turnOf(names), gateway: f.rand.IntN(len(f.gateways)), left: programRequests, next: f.now, born: f.now})
 		}
 		for _, p := range list {
@@ -110,6 +111,22 @@
 	}
 }
 
+// Guards against a large fleet in which the programs of a small account find no
+// room, because each gateway has hardly any part of it. The programs need half of
+// the rate.
+func TestSmallAccountOfLargeFleetBeginsPrograms(t *testing.T) {
+	small := Limit{RatePerSecond: 20, Burst: 30}
+	for seed := range uint64(5) {
+		f := newFleet(60, seed)
+		for i := range f.gateways {
+			f.gateways[i] = NewGateway(func(domain.Account) (Limit, bool) { return small, true }, f.rand, f.now)
+		}
+		f.run(time.Second, 1)
+		w := f.runPrograms(30*time.Second, 1)
+		must.GreaterEq(t, w.offered*9/10, w.onTime, must.Sprintf("seed %d: %+v", seed, w))
+	}
+}
+
 // Guards against an account whose burst is smaller than the forecast of a single
 // program, which could then never begin one.
 func TestSmallAccountBeginsPrograms(t *testing.T) {
