--- a/core/tokens/shareset.go
+++ b/core/tokens/shareset.go
@@ -45,12 +45,11 @@
 	share Share
 	// others is what the other writers counted when they were last known.
 	others domain.Tokens
-	// ahead describes the reservation ahead: whether it is durable, for which budget,
-	// in which version it was made, and when it is given up.
+	// durable, budget and version describe the reservation ahead: whether its write
+	// has ended, for which budget and in which version it was made.
 	durable bool
 	budget  domain.Tokens
 	version uint64
-	expires time.Time
 	lastUse time.Time
 	// unwritten says that the share has changed since it was last passed on.
 	unwritten bool
@@ -169,8 +168,8 @@
 		s.giveUp(p, a)
 		return
 	}
-	a.durable, a.expires = true, now.Add(aheadFor)
-	s.expiries = append(s.expiries, expiry{program: p, version: version, at: a.expires})
+	a.durable = true
+	s.expiries = append(s.expiries, expiry{program: p, version: version, at: now.Add(aheadFor)})
 }
 
 func (s *ShareSet) giveUp(p Program, a *shareState) {
--- a/node/gateway/budget.go
+++ b/node/gateway/budget.go
@@ -41,38 +41,46 @@
 	}
 }
 
+// taking is the outcome of one look at the gateway's share.
+type taking struct {
+	// own is the share to be written, unless state is AheadTaken.
+	own   tokens.Share
+	state tokens.AheadState
+	// pending is the write to wait for, or nil.
+	pending chan struct{}
+}
+
 // take uses what was reserved ahead, or adds the turn to the share and returns the
-// share for a write. A reservation ahead whose write is under way is awaited,
+// share for a write. A reservation ahead whose write is under way is awaited once,
 // because another write would take longer.
 func (x *exchange) take(ctx context.Context) (own tokens.Share, taken bool, err error) {
-	for wait := true; ; wait = false {
-		var state tokens.AheadState
-		var pending chan struct{}
-		// The change must not be made after this goroutine has given up on it.
-		err = x.g.Do(x.g.Context(), func(now time.Time) {
-			t := x.turn
-			t.reserved, state = x.g.shares.TakeAhead(now, t.program, x.Budget, x.Most)
-			if pending = x.g.pendingEnds[t.program]; state == tokens.AheadPending && wait && pending != nil {
-				return
-			}
-			if state != tokens.AheadTaken {
-				own, t.reserved = x.g.shares.Reserve(now, t.program, x.Most), x.Most
-				pending = nil
-			}
-		})
-		if err != nil || state == tokens.AheadTaken {
-			x.turn.ahead = err == nil
-			return own, err == nil, err
-		}
-		if pending == nil {
-			return own, false, nil
-		}
+	got, err := x.lookAtShare(true)
+	if err == nil && got.pending != nil {
 		select {
-		case <-pending:
+		case <-got.pending:
+			got, err = x.lookAtShare(false)
 		case <-ctx.Done():
-			return own, false, ctx.Err()
+			err = ctx.Err()
 		}
 	}
+	x.turn.ahead = err == nil && got.state == tokens.AheadTaken
+	return got.own, x.turn.ahead, err
+}
+
+// lookAtShare does one step of take. It ends with the gateway and not with the
+// request, because the change must not be made after the request has given it up.
+func (x *exchange) lookAtShare(mayWait bool) (got taking, err error) {
+	t := x.turn
+	err = x.g.Do(x.g.Context(), func(now time.Time) {
+		t.reserved, got.state = x.g.shares.TakeAhead(now, t.program, x.Budget, x.Most)
+		if mayWait && got.state == tokens.AheadPending {
+			got.pending = x.g.pendingEnds[t.program]
+		}
+		if got.state != tokens.AheadTaken && got.pending == nil {
+			got.own, t.reserved = x.g.shares.Reserve(now, t.program, x.Most), x.Most
+		}
+	})
+	return got, err
 }
 
 // learn notes what the other gateways have taken of the program's budget.
