Decide in one place which version of a share counts, and keep one list of changed shares

Found on a last read: the store compared versions beside the union's own comparison, and a share's mark stood beside the set's list of the same. Behaviour and tests stay as they are.

--- a/core/raft/restart.go
+++ b/core/raft/restart.go
@@ -1,7 +1,6 @@
 package raft
 
 import (
-	"maps"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -145,7 +144,7 @@
 		return
 	}
 	r.ignoredStarts = map[domain.VM]uint64{}
-	for vm := range maps.Keys(p.unled) {
+	for vm := range p.unled {
 		r.ignoredStarts[vm] = p.first[vm]
 	}
 	r.transferVote = false
--- a/core/tokens/shareset.go
+++ b/core/tokens/shareset.go
@@ -51,8 +51,6 @@
 	budget  domain.Tokens
 	version uint64
 	lastUse time.Time
-	// unwritten says that the share has changed since it was last passed on.
-	unwritten bool
 }
 
 type expiry struct {
@@ -63,10 +61,11 @@
 
 // ShareSet holds the shares of one gateway. It is not safe for concurrent use.
 type ShareSet struct {
-	process   string
-	made      uint64
-	states    map[Program]*shareState
-	expiries  []expiry
+	process  string
+	made     uint64
+	states   map[Program]*shareState
+	expiries []expiry
+	// unwritten lists the shares that have changed since they were last passed on.
 	unwritten map[Program]bool
 	forgetAt  time.Time
 }
@@ -97,7 +96,6 @@
 // pass returns the share for a write under a new version.
 func (s *ShareSet) pass(p Program, a *shareState) Share {
 	a.share.Version++
-	a.unwritten = false
 	delete(s.unwritten, p)
 	return a.share
 }
@@ -132,14 +130,11 @@
 	a := s.state(now, p)
 	a.share.Reserved -= reserved
 	a.share.Used += used
-	s.touch(p, a)
+	s.touch(p)
 }
 
 // touch marks the share for the next flush.
-func (s *ShareSet) touch(p Program, a *shareState) {
-	a.unwritten = true
-	s.unwritten[p] = true
-}
+func (s *ShareSet) touch(p Program) { s.unwritten[p] = true }
 
 // ReserveAhead reserves the most of the next turn if enough remains for others,
 // and returns the share for a write.
@@ -174,13 +169,13 @@
 
 func (s *ShareSet) giveUp(p Program, a *shareState) {
 	a.share.Ahead = 0
-	s.touch(p, a)
+	s.touch(p)
 }
 
 // Rewrite marks a share whose write failed.
 func (s *ShareSet) Rewrite(p Program) {
-	if a := s.states[p]; a != nil {
-		s.touch(p, a)
+	if s.states[p] != nil {
+		s.touch(p)
 	}
 }
 
@@ -207,7 +202,7 @@
 	}
 	s.forgetAt = now.Add(forgetInterval)
 	for p, a := range s.states {
-		if !a.unwritten && a.share.Reserved == 0 && a.share.Ahead == 0 && now.Sub(a.lastUse) > forgetAfter {
+		if !s.unwritten[p] && a.share.Reserved == 0 && a.share.Ahead == 0 && now.Sub(a.lastUse) > forgetAfter {
 			delete(s.states, p)
 		}
 	}
--- a/core/tokens/tokens.go
+++ b/core/tokens/tokens.go
@@ -38,12 +38,20 @@
 // Union holds the newest known share of each writer.
 type Union map[string]Share
 
+// Add takes a share unless this or a newer version of it is known, and says
+// whether it did.
+func (u Union) Add(s Share) bool {
+	if known, ok := u[s.Writer]; ok && known.Version >= s.Version {
+		return false
+	}
+	u[s.Writer] = s
+	return true
+}
+
 // Merge adds shares. An older version of a share changes nothing.
 func (u Union) Merge(shares ...Share) {
 	for _, s := range shares {
-		if known, ok := u[s.Writer]; !ok || s.Version > known.Version {
-			u[s.Writer] = s
-		}
+		u.Add(s)
 	}
 }
 
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -229,11 +229,7 @@
 		s.appendPosition(position{program: e.Program})
 	}
 	p.lastUse = now
-	if known, ok := p.shares[e.Share.Writer]; ok && known.Version >= e.Share.Version {
-		return false
-	}
-	p.shares[e.Share.Writer] = e.Share
-	return true
+	return p.shares.Add(e.Share)
 }
 
 // Read returns a turn and the turns before it, as far as they are known.
