Measure the demand of programs over the fleet and announce their starts

Cause: the requests of one program reach many gateways. Each gateway counted the program as its own and took the first turn without a predecessor that it saw of a program for the start of a new one. A gateway that serves few programs kept the assumed 8 requests a second for each.

Change: gateways report the programs that had a request, by hash. The coordinator counts each once, measures per route the requests of a start and of active programs, and announces starts to all gateways. A start is admitted if the bucket holds its own demand, not that of one program more. A later turn leaves at most 2 requests to plain calls.

--- a/core/allowance/admission.go
+++ b/core/allowance/admission.go
@@ -16,6 +16,12 @@
 	// gateways divide the capacity for new programs among themselves. Above it the
 	// bucket covers the programs that all gateways start until their next reports.
 	contendedFraction = 0.9
+	// startVisibleAfter is the time until a start at one gateway is part of the totals
+	// of all others: its own report and theirs.
+	startVisibleAfter = 2 * ReportInterval
+	// maxLaterTurnReserve is the upper bound of the requests that a later turn leaves to
+	// plain calls. A program sends a few plain calls at once.
+	maxLaterTurnReserve = 2.0
 	// startRetryDivisor divides the time left to a program; the quotient is the
 	// retry-after of a rejected start. Callers retry a few times, so a program
 	// starts early enough to meet its deadline or not at all. A program that
@@ -36,6 +42,8 @@
 type Request struct {
 	// Program has an empty name if the request belongs to no program.
 	Program tokens.Program
+	// Kind is the kind of the program; it is set for turns.
+	Kind Kind
 	// IsTurn reports whether the request is a turn, HasPrevious whether it continues
 	// an earlier turn.
 	IsTurn, HasPrevious bool
@@ -63,13 +71,15 @@
 	Disconnected bool
 	// Priority is the admission priority of the request. The fields after it are set
 	// for new programs only. Programs is the number of the account's active
-	// programs. ForecastDemand is the number of requests that they and the new
-	// program are expected to take from the bucket beyond its refill.
-	// NewProgramCapacity is the number of programs that may start until the next
-	// answer, and ExpectedStarts is the expected number of attempts to start one
-	// until then.
+	// programs, and Cost the number of requests that the new one is expected to send
+	// in its first second. ForecastDemand is the number of requests that all of them
+	// are expected to take from the bucket beyond its refill.
+	// NewProgramCapacity is the number of programs that may start until their demand
+	// is part of the totals, and ExpectedStarts is the expected number of attempts to
+	// start one until then.
 	Priority           Priority
 	Programs           int
+	Cost               float64
 	ForecastDemand     float64
 	NewProgramCapacity float64
 	ExpectedStarts     float64
@@ -80,7 +90,7 @@
 	text := fmt.Sprintf("bucket level %.1f, rate %g/s, burst %g, totals are %d ms old, disconnected %t",
 		d.Level, d.Limit.RatePerSecond, d.Limit.Burst, d.TotalsAge.Milliseconds(), d.Disconnected)
 	if d.Priority == NewProgram {
-		text += fmt.Sprintf(", %d active programs with a forecast demand of %.1f, capacity for %.1f new programs of %.1f expected", d.Programs, d.ForecastDemand, d.NewProgramCapacity, d.ExpectedStarts)
+		text += fmt.Sprintf(", %d active programs and a new one of %.1f requests have a forecast demand of %.1f, capacity for %.1f new programs of %.1f expected", d.Programs, d.Cost, d.ForecastDemand, d.NewProgramCapacity, d.ExpectedStarts)
 	}
 	return text
 }
@@ -90,7 +100,7 @@
 func (g *Gateway) Admit(now time.Time, request Request) Decision {
 	limit, limited := g.limits(request.Program.Account)
 	if !limited || limit.RatePerSecond <= 0 {
-		g.programs.requestStarted(now, request.Program)
+		g.programs.requestStarted(now, request.Program, request.Kind)
 		return Decision{Admitted: true}
 	}
 	g.checkSilence(now)
@@ -101,13 +111,13 @@
 	}
 	if d.Priority == NewProgram {
 		d.RetryAfter = request.startRetryAfter()
-		g.decideNew(&d, request.Program.Account, b)
+		g.decideNew(&d, request, b)
 	} else {
 		g.decideActive(&d, b)
 	}
 	if d.Admitted {
 		b.take()
-		g.programs.requestStarted(now, request.Program)
+		g.programs.requestStarted(now, request.Program, request.Kind)
 	}
 	return d
 }
@@ -140,20 +150,23 @@
 // decideActive admits a plain call or a later turn if the bucket holds one request
 // more than the reserve for its priority.
 func (g *Gateway) decideActive(d *Decision, b *bucket) {
-	required := min(b.capacity, 1+reserveFractions[d.Priority]*b.capacity)
+	reserve := min(maxLaterTurnReserve, reserveFractions[d.Priority]*b.capacity)
+	required := min(b.capacity, 1+reserve)
 	d.Admitted = b.level >= required
 	d.RetryAfter = time.Duration((required - b.level) / g.refillRate(b, d.Limit) * float64(time.Second))
 }
 
-// decideNew admits a new program if enough remains for the active ones. The other
-// gateways decide from the same level until the next reports. Below the contended
-// fraction an attempt is therefore admitted with a probability: the capacity for new
-// programs divided by the number of attempts expected until then.
-func (g *Gateway) decideNew(d *Decision, account domain.Account, b *bucket) {
-	g.forecast(d, account, b)
+// decideNew admits a new program if enough remains for the active ones. The load pattern
+// that it answers: many programs of an account start at many gateways at once. The
+// gateways decide from the same level until the starts of the others are part of the
+// totals. Below the contended fraction an attempt is therefore admitted with a
+// probability: the capacity for new programs divided by the number of attempts expected
+// until then.
+func (g *Gateway) decideNew(d *Decision, request Request, b *bucket) {
+	g.forecast(d, request, b)
 	required := 1 + reserveFractions[NewProgram]*b.capacity + d.ForecastDemand
-	d.NewProgramCapacity = (b.level-required)/(g.programs.requestRate()*forecastSpan.Seconds()) - float64(b.startedPrograms)
-	d.ExpectedStarts = max(1, b.startsPerSecond*ReportInterval.Seconds())
+	d.NewProgramCapacity = 1 + (b.level-required)/d.Cost
+	d.ExpectedStarts = max(1, b.startsPerSecond*startVisibleAfter.Seconds())
 	b.startAttempts++
 	switch {
 	case b.level >= b.capacity-1:
@@ -162,23 +175,35 @@
 	case b.level >= contendedFraction*b.capacity:
 		d.Admitted = b.level >= required
 	default:
-		d.Admitted = g.rand.Float64()*d.ExpectedStarts <= d.NewProgramCapacity
+		d.Admitted = d.NewProgramCapacity >= 1 && g.rand.Float64()*d.ExpectedStarts <= d.NewProgramCapacity
 	}
 	if d.Admitted {
-		b.startedPrograms++
+		b.startedCost += d.Cost
 	}
 }
 
 // forecast sets the number of the account's active programs, and the demand of
-// these programs and one more that exceeds the refill of the bucket.
-func (g *Gateway) forecast(d *Decision, account domain.Account, b *bucket) {
-	d.Programs = g.programs.active[account]
+// these programs and one more that exceeds the refill of the bucket. Programs that
+// this gateway started after the last total are not part of it yet.
+func (g *Gateway) forecast(d *Decision, request Request, b *bucket) {
+	d.Cost = g.costOf(request.Kind)
+	needed := d.Cost + b.startedCost - b.startedAcknowledged
 	gained := d.Limit.RatePerSecond
 	if g.disconnected {
-		gained = g.refillRate(b, d.Limit)
+		d.Programs, gained = g.programs.active[request.Program.Account], g.refillRate(b, d.Limit)
+		needed = float64(d.Programs+1) * d.Cost
 	} else {
-		d.Programs += b.otherPrograms
+		d.Programs = b.programs
+		needed += b.demand
 	}
-	needed := float64(d.Programs+1) * g.programs.requestRate()
-	d.ForecastDemand = max(0, (needed-gained)*forecastSpan.Seconds())
+	d.ForecastDemand = max(0, needed-gained*forecastSpan.Seconds())
+}
+
+// costOf returns the number of requests that a new program of the kind is expected to
+// send within forecastSpan.
+func (g *Gateway) costOf(kind Kind) float64 {
+	if k, ok := g.kinds[kind]; ok {
+		return max(1, k.Cost)
+	}
+	return defaultProgramRate * forecastSpan.Seconds()
 }
--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -54,27 +54,48 @@
 // Count holds the counters of an account at one gateway. Admitted is the number of
 // requests admitted since the gateway started.
 type Count struct {
-	Account  domain.Account
-	Admitted uint64
-	// Programs is the number of the account's active programs at the gateway.
-	Programs int
+	Account  domain.Account `cbor:"1,keyasint"`
+	Admitted uint64         `cbor:"2,keyasint"`
 	// Starts is the number of attempts to start a program since the gateway
 	// started, including rejected ones.
-	Starts uint64
+	Starts uint64 `cbor:"3,keyasint,omitempty"`
+	// Programs lists the account's programs that had a request at the gateway since its
+	// last report.
+	Programs []Activity `cbor:"4,keyasint,omitempty"`
+}
+
+// Activity is what one gateway sees of one active program. The requests of a program
+// reach several gateways, so the coordinator counts programs by their hashes.
+type Activity struct {
+	// Program is a hash of the program's name.
+	Program ProgramHash `cbor:"1,keyasint"`
+	// Kind is the kind of the program, or 0 if the gateway has seen no turn of it.
+	Kind Kind `cbor:"2,keyasint,omitempty"`
+	// Requests is the number of requests admitted since the last report.
+	Requests int `cbor:"3,keyasint,omitempty"`
 }
 
 // Total holds the counters of an account over all gateways. Admitted is the number
 // of requests admitted since the coordinator's count started.
 type Total struct {
-	Account  domain.Account
-	Admitted float64
+	Account  domain.Account `cbor:"1,keyasint"`
+	Admitted float64        `cbor:"2,keyasint"`
 	// Recent is the number of requests admitted in the last 4 s.
-	Recent float64
-	// Programs is the number of the account's active programs. A program that
-	// several gateways serve is counted once for each of them.
-	Programs int
+	Recent float64 `cbor:"3,keyasint,omitempty"`
+	// Programs is the number of the account's active programs, and Demand the number
+	// of requests that they are expected to send in the next second.
+	Programs int     `cbor:"4,keyasint,omitempty"`
+	Demand   float64 `cbor:"5,keyasint,omitempty"`
 	// StartsPerSecond is the rate of attempts to start a program.
-	StartsPerSecond float64
+	StartsPerSecond float64 `cbor:"6,keyasint,omitempty"`
+}
+
+// KindStatistics holds means over the programs of a kind at all gateways.
+type KindStatistics struct {
+	Kind Kind `cbor:"1,keyasint"`
+	// Cost is the number of requests that a program sends in the first second after its
+	// start.
+	Cost float64 `cbor:"2,keyasint"`
 }
 
 // Counts is the report of one gateway.
@@ -83,6 +104,9 @@
 	// that none of its counts are included in a total.
 	Unanswered bool
 	Counts     []Count
+	// Origin and AnnouncedUntil are those of the last totals.
+	Origin         string `cbor:",omitempty"`
+	AnnouncedUntil uint64 `cbor:",omitempty"`
 }
 
 // Totals is the coordinator's answer to a report.
@@ -93,6 +117,12 @@
 	// Gateways is the number of gateways that report.
 	Gateways int
 	Totals   []Total
+	// Kinds lists the kinds of programs that were started recently.
+	Kinds []KindStatistics `cbor:",omitempty"`
+	// Announced lists the hashes of programs that have started since the totals that
+	// the report refers to. AnnouncedUntil is the sequence number of the last one.
+	Announced      []ProgramHash `cbor:",omitempty"`
+	AnnouncedUntil uint64        `cbor:",omitempty"`
 }
 
 // bucket is the gateway's copy of the token bucket of an account.
@@ -115,15 +145,18 @@
 	// assumedOthers is the assumed number of requests that the other gateways have
 	// admitted since the last total.
 	assumedOthers float64
-	// startedPrograms is the number of programs started here since the last answer.
-	// startAttempts counts all attempts here, and startsPerSecond is the rate of
-	// attempts over all gateways.
-	startedPrograms int
+	// startAttempts counts all attempts to start a program here, and startsPerSecond
+	// is the rate of attempts over all gateways.
 	startAttempts   uint64
 	startsPerSecond float64
-	// reportedPrograms is the number of active programs in the last report, and
-	// otherPrograms that of the other gateways in the last total.
-	reportedPrograms, otherPrograms int
+	// startedCost is the cost of all programs that were started here. startedReported
+	// is its value at the last report, startedAcknowledged the part that the last
+	// total includes.
+	startedCost, startedReported, startedAcknowledged float64
+	// programs is the number of active programs of the account in the last total, and
+	// demand the number of requests that they are expected to send in the next second.
+	programs int
+	demand   float64
 }
 
 // Gateway holds the token buckets of one gateway. It is not safe for concurrent use.
@@ -135,7 +168,10 @@
 	lastAnswer   time.Time
 	disconnected bool
 	programs     *programTracker
-	rand         *rand.Rand
+	kinds        map[Kind]KindStatistics
+	// announcedUntil is the sequence number of the last announced program of origin.
+	announcedUntil uint64
+	rand           *rand.Rand
 }
 
 // NewGateway returns a gateway without buckets that counts as disconnected until it
@@ -143,7 +179,7 @@
 func NewGateway(limits Limits, r *rand.Rand, now time.Time) *Gateway {
 	return &Gateway{
 		limits: limits, buckets: map[domain.Account]*bucket{}, gateways: defaultGateways,
-		disconnected: true, lastAnswer: now, programs: newProgramTracker(now), rand: r,
+		disconnected: true, lastAnswer: now, programs: newProgramTracker(), rand: r,
 	}
 }
 
@@ -226,12 +262,13 @@
 
 // Report returns the counts of all accounts with admitted requests.
 func (g *Gateway) Report(now time.Time) Counts {
-	out := Counts{Unanswered: g.origin == ""}
+	out := Counts{Unanswered: g.origin == "", Origin: g.origin, AnnouncedUntil: g.announcedUntil}
 	g.programs.update(now)
+	activities := g.programs.activities()
 	for account, b := range g.buckets {
-		b.reported, b.reportedPrograms = b.admitted, g.programs.active[account]
+		b.reported, b.startedReported = b.admitted, b.startedCost
 		if b.admitted > 0 {
-			out.Counts = append(out.Counts, Count{Account: account, Admitted: b.admitted, Programs: b.reportedPrograms, Starts: b.startAttempts})
+			out.Counts = append(out.Counts, Count{Account: account, Admitted: b.admitted, Starts: b.startAttempts, Programs: activities[account]})
 		}
 	}
 	return out
@@ -241,6 +278,12 @@
 func (g *Gateway) ApplyTotals(now time.Time, t Totals) {
 	sameOrigin := t.Origin == g.origin
 	g.origin, g.gateways, g.lastAnswer, g.disconnected = t.Origin, t.Gateways, now, false
+	g.kinds = map[Kind]KindStatistics{}
+	for _, k := range t.Kinds {
+		g.kinds[k.Kind] = k
+	}
+	g.announcedUntil = t.AnnouncedUntil
+	g.programs.announce(now, t.Announced)
 	for _, total := range t.Totals {
 		limit, limited := g.limits(total.Account)
 		if !limited || limit.RatePerSecond <= 0 {
@@ -251,15 +294,16 @@
 			b.subtractOthers(now, total.Admitted, limit)
 		}
 		b.estimate(total.Recent, limit)
-		b.otherPrograms = max(0, total.Programs-b.reportedPrograms)
-		b.startedPrograms, b.startsPerSecond = 0, total.StartsPerSecond
+		b.programs, b.demand, b.startsPerSecond = total.Programs, total.Demand, total.StartsPerSecond
+		b.startedAcknowledged = b.startedReported
 		b.totalKnown, b.lastTotal, b.acknowledged, b.ratesUpdated, b.assumedOthers = true, total.Admitted, b.reported, now, 0
 	}
 	for account, b := range g.buckets {
 		if hasTotal(t.Totals, account) {
 			continue
 		}
-		b.totalKnown, b.otherPrograms = b.totalKnown && sameOrigin, 0
+		b.totalKnown, b.programs, b.demand = b.totalKnown && sameOrigin, 0, 0
+		b.startedAcknowledged = b.startedReported
 		if limit, limited := g.limits(account); limited {
 			b.estimate(0, limit)
 		}
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -14,9 +14,7 @@
 	lastReport time.Time
 	counts     map[domain.Account]uint64
 	rates      map[domain.Account]float64
-	// programs is the number of active programs in the last report; starts is the
-	// number of attempts to start one so far.
-	programs      map[domain.Account]int
+	// programStarts is the number of attempts to start a program so far.
 	programStarts map[domain.Account]uint64
 	// extrapolatedUntil is the time up to which the counts of a gateway that does not
 	// report were extrapolated.
@@ -81,12 +79,13 @@
 	origin    string
 	reporters map[string]*reporter
 	totals    map[domain.Account]*accountTotal
+	activity  *activity
 }
 
 // NewFleet returns a fleet without gateways. The origin must be unique for each
 // coordinator and each of its terms as leader.
 func NewFleet(origin string) *Fleet {
-	return &Fleet{origin: origin, reporters: map[string]*reporter{}, totals: map[domain.Account]*accountTotal{}}
+	return &Fleet{origin: origin, reporters: map[string]*reporter{}, totals: map[domain.Account]*accountTotal{}, activity: newActivity()}
 }
 
 // Report adds the counts of a gateway process and returns the totals. The name is
@@ -94,7 +93,7 @@
 func (f *Fleet) Report(now time.Time, gateway string, reported Counts) Totals {
 	r := f.reporters[gateway]
 	if r == nil {
-		r = &reporter{lastReport: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programs: map[domain.Account]int{}, programStarts: map[domain.Account]uint64{}}
+		r = &reporter{lastReport: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programStarts: map[domain.Account]uint64{}}
 		f.reporters[gateway] = r
 		// If the process has received an answer, an earlier coordinator has counted
 		// these requests and starts.
@@ -107,7 +106,13 @@
 	f.add(now, r, reported.Counts)
 	r.lastReport, r.extrapolatedUntil = now, now
 	f.extrapolateSilent(now)
-	return f.collectTotals(now)
+	out := f.collectTotals(now)
+	sequence := reported.AnnouncedUntil
+	if reported.Origin != f.origin {
+		sequence = 0
+	}
+	out.Announced, out.AnnouncedUntil = f.activity.announcedSince(sequence), f.activity.announcedUntil
+	return out
 }
 
 func (f *Fleet) add(now time.Time, r *reporter, counts []Count) {
@@ -115,7 +120,7 @@
 	weight := min(1, seconds/smoothingPeriod.Seconds())
 	for _, c := range counts {
 		delta := float64(c.Admitted - min(c.Admitted, r.counts[c.Account]))
-		r.counts[c.Account], r.programs[c.Account] = c.Admitted, c.Programs
+		r.counts[c.Account] = c.Admitted
 		if seconds > 0 {
 			r.rates[c.Account] += weight * (delta/seconds - r.rates[c.Account])
 		}
@@ -126,6 +131,7 @@
 			f.total(c.Account).programStarts.add(now, float64(starts))
 		}
 		r.programStarts[c.Account] = c.Starts
+		f.activity.add(now, c.Account, c.Programs)
 	}
 }
 
@@ -167,24 +173,14 @@
 // Remove removes a gateway process that was replaced by another one on the same VM.
 func (f *Fleet) Remove(gateway string) { delete(f.reporters, gateway) }
 
-// activePrograms returns the number of active programs of an account at the gateways
-// that report.
-func (f *Fleet) activePrograms(now time.Time, account domain.Account) int {
-	sum := 0
-	for _, r := range f.reporters {
-		if now.Sub(r.lastReport) < silenceTimeout {
-			sum += r.programs[account]
-		}
-	}
-	return sum
-}
-
 func (f *Fleet) collectTotals(now time.Time) Totals {
-	out := Totals{Origin: f.origin, Gateways: len(f.reporters)}
+	f.activity.update(now)
+	out := Totals{Origin: f.origin, Gateways: len(f.reporters), Kinds: f.activity.statistics()}
 	for account, t := range f.totals {
 		if now.Sub(t.changed) < totalRetention {
+			programs, demand := f.activity.demand(account)
 			out.Totals = append(out.Totals, Total{
-				Account: account, Admitted: t.admitted, Recent: t.recentRequests.sum(now), Programs: f.activePrograms(now, account),
+				Account: account, Admitted: t.admitted, Recent: t.recentRequests.sum(now), Programs: programs, Demand: demand,
 				StartsPerSecond: t.programStarts.sum(now) / recentSpan.Seconds(),
 			})
 		}
--- a/core/allowance/programs.go
+++ b/core/allowance/programs.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"hash/fnv"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -20,14 +21,31 @@
 	// until enough programs were observed. A turn lasts some hundred milliseconds
 	// and has about one tool call.
 	defaultProgramRate = 8.0
-	// defaultRateWeightSeconds is the weight of the assumed rate in the average, in
-	// seconds of one program.
-	defaultRateWeightSeconds = 5.0
-	// rateDecayPeriod is the time over which the measured rate of programs decays. It
-	// spans many programs and still follows a change of the workload.
-	rateDecayPeriod = 15 * time.Second
 )
 
+// Kind identifies the programs of one route; it is a hash of the route's name. Programs
+// of one kind have a similar demand.
+type Kind uint32
+
+// KindOf returns the kind of the programs whose turns use a route.
+func KindOf(route string) Kind {
+	h := fnv.New32a()
+	h.Write([]byte(route))
+	return Kind(h.Sum32())
+}
+
+// ProgramHash identifies a program in reports. Two programs with the same hash count as
+// one, which is rare and changes only a forecast or a priority.
+type ProgramHash uint32
+
+func hashOf(program tokens.Program) ProgramHash {
+	h := fnv.New32a()
+	h.Write([]byte(program.Account))
+	h.Write([]byte{0})
+	h.Write([]byte(program.Name))
+	return ProgramHash(h.Sum32())
+}
+
 // Priority is the admission priority of a request. It increases with the work that is
 // lost if the request is rejected.
 type Priority int
@@ -47,6 +65,9 @@
 type programState struct {
 	inFlight int
 	ended    time.Time
+	kind     Kind
+	// unreported is the number of admitted requests since the last report.
+	unreported int
 }
 
 // isActive reports whether the program has a request in flight or ended one within
@@ -55,21 +76,42 @@
 	return u.inFlight > 0 || now.Sub(u.ended) < maxPause
 }
 
-// programTracker tracks the programs that a gateway serves and the request rate of a
-// program. Both are used to forecast the demand of the active programs.
+// programTracker tracks the programs that a gateway serves.
 type programTracker struct {
 	states map[tokens.Program]*programState
 	// active is the number of active programs of each account at the last update,
 	// plus those that became active since.
 	active map[domain.Account]int
-	// requests and seconds decay over rateDecayPeriod. Their ratio is the request
-	// rate of one program.
-	requests, seconds float64
-	updated           time.Time
+	// announced holds the programs that other gateways have started, in two generations
+	// of programRetention each. announcedSince is the start of the first one.
+	announced      [2]map[ProgramHash]bool
+	announcedSince time.Time
+}
+
+func newProgramTracker() *programTracker {
+	return &programTracker{states: map[tokens.Program]*programState{}, active: map[domain.Account]int{}}
+}
+
+// announce records programs that were started at any gateway.
+func (p *programTracker) announce(now time.Time, hashes []ProgramHash) {
+	if now.Sub(p.announcedSince) >= programRetention || len(p.announced[0]) >= maxPrograms {
+		p.announced[0], p.announced[1] = map[ProgramHash]bool{}, p.announced[0]
+		p.announcedSince = now
+	}
+	for _, h := range hashes {
+		p.announced[0][h] = true
+	}
 }
 
-func newProgramTracker(now time.Time) *programTracker {
-	return &programTracker{states: map[tokens.Program]*programState{}, active: map[domain.Account]int{}, updated: now}
+// hasStarted reports whether any gateway is known to have admitted a request of the
+// program. The load pattern that it answers: in a large fleet nearly every turn of a
+// program reaches a gateway that has not seen the program before.
+func (p *programTracker) hasStarted(now time.Time, program tokens.Program) bool {
+	if u := p.states[program]; u != nil && (u.inFlight > 0 || now.Sub(u.ended) < programRetention) {
+		return true
+	}
+	hash := hashOf(program)
+	return p.announced[0][hash] || p.announced[1][hash]
 }
 
 // priority returns the admission priority of a request. hasPrevious is true for a turn
@@ -78,19 +120,17 @@
 	if program.Name == "" || !isTurn {
 		return PlainCall
 	}
-	u := p.states[program]
-	if hasPrevious || (u != nil && (u.inFlight > 0 || now.Sub(u.ended) < programRetention)) {
+	if hasPrevious || p.hasStarted(now, program) {
 		return LaterTurn
 	}
 	return NewProgram
 }
 
 // requestStarted records the start of an admitted request.
-func (p *programTracker) requestStarted(now time.Time, program tokens.Program) {
+func (p *programTracker) requestStarted(now time.Time, program tokens.Program, kind Kind) {
 	if program.Name == "" {
 		return
 	}
-	p.requests++
 	u := p.states[program]
 	if u == nil {
 		if len(p.states) >= maxPrograms {
@@ -103,6 +143,10 @@
 		p.active[program.Account]++
 	}
 	u.inFlight++
+	u.unreported++
+	if kind != 0 {
+		u.kind = kind
+	}
 }
 
 // requestEnded records the end of an admitted request.
@@ -113,29 +157,29 @@
 	}
 }
 
-// update recounts the active programs, removes expired ones and decays the rate.
+// update recounts the active programs and removes expired ones.
 func (p *programTracker) update(now time.Time) {
-	seconds := now.Sub(p.updated).Seconds()
-	decay := max(0, 1-seconds/rateDecayPeriod.Seconds())
-	p.updated = now
-	total := 0
 	clear(p.active)
 	for program, u := range p.states {
 		switch {
 		case u.isActive(now):
 			p.active[program.Account]++
-			total++
 		case now.Sub(u.ended) >= programRetention:
 			delete(p.states, program)
 		}
 	}
-	p.requests *= decay
-	p.seconds = p.seconds*decay + seconds*float64(total)
 }
 
-// requestRate returns the number of requests a second that an active program sends. It
-// is measured over the programs of all accounts, because rejections lower the rate of
-// an account at its limit.
-func (p *programTracker) requestRate() float64 {
-	return (p.requests + defaultRateWeightSeconds*defaultProgramRate) / (p.seconds + defaultRateWeightSeconds)
+// activities returns the programs of each account that had a request since the last
+// report.
+func (p *programTracker) activities() map[domain.Account][]Activity {
+	out := map[domain.Account][]Activity{}
+	for program, u := range p.states {
+		if u.inFlight == 0 && u.unreported == 0 {
+			continue
+		}
+		out[program.Account] = append(out[program.Account], Activity{Program: hashOf(program), Kind: u.kind, Requests: u.unreported})
+		u.unreported = 0
+	}
+	return out
 }
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -225,6 +225,9 @@
 		return nil
 	}
 	request := allowance.Request{Program: e.program(), IsTurn: e.isTurn(), HasPrevious: e.Previous != "", TimeLeft: e.ProgramTimeLeft}
+	if request.IsTurn {
+		request.Kind = allowance.KindOf(e.route.Name)
+	}
 	d, err := e.requestAllowance(ctx, request)
 	switch {
 	case err != nil:
