Compress the configuration once and leave silent storage VMs their seats

The leader sent it whole to 71 gateways, half of them behind the link between regions, and again after each report that timed out, so the link stayed full: turns were not stored, versions came late, voters counted as silent. A storage VM that was silent for 1.2 s also lost its seat to a spare one, with a copy of all records, and two lost members waited for each other.

Change: the front end of operators compresses a document before it is proposed; gateways and readers unpack it. A member of the storage set that is silent is replaced at once only by a successor (a VM whose disk is new, or the same VM with another disk), and by a spare VM after 10 s. Two lost members are replaced one after the other as long as enough complete ones remain to copy from. A copy ends after as many sources as it needs.

The rig of the coordinators got silent stores and a tolerance.

--- a/core/coordinator/coordinator_test.go
+++ b/core/coordinator/coordinator_test.go
@@ -195,6 +195,62 @@
 	r.expectMembers("s0/2", "s1/2", "s2/1")
 }
 
+// storeRig returns a rig with a set of 2*tolerance+1 stores and some spare ones.
+func storeRig(t *testing.T, tolerance, spares int) *rig {
+	r := newTolerantRig(t, 7, tolerance)
+	for i := range 2*tolerance + 1 + spares {
+		r.stores = append(r.stores, storeStatus(fmt.Sprintf("s%d", i), "1", string(rune('a'+i%3))))
+	}
+	r.run(3 * time.Second)
+	return r
+}
+
+// Guards against a member that loses its seat while it is only silent: a VM that is
+// frozen, cut off or restarted is back within some seconds with its records, and the copy
+// of all records to a spare one was in vain.
+func TestSilentStoreKeepsItsSeat(t *testing.T) {
+	r := storeRig(t, 1, 2)
+	before := memberIDs(r.leader().c.state.Stores)
+	r.silent["s0/1"] = true
+	r.run(5 * time.Second)
+	must.Eq(t, before, memberIDs(r.leader().c.state.Stores))
+	delete(r.silent, "s0/1")
+	r.run(5 * time.Second)
+	must.Eq(t, before, memberIDs(r.leader().c.state.Stores))
+	// A VM that stays silent is replaced by a spare one.
+	r.silent["s0/1"] = true
+	r.run(spareReplacesAfter + time.Second)
+	must.False(t, slices.Contains(memberIDs(r.leader().c.state.Stores), "s0/1"))
+}
+
+// Guards against a lost VM whose successor at another address has to wait like a spare
+// one, so that the repair takes too long.
+func TestSuccessorReplacesLostStore(t *testing.T) {
+	r := storeRig(t, 1, 0)
+	r.silent["s1/1"] = true
+	r.run(2 * time.Second)
+	added := storeStatus("s9", "1", "b")
+	added.New = true
+	r.stores = append(r.stores, added)
+	r.run(time.Second)
+	r.expectMembers("s0/1", "s2/1", "s9/1")
+}
+
+// Guards against two members that lose their disks at the same time, as the configuration
+// tolerates, and are never replaced because each waits for the other.
+func TestTwoLostStoresAreReplaced(t *testing.T) {
+	r := storeRig(t, 2, 0)
+	r.stores[0] = storeStatus("s0", "2", "a")
+	r.stores[1] = storeStatus("s1", "2", "b")
+	r.copying["s0/2"], r.copying["s1/2"] = true, true
+	r.run(3 * time.Second)
+	// The second one waits until the first one has copied.
+	r.expectMembers("s0/2", "s1/1", "s2/1", "s3/1", "s4/1")
+	delete(r.copying, "s0/2")
+	r.run(time.Second)
+	r.expectMembers("s0/2", "s1/2", "s2/1", "s3/1", "s4/1")
+}
+
 func (r *rig) expectMembers(want ...quorum.StoreID) {
 	ids := memberIDs(r.leader().c.state.Stores)
 	slices.Sort(ids)
--- a/core/coordinator/repair.go
+++ b/core/coordinator/repair.go
@@ -181,27 +181,39 @@
 	return out
 }
 
-// replacementStore returns a live storage VM outside of the set. It prefers one in the
-// data centre of the member to replace.
+// replacementStore returns a live storage VM outside of the set. It prefers the successor
+// of the member to replace, then a VM in its data centre, then one in its region.
 func (c *Coordinator) replacementStore(now time.Time, set *quorum.Set) (quorum.Member, bool) {
 	lostID, _ := c.memberToReplace(now, set)
 	lost, _ := set.Member(lostID)
-	var candidates []quorum.Member
+	var candidates []*storeReport
 	for _, s := range c.liveStores(now) {
 		if _, in := set.Member(s.ID); !in {
-			candidates = append(candidates, member(s))
+			candidates = append(candidates, s)
 		}
 	}
 	if len(candidates) == 0 {
 		return quorum.Member{}, false
 	}
-	i := slices.IndexFunc(candidates, func(m quorum.Member) bool { return m.DataCentre == lost.DataCentre })
-	return candidates[max(0, i)], true
+	rank := func(s *storeReport) int {
+		switch {
+		case isSameHost(s.ID, lostID):
+			return 0
+		case s.DataCentre == lost.DataCentre:
+			return 1
+		case s.Region == lost.Region:
+			return 2
+		default:
+			return 3
+		}
+	}
+	return member(slices.MinFunc(candidates, func(x, y *storeReport) int { return cmp.Compare(rank(x), rank(y)) })), true
 }
 
-// memberToReplace returns a member that is retired or that has stopped reporting. A VM
-// that restarted with another disk no longer reports under its previous ID. Right after
-// an election it returns none, because members have not had the time to report.
+func isSameHost(a, b quorum.StoreID) bool { return hostOf(a.Address()) == hostOf(b.Address()) }
+
+// memberToReplace returns a member that is retired or lost. Right after an election it
+// returns none, because members have not had the time to report.
 func (c *Coordinator) memberToReplace(now time.Time, set *quorum.Set) (quorum.StoreID, bool) {
 	if now.Sub(c.leaderSince) < storeLostAfter {
 		return "", false
@@ -212,27 +224,49 @@
 		}
 	}
 	for _, m := range set.Members {
-		if s, ok := c.stores[m.ID]; !ok || now.Sub(s.receivedAt) > storeLostAfter {
+		if c.isLost(now, set, m) {
 			return m.ID, true
 		}
 	}
 	return "", false
 }
 
-// othersComplete reports whether all members except old are live, use this set and have
-// copied the records of the others. Another replacement before that could lose the only
-// copy of a record.
+// isLost reports whether a member is to be replaced because it does not report. A VM that
+// is only silent keeps its seat for spareReplacesAfter: a copy of all records costs more
+// than the wait, and the tolerance covers the silence meanwhile.
+func (c *Coordinator) isLost(now time.Time, set *quorum.Set, m quorum.Member) bool {
+	lastReport := c.leaderSince
+	if s := c.stores[m.ID]; s != nil {
+		lastReport = s.receivedAt
+	}
+	silence := now.Sub(lastReport)
+	if silence <= storeLostAfter {
+		return false
+	}
+	return silence > spareReplacesAfter || slices.ContainsFunc(c.liveStores(now), func(s *storeReport) bool {
+		_, in := set.Member(s.ID)
+		return !in && (isSameHost(s.ID, m.ID) || s.New)
+	})
+}
+
+// othersComplete reports whether enough members except old are live, use this set and have
+// copied the records of the others, so that its replacement can copy every acknowledged
+// record, and whether no other member is still copying. Another replacement before that
+// could lose the only copy of a record.
 func (c *Coordinator) othersComplete(now time.Time, set *quorum.Set, old quorum.StoreID) bool {
+	complete := 0
 	for _, m := range set.Members {
-		s, ok := c.stores[m.ID]
-		if m.ID == old {
-			continue
-		}
-		if !ok || now.Sub(s.receivedAt) > storeLostAfter || !s.Complete || s.Epoch != set.Epoch {
+		s := c.stores[m.ID]
+		switch {
+		case m.ID == old || s == nil || now.Sub(s.receivedAt) > storeLostAfter:
+			// A silent member counts as lost together with old.
+		case !s.Complete || s.Epoch != set.Epoch:
 			return false
+		default:
+			complete++
 		}
 	}
-	return true
+	return complete >= set.CopySources()
 }
 
 // Retire starts the retirement of a storage VM. The ticket is 0 when the VM is already
@@ -299,5 +333,14 @@
 	if slices.ContainsFunc(set.Members, func(m quorum.Member) bool { return m.Name == name }) {
 		return false, nil
 	}
-	return c.othersComplete(now, set, ""), nil
+	return c.allComplete(now, set), nil
+}
+
+// allComplete reports whether all members are live, use this set and have copied the
+// records of the others.
+func (c *Coordinator) allComplete(now time.Time, set *quorum.Set) bool {
+	return !slices.ContainsFunc(set.Members, func(m quorum.Member) bool {
+		s := c.stores[m.ID]
+		return s == nil || now.Sub(s.receivedAt) > storeLostAfter || !s.Complete || s.Epoch != set.Epoch
+	})
 }
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -79,7 +79,7 @@
 
 func (c *Coordinator) recordStore(now time.Time, s StoreStatus) {
 	if _, known := c.stores[s.ID]; !known {
-		c.event("storage VM reports", map[string]any{"store": s.ID, "name": s.Name, "complete": s.Complete})
+		c.event("storage VM reports", map[string]any{"store": s.ID, "name": s.Name, "complete": s.Complete, "new": s.New})
 	}
 	c.stores[s.ID] = &storeReport{StoreStatus: s, receivedAt: now}
 }
--- a/core/coordinator/rig_test.go
+++ b/core/coordinator/rig_test.go
@@ -46,10 +46,17 @@
 	stores      []StoreStatus
 	// copying holds the stores that report that they are not complete.
 	copying map[quorum.StoreID]bool
+	// silent holds the stores that do not report.
+	silent    map[quorum.StoreID]bool
+	tolerance int
 }
 
-func newRig(t must.T, seed uint64) *rig {
-	r := &rig{t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, partitioned: map[string]bool{}, copying: map[quorum.StoreID]bool{}}
+func newRig(t must.T, seed uint64) *rig { return newTolerantRig(t, seed, 1) }
+
+// newTolerantRig returns a rig whose coordinators are configured for the loss of
+// tolerance VMs.
+func newTolerantRig(t must.T, seed uint64, tolerance int) *rig {
+	r := &rig{t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, partitioned: map[string]bool{}, copying: map[quorum.StoreID]bool{}, silent: map[quorum.StoreID]bool{}, tolerance: tolerance}
 	var voters []domain.VM
 	for i := range 3 {
 		voters = append(voters, NewVM(address(i), "first"))
@@ -65,7 +72,7 @@
 func (r *rig) start(id Identity, restored raft.Restored) {
 	r.vms[VMAddress(id.VM)] = &vm{
 		identity: id, restored: restored, outcomes: map[Ticket]error{},
-		c: New(Config{Self: id.VM, Voters: id.Voters, Tolerance: 1, Rand: r.rand}, restored, r.now),
+		c: New(Config{Self: id.VM, Voters: id.Voters, Tolerance: r.tolerance, Rand: r.rand}, restored, r.now),
 	}
 }
 
@@ -152,6 +159,9 @@
 func (r *rig) report(v *vm) {
 	for i := range r.stores {
 		s := r.stores[i]
+		if r.silent[s.ID] {
+			continue
+		}
 		if set := v.c.state.Stores; set != nil {
 			s.Epoch, s.Complete = set.Epoch, !r.copying[s.ID]
 		}
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -14,8 +14,8 @@
 // Version is the version number of a manifest. Versions increase and may have gaps.
 type Version uint64
 
-// Document is a manifest in the encoding in which the operator sent it. The coordinators
-// replicate these bytes, so that a read returns exactly what was written.
+// Document is a manifest in the encoding of the front end that received it. The
+// coordinators replicate these bytes, so that a read returns exactly what was written.
 type Document struct {
 	Version Version
 	Raw     []byte
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -43,7 +43,7 @@
 	metrics := newGatewayMetrics()
 	g := gateway.New(gateway.Options{
 		Process: p.settings.IP + "/" + p.startID, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
-		Calls: p.rpcClient, Targets: platform.NewWorkers(), Decode: platform.DecodeManifest,
+		Calls: p.rpcClient, Targets: platform.NewWorkers(), Decode: platform.DecodePackedManifest,
 		AllowanceSlack: allowanceSlackShare * p.settings.AllowanceSlack,
 		Clock:          p.clock, Rand: p.rand, Metrics: metrics, Log: p.log,
 	})
