Send only totals and counts of accounts that changed

Cause: the leader sent the totals of all 140 accounts, with the names of their fields, to each of 170 gateways every 250 ms, and each gateway reported all accounts that it ever served.

Change: totals and counts have a sequence number; answers and reports lack what has not changed since the last ones received. A report carries what the last answered one had, so that a new leader counts an account that it first sees later.

--- a/core/allowance/activity.go
+++ b/core/allowance/activity.go
@@ -142,13 +142,15 @@
 	return k
 }
 
-// update removes the programs that have ended and recounts the demand of the others.
-func (a *activity) update(now time.Time) {
+// update removes the programs that have ended and recounts the demand of the others. It
+// returns the accounts whose number of active programs has changed.
+func (a *activity) update(now time.Time) (changed []domain.Account) {
 	if now.Sub(a.updated) < activityUpdateInterval {
-		return
+		return nil
 	}
 	a.updated = now
-	clear(a.active)
+	before := a.active
+	a.active = map[domain.Account]accountDemand{}
 	for key, p := range a.programs {
 		k := a.kind(p.kind)
 		if now.Sub(p.seen) >= endTimeout {
@@ -166,6 +168,17 @@
 		d.requests += k.rate() * forecastSpan.Seconds()
 		a.active[p.account] = d
 	}
+	for account, d := range a.active {
+		if d.programs != before[account].programs {
+			changed = append(changed, account)
+		}
+	}
+	for account := range before {
+		if _, ok := a.active[account]; !ok {
+			changed = append(changed, account)
+		}
+	}
+	return changed
 }
 
 func (a *activity) demand(account domain.Account) (programs int, requests float64) {
--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -62,6 +62,11 @@
 	// Programs lists the account's programs that had a request at the gateway since its
 	// last report.
 	Programs []Activity `cbor:"4,keyasint,omitempty"`
+	// AnsweredAdmitted and AnsweredStarts are the values of Admitted and Starts in the
+	// last report that any coordinator answered. The account was not in the reports since
+	// then if it had no change.
+	AnsweredAdmitted uint64 `cbor:"5,keyasint,omitempty"`
+	AnsweredStarts   uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Activity is what one gateway sees of one active program. The requests of a program
@@ -103,9 +108,11 @@
 	// Unanswered reports whether no coordinator has answered this process yet, so
 	// that none of its counts are included in a total.
 	Unanswered bool
-	Counts     []Count
-	// Origin and AnnouncedUntil are those of the last totals.
+	// Counts lacks the accounts without a change since the last answer.
+	Counts []Count
+	// Origin, Sequence and AnnouncedUntil are those of the last totals.
 	Origin         string `cbor:",omitempty"`
+	Sequence       uint64 `cbor:",omitempty"`
 	AnnouncedUntil uint64 `cbor:",omitempty"`
 }
 
@@ -117,6 +124,11 @@
 	// Gateways is the number of gateways that report.
 	Gateways int
 	Totals   []Total
+	// Sequence is the sequence number of the last change. Totals lacks the accounts that
+	// have not changed since the sequence number in the report. All reports whether it
+	// covers all accounts, so that an account without a total is idle.
+	Sequence uint64
+	All      bool `cbor:",omitempty"`
 	// Kinds lists the kinds of programs that were started recently.
 	Kinds []KindStatistics `cbor:",omitempty"`
 	// Announced lists the hashes of programs that have started since the totals that
@@ -145,9 +157,12 @@
 	// assumedOthers is the assumed number of requests that the other gateways have
 	// admitted since the last total.
 	assumedOthers float64
-	// startAttempts counts all attempts to start a program here, and startsPerSecond
-	// is the rate of attempts over all gateways.
-	startAttempts   uint64
+	// answered is the count of this gateway in the last report that was answered.
+	answered uint64
+	// startAttempts counts all attempts to start a program here. reportedAttempts is its
+	// value in the last report, answeredAttempts in the last one that was answered.
+	startAttempts, reportedAttempts, answeredAttempts uint64
+	// startsPerSecond is the rate of attempts over all gateways.
 	startsPerSecond float64
 	// startedCost is the cost of all programs that were started here. startedReported
 	// is its value at the last report, startedAcknowledged the part that the last
@@ -169,9 +184,10 @@
 	disconnected bool
 	programs     *programTracker
 	kinds        map[Kind]KindStatistics
-	// announcedUntil is the sequence number of the last announced program of origin.
-	announcedUntil uint64
-	rand           *rand.Rand
+	// sequence is the sequence number of the last totals, announcedUntil that of the last
+	// announced program of origin.
+	sequence, announcedUntil uint64
+	rand                     *rand.Rand
 }
 
 // NewGateway returns a gateway without buckets that counts as disconnected until it
@@ -260,15 +276,19 @@
 	return b
 }
 
-// Report returns the counts of all accounts with admitted requests.
+// Report returns the counts of the accounts that changed since the last answer.
 func (g *Gateway) Report(now time.Time) Counts {
-	out := Counts{Unanswered: g.origin == "", Origin: g.origin, AnnouncedUntil: g.announcedUntil}
+	out := Counts{Unanswered: g.origin == "", Origin: g.origin, Sequence: g.sequence, AnnouncedUntil: g.announcedUntil}
 	g.programs.update(now)
 	activities := g.programs.activities()
 	for account, b := range g.buckets {
-		b.reported, b.startedReported = b.admitted, b.startedCost
-		if b.admitted > 0 {
-			out.Counts = append(out.Counts, Count{Account: account, Admitted: b.admitted, Starts: b.startAttempts, Programs: activities[account]})
+		b.reported, b.reportedAttempts, b.startedReported = b.admitted, b.startAttempts, b.startedCost
+		programs := activities[account]
+		if b.admitted != b.answered || b.startAttempts != b.answeredAttempts || len(programs) > 0 {
+			out.Counts = append(out.Counts, Count{
+				Account: account, Admitted: b.admitted, Starts: b.startAttempts, Programs: programs,
+				AnsweredAdmitted: b.answered, AnsweredStarts: b.answeredAttempts,
+			})
 		}
 	}
 	return out
@@ -282,34 +302,49 @@
 	for _, k := range t.Kinds {
 		g.kinds[k.Kind] = k
 	}
-	g.announcedUntil = t.AnnouncedUntil
+	g.sequence, g.announcedUntil = t.Sequence, t.AnnouncedUntil
 	g.programs.announce(now, t.Announced)
+	for _, b := range g.buckets {
+		b.answered, b.answeredAttempts = b.reported, b.reportedAttempts
+		b.totalKnown = b.totalKnown && sameOrigin
+	}
+	included := map[domain.Account]bool{}
 	for _, total := range t.Totals {
+		included[total.Account] = true
 		limit, limited := g.limits(total.Account)
 		if !limited || limit.RatePerSecond <= 0 {
 			continue
 		}
 		b := g.refill(now, total.Account, limit, 1)
-		if sameOrigin && b.totalKnown {
-			b.subtractOthers(now, total.Admitted, limit)
-		}
+		b.applyTotal(now, total.Admitted, limit)
 		b.estimate(total.Recent, limit)
 		b.programs, b.demand, b.startsPerSecond = total.Programs, total.Demand, total.StartsPerSecond
 		b.startedAcknowledged = b.startedReported
-		b.totalKnown, b.lastTotal, b.acknowledged, b.ratesUpdated, b.assumedOthers = true, total.Admitted, b.reported, now, 0
 	}
 	for account, b := range g.buckets {
-		if hasTotal(t.Totals, account) {
-			continue
-		}
-		b.totalKnown, b.programs, b.demand = b.totalKnown && sameOrigin, 0, 0
-		b.startedAcknowledged = b.startedReported
-		if limit, limited := g.limits(account); limited {
+		limit, limited := g.limits(account)
+		switch {
+		case !limited || limit.RatePerSecond <= 0 || included[account]:
+		case t.All:
+			// The account is idle.
+			b.programs, b.demand = 0, 0
+			b.startedAcknowledged = b.startedReported
 			b.estimate(0, limit)
+		case b.totalKnown:
+			// The total has not changed.
+			g.refill(now, account, limit, 1).applyTotal(now, b.lastTotal, limit)
 		}
 	}
 }
 
+// applyTotal applies the total of the last report.
+func (b *bucket) applyTotal(now time.Time, admitted float64, limit Limit) {
+	if b.totalKnown {
+		b.subtractOthers(now, admitted, limit)
+	}
+	b.totalKnown, b.lastTotal, b.acknowledged, b.ratesUpdated, b.assumedOthers = true, admitted, b.reported, now, 0
+}
+
 // estimate sets the level of a bucket that was created before the first answer, from
 // the requests that the fleet admitted recently. A bucket that was full at the start
 // of that period holds at least this level now.
@@ -323,15 +358,6 @@
 	b.level = min(limit.Burst, limit.Burst+gained-recent) - sinceReport
 }
 
-func hasTotal(totals []Total, account domain.Account) bool {
-	for _, t := range totals {
-		if t.Account == account {
-			return true
-		}
-	}
-	return false
-}
-
 // subtractOthers subtracts the requests that the other gateways admitted since the
 // last total, and updates the averaged rates.
 func (b *bucket) subtractOthers(now time.Time, total float64, limit Limit) {
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -60,8 +60,10 @@
 }
 
 type accountTotal struct {
-	admitted float64
-	changed  time.Time
+	admitted    float64
+	lastRequest time.Time
+	// sequence is the sequence number of the last change.
+	sequence uint64
 	// recentRequests counts the admitted recentRequests, and programStarts counts the attempts to start a
 	// program, both over the last recentSpan.
 	recentRequests, programStarts recentCount
@@ -70,7 +72,7 @@
 func (t *accountTotal) add(now time.Time, requests float64) {
 	t.recentRequests.add(now, requests)
 	t.admitted += requests
-	t.changed = now
+	t.lastRequest = now
 }
 
 // Fleet holds the coordinator's counts over all gateways. It is not safe for
@@ -80,6 +82,8 @@
 	reporters map[string]*reporter
 	totals    map[domain.Account]*accountTotal
 	activity  *activity
+	// sequence is the sequence number of the last change of a total.
+	sequence uint64
 }
 
 // NewFleet returns a fleet without gateways. The origin must be unique for each
@@ -93,20 +97,13 @@
 func (f *Fleet) Report(now time.Time, gateway string, reported Counts) Totals {
 	r := f.reporters[gateway]
 	if r == nil {
-		r = &reporter{lastReport: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programStarts: map[domain.Account]uint64{}}
+		r = newReporter(now, reported)
 		f.reporters[gateway] = r
-		// If the process has received an answer, an earlier coordinator has counted
-		// these requests and starts.
-		for _, c := range reported.Counts {
-			if !reported.Unanswered {
-				r.counts[c.Account], r.programStarts[c.Account] = c.Admitted, c.Starts
-			}
-		}
 	}
 	f.add(now, r, reported.Counts)
 	r.lastReport, r.extrapolatedUntil = now, now
 	f.extrapolateSilent(now)
-	out := f.collectTotals(now)
+	out := f.collectTotals(now, reported)
 	sequence := reported.AnnouncedUntil
 	if reported.Origin != f.origin {
 		sequence = 0
@@ -115,20 +112,45 @@
 	return out
 }
 
+// newReporter returns the state of a gateway that has not reported to this coordinator.
+func newReporter(now time.Time, reported Counts) *reporter {
+	r := &reporter{lastReport: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programStarts: map[domain.Account]uint64{}}
+	// If the process has received an answer, an earlier coordinator has counted
+	// these requests and starts.
+	for _, c := range reported.Counts {
+		if !reported.Unanswered {
+			r.counts[c.Account], r.programStarts[c.Account] = c.Admitted, c.Starts
+		}
+	}
+	return r
+}
+
 func (f *Fleet) add(now time.Time, r *reporter, counts []Count) {
 	seconds := now.Sub(r.lastReport).Seconds()
 	weight := min(1, seconds/smoothingPeriod.Seconds())
+	if seconds > 0 {
+		// An account that a partial report lacks had no request.
+		for account := range r.rates {
+			r.rates[account] *= 1 - weight
+		}
+	}
 	for _, c := range counts {
+		if _, known := r.counts[c.Account]; !known {
+			// The account had no change in earlier reports to this coordinator.
+			r.counts[c.Account], r.programStarts[c.Account] = c.AnsweredAdmitted, c.AnsweredStarts
+		}
 		delta := float64(c.Admitted - min(c.Admitted, r.counts[c.Account]))
 		r.counts[c.Account] = c.Admitted
 		if seconds > 0 {
-			r.rates[c.Account] += weight * (delta/seconds - r.rates[c.Account])
+			r.rates[c.Account] += weight * delta / seconds
 		}
 		if delta > 0 {
 			f.addRequests(now, c.Account, delta)
 		}
 		if starts := c.Starts - min(c.Starts, r.programStarts[c.Account]); starts > 0 {
-			f.total(c.Account).programStarts.add(now, float64(starts))
+			t := f.total(c.Account)
+			t.programStarts.add(now, float64(starts))
+			f.changed(t)
 		}
 		r.programStarts[c.Account] = c.Starts
 		f.activity.add(now, c.Account, c.Programs)
@@ -136,7 +158,9 @@
 }
 
 func (f *Fleet) addRequests(now time.Time, account domain.Account, requests float64) {
-	f.total(account).add(now, requests)
+	t := f.total(account)
+	t.add(now, requests)
+	f.changed(t)
 }
 
 func (f *Fleet) total(account domain.Account) *accountTotal {
@@ -173,17 +197,30 @@
 // Remove removes a gateway process that was replaced by another one on the same VM.
 func (f *Fleet) Remove(gateway string) { delete(f.reporters, gateway) }
 
-func (f *Fleet) collectTotals(now time.Time) Totals {
-	f.activity.update(now)
-	out := Totals{Origin: f.origin, Gateways: len(f.reporters), Kinds: f.activity.statistics()}
+// collectTotals returns the totals that changed since the last ones that the gateway has
+// received. The load pattern that it answers: all totals for all gateways would grow with
+// the product of accounts and gateways.
+func (f *Fleet) collectTotals(now time.Time, reported Counts) Totals {
+	for _, account := range f.activity.update(now) {
+		f.changed(f.total(account))
+	}
+	all := reported.Origin != f.origin
+	out := Totals{Origin: f.origin, Gateways: len(f.reporters), Kinds: f.activity.statistics(), Sequence: f.sequence, All: all}
 	for account, t := range f.totals {
-		if now.Sub(t.changed) < totalRetention {
-			programs, demand := f.activity.demand(account)
-			out.Totals = append(out.Totals, Total{
-				Account: account, Admitted: t.admitted, Recent: t.recentRequests.sum(now), Programs: programs, Demand: demand,
-				StartsPerSecond: t.programStarts.sum(now) / recentSpan.Seconds(),
-			})
+		if now.Sub(t.lastRequest) >= totalRetention || (!all && t.sequence <= reported.Sequence) {
+			continue
 		}
+		programs, demand := f.activity.demand(account)
+		out.Totals = append(out.Totals, Total{
+			Account: account, Admitted: t.admitted, Recent: t.recentRequests.sum(now), Programs: programs, Demand: demand,
+			StartsPerSecond: t.programStarts.sum(now) / recentSpan.Seconds(),
+		})
 	}
 	return out
 }
+
+// changed marks a total for all gateways.
+func (f *Fleet) changed(t *accountTotal) {
+	f.sequence++
+	t.sequence = f.sequence
+}
