Give each program a home among the targets and order waiting requests by time left

Cause: a gateway knows which target holds a prompt only from its own requests, so in a large fleet the turns of a program are read again at other targets. Requests that waited for a target were ordered by the route's priority alone, the account's priority was not applied, and a request waited a quarter of its objective even if its place in the queue could not be served by then.

Change: the usable target of the region with the highest hash of program and target is the program's home; it is assumed to hold four fifths of the earlier prompt, and other costs decide as before. core/waiting orders by priority, then by the time the program has left, rejects at once what would not be served in time by the measured rate of freed places, and spreads retry-after times.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,10 @@
 	// prefillTokensPerMillisecond is the approximate prefill rate of an engine. It
 	// converts the uncached tokens of a prompt to a cost.
 	prefillTokensPerMillisecond = 100
+	// firstTurnHomeMillis is the advantage of a program's home for its first turn. It is
+	// smaller than the slow-down by one more running request, so that it only decides
+	// between targets with a similar load.
+	firstTurnHomeMillis = 6
 	// jitterMillis breaks ties at random, so that gateways with the same view do not
 	// all choose the same target.
 	jitterMillis = 5
@@ -51,6 +56,9 @@
 	// partTTL is the time for which a target is assumed to cache a part of a prompt.
 	// At full load the contents of a cache are replaced within some seconds.
 	partTTL = 6 * time.Second
+	// homeHitRate is the assumed probability that the home of a program holds the prompt
+	// of its last turn, which another gateway may have sent elsewhere.
+	homeHitRate = 0.8
 	// maxParts bounds the number of cached parts that are tracked for one target.
 	maxParts = 4_000
 	// maxObjects bounds the number of objects of plain requests that are tracked.
@@ -214,6 +222,8 @@
 	Object string
 	// Parts is the prompt of a generation, in order.
 	Parts []Part
+	// Program identifies the program of a generation, or is empty.
+	Program string
 	// Tried lists the targets that have rejected or failed the request.
 	Tried []domain.Target
 	// ConnectionCap limits the in-flight requests of this gateway at one target; 0
@@ -255,6 +265,7 @@
 	var best *targetState
 	bestCost := 0.0
 	refusal := NoTarget
+	home := b.home(now, request)
 	for _, s := range b.services[request.Service] {
 		if s.Leaving || slices.Contains(request.Tried, s.ID) {
 			continue
@@ -266,7 +277,7 @@
 			refusal = AllFull
 			continue
 		}
-		if cost := b.cost(now, s, request); best == nil || cost < bestCost {
+		if cost := b.cost(now, s, request, s == home); best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
@@ -285,7 +296,42 @@
 	return s.Slots > 0 && s.load(now) >= maxRequestsPerSlot*float64(s.Slots)
 }
 
-func (b *Balancer) cost(now time.Time, s *targetState, request Request) float64 {
+// home returns the target that all gateways of the region prefer for the turns of a
+// program, or nil. It is the usable target with the highest hash of both names, so that a
+// change of the list moves few programs. The load pattern that it answers: in a large
+// fleet the turns of a program reach gateways that have not seen the program before, and
+// a target that has its prompt cached cannot be known from the gateway's own requests.
+func (b *Balancer) home(now time.Time, request Request) *targetState {
+	if request.Program == "" || len(request.Parts) == 0 {
+		return nil
+	}
+	var home *targetState
+	var highest uint64
+	for _, s := range b.services[request.Service] {
+		if s.Leaving || s.Region != b.location.Region || now.Before(s.backoffUntil) {
+			continue
+		}
+		h := fnv.New64a()
+		h.Write([]byte(request.Program))
+		h.Write([]byte{0})
+		h.Write([]byte(s.ID))
+		if sum := mix(h.Sum64()); home == nil || sum > highest {
+			home, highest = s, sum
+		}
+	}
+	return home
+}
+
+// mix spreads the bits of a hash. FNV alone gives similar names similar hashes.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func (b *Balancer) cost(now time.Time, s *targetState, request Request, isHome bool) float64 {
 	load, slots := s.load(now), float64(max(1, s.Slots))
 	cost := runningCostMillis * min(load, slots)
 	cost += waitingCostMillis * max(0, load-slots)
@@ -299,10 +345,39 @@
 	if request.Object != "" && b.objects[request.Object] != s.ID {
 		cost += coldObjectCostMillis
 	}
-	cost += float64(s.uncachedTokens(now, request.Parts)) / prefillTokensPerMillisecond
+	uncached := float64(s.uncachedTokens(now, request.Parts))
+	if isHome {
+		uncached = min(uncached, expectedAtHome(request.Parts))
+		if !hasHistory(request.Parts) {
+			cost -= firstTurnHomeMillis
+		}
+	}
+	cost += uncached / prefillTokensPerMillisecond
 	return cost + jitterMillis*b.rand.Float64()
 }
 
+// hasHistory reports whether a prompt continues an earlier one: it has more parts than a
+// shared one and its own.
+func hasHistory(parts []Part) bool { return len(parts) > 2 }
+
+// expectedAtHome returns the number of prompt tokens that the home of the program is
+// expected to process.
+func expectedAtHome(parts []Part) float64 {
+	if !hasHistory(parts) {
+		return float64(tokensOf(parts))
+	}
+	last := len(parts) - 1
+	return float64(parts[last].Tokens) + (1-homeHitRate)*float64(tokensOf(parts[:last]))
+}
+
+// Service returns the service of a target, or "" if it is not known.
+func (b *Balancer) Service(id domain.Target) string {
+	if s := b.targets[id]; s != nil {
+		return s.Service
+	}
+	return ""
+}
+
 // AddInFlight counts a request that is dispatched to the same target again, without
 // Pick.
 func (b *Balancer) AddInFlight(id domain.Target) {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -91,3 +91,79 @@
 	again, _ := b.Pick(now, Request{Service: "s", Parts: prompt})
 	must.Eq(t, first.ID, again.ID)
 }
+
+// spreadTurns plays programs of several turns. Each turn reaches a random one of many
+// gateways. It returns the part of the prompt tokens of earlier turns that targets process
+// again, and the requests of the busiest target as a multiple of the mean.
+func spreadTurns(gateways, targets, programs, turns int) (again, busiest float64) {
+	r := rand.New(rand.NewPCG(1, 7))
+	var list []Target
+	for i := range targets {
+		list = append(list, target(domain.Target(fmt.Sprint("t", i)), "a", "north"))
+	}
+	var balancers []*Balancer
+	for i := range gateways {
+		b := New(Location{DataCentre: "a", Region: "north"}, rand.New(rand.NewPCG(2, uint64(i))))
+		b.SetTargets(list)
+		balancers = append(balancers, b)
+	}
+	cached := map[domain.Target]map[string]bool{}
+	served := map[domain.Target]int{}
+	now := time.Unix(1000, 0)
+	history, processed := 0, 0
+	for p := range programs {
+		parts := []Part{{ID: "shared", Tokens: 512}}
+		for turn := range turns {
+			now = now.Add(50 * time.Millisecond)
+			parts = append(parts, Part{ID: fmt.Sprintf("%d.%d", p, turn), Tokens: 600})
+			b := balancers[r.IntN(gateways)]
+			picked, _ := b.Pick(now, Request{Service: "s", Parts: parts, Program: fmt.Sprint("p", p)})
+			b.Done(now, picked.ID, Served, nil)
+			served[picked.ID]++
+			if cached[picked.ID] == nil {
+				cached[picked.ID] = map[string]bool{}
+			}
+			for i, part := range parts {
+				if earlier := i > 0 && i < len(parts)-1; earlier {
+					history += part.Tokens
+					if !cached[picked.ID][part.ID] {
+						processed += part.Tokens
+					}
+				}
+				cached[picked.ID][part.ID] = true
+			}
+		}
+	}
+	most := 0
+	for _, n := range served {
+		most = max(most, n)
+	}
+	return float64(processed) / float64(history), float64(most*targets) / float64(programs*turns)
+}
+
+// Guards against turns that are sent to targets without their prompts, because in a large
+// fleet no gateway has seen the program before, and against a home that all programs
+// share.
+func TestTurnsFindTheirPromptOverManyGateways(t *testing.T) {
+	again, busiest := spreadTurns(60, 20, 400, 6)
+	must.LessEq(t, 0.1, again)
+	must.LessEq(t, 2, busiest)
+}
+
+// Guards against a home that is used although it is full, leaving or in backoff.
+func TestHomeYields(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBalancer(target("t1", "a", "north"), target("t2", "a", "north"), target("t3", "a", "north"), target("far", "c", "south"))
+	request := Request{Service: "s", Program: "p", Parts: []Part{{ID: "shared", Tokens: 500}, {ID: "1", Tokens: 600}, {ID: "2", Tokens: 600}}}
+	home := b.home(now, request)
+	must.NotEq(t, "far", home.ID)
+	for range 8 {
+		picked, _ := b.Pick(now, request)
+		if picked.ID != home.ID {
+			break
+		}
+	}
+	must.Less(t, 6, home.inFlight, must.Sprint("the home took more requests than its slots"))
+	b.Done(now, home.ID, Failed, nil)
+	must.NotEq(t, home.ID, b.home(now, request).ID)
+}
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -91,9 +91,8 @@
 	// RatePerSecond and Burst are the rate limit of the account, in requests, across all
 	// VMs; 0 means no limit.
 	RatePerSecond, Burst float64
-	// Priority is the account's priority, which is to take precedence over that of the
-	// route, or nil. Gateways do not apply it: they order waiting requests by the route's
-	// priority only.
+	// Priority is the account's priority, which takes precedence over that of the route,
+	// or nil.
 	Priority *int
 }
 
--- /dev/null
+++ b/core/waiting/waiting.go
@@ -0,0 +1,151 @@
+// Package waiting orders the requests of one gateway that wait for a target, and estimates
+// how long a request has to wait.
+package waiting
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// maxLength bounds the requests that wait.
+	maxLength = 512
+	// ratePeriod is the time over which the rate of freed places is averaged.
+	ratePeriod = time.Second
+	// minRetryAfter and maxRetryAfter bound the time after which a rejected request may
+	// come back. Callers wait for at most a third of the time that they have left.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Second
+	// unknownRetryAfter is that time while no place was freed recently. It is about the
+	// duration of one short request.
+	unknownRetryAfter = 250 * time.Millisecond
+	// retrySpread is the part of a retry-after time by which it varies, so that requests
+	// that were rejected together do not come back together.
+	retrySpread = 0.5
+)
+
+// Request is a request that waits for a target of a service.
+type Request struct {
+	Service string
+	// Priority orders the requests; 0 is served first.
+	Priority int
+	// Deadline is the time at which the request, or the program that it belongs to, has to
+	// end. Among requests of one priority the one with the least time left goes first.
+	Deadline time.Time
+	// GiveUp is the time until which the request may wait.
+	GiveUp time.Time
+}
+
+func (r *Request) before(other *Request) bool {
+	if r.Priority != other.Priority {
+		return r.Priority < other.Priority
+	}
+	return r.Deadline.Before(other.Deadline)
+}
+
+// Queue holds the waiting requests in the order in which they are served. The load pattern
+// that it answers: more requests than places, of several priorities, some of which belong
+// to programs that are nearly late. It is not safe for concurrent use.
+type Queue[T comparable] struct {
+	rand  *rand.Rand
+	items []item[T]
+	freed map[string]*freedRate
+}
+
+type item[T comparable] struct {
+	request Request
+	value   T
+}
+
+// freedRate is the averaged rate at which places of a service become free.
+type freedRate struct {
+	perSecond float64
+	updated   time.Time
+}
+
+// decay updates the average to the present time.
+func (f *freedRate) decay(now time.Time) {
+	f.perSecond *= max(0, 1-now.Sub(f.updated).Seconds()/ratePeriod.Seconds())
+	f.updated = now
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T comparable](r *rand.Rand) *Queue[T] {
+	return &Queue[T]{rand: r, freed: map[string]*freedRate{}}
+}
+
+// Add adds a request, unless the queue is full or the request would give up before its
+// turn. A rejected request can go to another gateway at once instead of after its wait.
+func (q *Queue[T]) Add(now time.Time, r Request, value T) bool {
+	i, _ := slices.BinarySearchFunc(q.items, r, func(other item[T], r Request) int {
+		if r.before(&other.request) {
+			return 1
+		}
+		return -1
+	})
+	wait, known := q.wait(now, r.Service, q.ahead(r.Service, i))
+	if len(q.items) >= maxLength || (known && now.Add(wait).After(r.GiveUp)) {
+		return false
+	}
+	q.items = slices.Insert(q.items, i, item[T]{r, value})
+	return true
+}
+
+// ahead returns the number of requests for the service before position i.
+func (q *Queue[T]) ahead(service string, i int) int {
+	n := 0
+	for _, other := range q.items[:i] {
+		if other.request.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// wait returns the expected wait of a request with the given number of requests ahead, and
+// whether places were freed recently.
+func (q *Queue[T]) wait(now time.Time, service string, ahead int) (time.Duration, bool) {
+	f := q.freed[service]
+	if f == nil {
+		return 0, false
+	}
+	f.decay(now)
+	if f.perSecond*ratePeriod.Seconds() < 1 {
+		return 0, false
+	}
+	return time.Duration(float64(ahead+1) / f.perSecond * float64(time.Second)), true
+}
+
+// RetryAfter returns the time after which a rejected request can expect a place: when all
+// that wait now have been served.
+func (q *Queue[T]) RetryAfter(now time.Time, service string) time.Duration {
+	wait, known := q.wait(now, service, q.ahead(service, len(q.items)))
+	if !known {
+		wait = unknownRetryAfter
+	}
+	wait = max(minRetryAfter, min(maxRetryAfter, wait))
+	return wait + time.Duration(retrySpread*q.rand.Float64()*float64(wait))
+}
+
+// Remove removes a request that gives up.
+func (q *Queue[T]) Remove(value T) {
+	q.items = slices.DeleteFunc(q.items, func(i item[T]) bool { return i.value == value })
+}
+
+// Freed records that a place of the service has become free.
+func (q *Queue[T]) Freed(now time.Time, service string) {
+	f := q.freed[service]
+	if f == nil {
+		f = &freedRate{updated: now}
+		q.freed[service] = f
+	}
+	f.decay(now)
+	f.perSecond += 1 / ratePeriod.Seconds()
+}
+
+// Serve offers a place to each waiting request in order. Requests for which place returns
+// true leave the queue.
+func (q *Queue[T]) Serve(place func(value T) bool) {
+	q.items = slices.DeleteFunc(q.items, func(i item[T]) bool { return place(i.value) })
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/tokens"
+	"github.com/mangoknot/mangoknot/core/waiting"
 	"github.com/mangoknot/mangoknot/node/loop"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -99,7 +100,7 @@
 	suspectUntil   map[quorum.StoreID]time.Time
 	targetSequence uint64
 	targetList     []balance.Target
-	queue          []*waiter
+	queue          *waiting.Queue[*waiter]
 	// pendingSettlements holds, for each program, a channel that is closed when
 	// the pending write of an advance reservation has ended.
 	pendingSettlements map[tokens.Program]chan struct{}
@@ -120,6 +121,7 @@
 		shares:             tokens.NewShareSet(o.Process),
 		pendingSettlements: map[tokens.Program]chan struct{}{},
 		suspectUntil:       map[quorum.StoreID]time.Time{},
+		queue:              waiting.NewQueue[*waiter](o.Rand),
 	}
 	g.view.Store(&view{})
 	g.allowances = allowance.NewGateway(g.limit, o.Rand, o.Clock.Now())
--- a/node/gateway/queue.go
+++ b/node/gateway/queue.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/balance"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/waiting"
 )
 
 const (
@@ -16,20 +16,20 @@
 	// minConnections is the lower bound of a gateway's share of the connections
 	// of one target.
 	minConnections = 4
-	// queueLimit bounds the requests of one gateway that wait for a target.
-	queueLimit = 512
 )
 
 type pickResult struct {
 	target  balance.Target
 	refusal balance.Refusal
+	// retryAfter is the time after which a refused request can expect a target.
+	retryAfter time.Duration
 }
 
 // waiter is a request that waits for a target with a free slot.
 type waiter struct {
-	request  balance.Request
-	priority int
-	result   chan pickResult
+	request balance.Request
+	waiting waiting.Request
+	result  chan pickResult
 }
 
 // connectionCap returns this gateway's part of the connections that each target
@@ -41,30 +41,25 @@
 	return max(minConnections, s.MaxConnections/max(1, int(g.gatewayCount.Load())))
 }
 
-// pickOrWait picks a target for a waiter at once, or queues the waiter by
-// priority if all targets are full. It runs on the control goroutine.
+// pickOrWait picks a target for a waiter at once, or queues the waiter if all targets are
+// full. A waiter that would not be served in time is refused. It runs on the control
+// goroutine.
 func (g *Gateway) pickOrWait(now time.Time, w *waiter) {
 	target, refusal := g.balancer.Pick(now, w.request)
-	if refusal != balance.AllFull || len(g.queue) >= queueLimit {
-		w.result <- pickResult{target: target, refusal: refusal}
+	if refusal == balance.AllFull && g.queue.Add(now, w.waiting, w) {
 		return
 	}
-	i := len(g.queue)
-	for i > 0 && g.queue[i-1].priority > w.priority {
-		i--
-	}
-	g.queue = slices.Insert(g.queue, i, w)
+	w.result <- pickResult{target: target, refusal: refusal, retryAfter: g.queue.RetryAfter(now, w.request.Service)}
 }
 
-// serveQueue picks targets for the queued waiters, in the order of their
-// priority.
+// serveQueue picks targets for the queued waiters in their order.
 func (g *Gateway) serveQueue(now time.Time) {
-	g.queue = slices.DeleteFunc(g.queue, func(w *waiter) bool {
+	g.queue.Serve(func(w *waiter) bool {
 		target, refusal := g.balancer.Pick(now, w.request)
 		if refusal == balance.AllFull {
 			return false
 		}
-		w.result <- pickResult{target: target, refusal: refusal}
+		w.result <- pickResult{target: target, refusal: refusal, retryAfter: g.queue.RetryAfter(now, w.request.Service)}
 		return true
 	})
 }
@@ -73,7 +68,7 @@
 // in the meantime is released.
 func (g *Gateway) cancelWait(w *waiter) {
 	g.Deliver(func(now time.Time) {
-		g.queue = slices.DeleteFunc(g.queue, func(other *waiter) bool { return other == w })
+		g.queue.Remove(w)
 		select {
 		case r := <-w.result:
 			if r.refusal == "" {
@@ -86,6 +81,7 @@
 
 // finish ends a request at a target and passes its slot to the queue.
 func (g *Gateway) finish(now time.Time, id domain.Target, outcome balance.Outcome, load *balance.Load) {
+	g.queue.Freed(now, g.balancer.Service(id))
 	g.balancer.Done(now, id, outcome, load)
 	g.serveQueue(now)
 }
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/mangoknot/mangoknot/core/manifest"
 	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/tokens"
+	"github.com/mangoknot/mangoknot/core/waiting"
 	"github.com/mangoknot/mangoknot/node/loop"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -80,7 +81,9 @@
 	route   *manifest.Route
 	service *manifest.Service
 	account domain.Account
-	started time.Time
+	// priority is that of the account or else of the route.
+	priority int
+	started  time.Time
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline time.Time
 	turn     *turn
@@ -207,7 +210,7 @@
 	if !ok {
 		return notRun(NoRoute, 0, nil)
 	}
-	e.route = route
+	e.route, e.priority = route, route.Priority
 	e.service, _ = index.Service(route.ChooseService(e.ID))
 	if refusal := e.identify(index); refusal != nil {
 		return refusal
@@ -244,6 +247,9 @@
 	}
 	if ok {
 		e.account = holder.Name
+		if holder.Priority != nil {
+			e.priority = *holder.Priority
+		}
 	}
 	return nil
 }
@@ -256,6 +262,15 @@
 	e.deadline = e.started.Add(wait)
 }
 
+// programDeadline returns the time at which the program has to end, or the request's own
+// deadline.
+func (e *exchange) programDeadline() time.Time {
+	if e.ProgramTimeLeft > 0 {
+		return e.started.Add(e.ProgramTimeLeft)
+	}
+	return e.deadline
+}
+
 func (e *exchange) timeLeft() time.Duration { return e.deadline.Sub(e.g.o.Clock.Now()) }
 
 func (e *exchange) takeAllowance(ctx context.Context) *Refusal {
@@ -311,15 +326,17 @@
 		return target, nil
 	}
 	if len(e.tried) >= maxTargets {
-		return balance.Target{}, e.noTargetRefusal(AllFull)
+		return balance.Target{}, e.noTargetRefusal(AllFull, fullRetryAfter)
 	}
 	w := &waiter{
 		request: balance.Request{
-			Service: e.service.Name, Object: e.objectKey(), Parts: e.Parts, Tried: e.tried,
+			Service: e.service.Name, Object: e.objectKey(), Parts: e.Parts, Program: e.Program, Tried: e.tried,
 			ConnectionCap: e.g.connectionCap(e.service),
 		},
-		priority: e.route.Priority,
-		result:   make(chan pickResult, 1),
+		waiting: waiting.Request{
+			Service: e.service.Name, Priority: e.priority, Deadline: e.programDeadline(), GiveUp: e.g.o.Clock.Now().Add(e.queueTimeout()),
+		},
+		result: make(chan pickResult, 1),
 	}
 	if err := e.g.Do(ctx, func(now time.Time) { e.g.pickOrWait(now, w) }); err != nil {
 		e.g.cancelWait(w)
@@ -330,12 +347,12 @@
 	select {
 	case r := <-w.result:
 		if r.refusal != "" {
-			return balance.Target{}, e.noTargetRefusal(Kind(r.refusal))
+			return balance.Target{}, e.noTargetRefusal(Kind(r.refusal), r.retryAfter)
 		}
 		return r.target, nil
 	case <-queueTimer.C:
 		e.g.cancelWait(w)
-		return balance.Target{}, e.noTargetRefusal(AllFull)
+		return balance.Target{}, e.noTargetRefusal(AllFull, fullRetryAfter)
 	case <-ctx.Done():
 		e.g.cancelWait(w)
 		return balance.Target{}, e.contextRefusal(ctx, ctx.Err())
@@ -349,11 +366,11 @@
 	return min(e.route.Objective/4, e.timeLeft())
 }
 
-func (e *exchange) noTargetRefusal(kind Kind) *Refusal {
+func (e *exchange) noTargetRefusal(kind Kind, retryAfter time.Duration) *Refusal {
 	if e.runs > 0 {
 		return &Refusal{Kind: OutcomeUnknown, Cause: e.lastErr}
 	}
-	return notRun(kind, fullRetryAfter, e.lastErr)
+	return notRun(kind, retryAfter, e.lastErr)
 }
 
 // errNoTimeLeft is the cause of a refusal after the deadline.
