Let rejected requests of programs come back one after the other

Cause: a program sends several calls at once. When the bucket of its account is empty, each rejected one was told to come back when the bucket holds one request, so all came back at the same time and all but one were rejected again; callers retry a call once or twice. Refusals for storage VMs or a missing configuration had one constant time for all.

Change: the retry-after of later turns and plain calls counts the rejected requests that are expected back before it; the refill serves them. The constant times are spread by up to a half, by the id of the request.

--- a/core/allowance/admission.go
+++ b/core/allowance/admission.go
@@ -148,12 +148,18 @@
 }
 
 // decideActive admits a plain call or a later turn if the bucket holds one request
-// more than the reserve for its priority.
+// more than the reserve for its priority. The load pattern that it answers: a program
+// sends several requests at once to an empty bucket. Each rejected one may come back when
+// those that were rejected before it have been served, so that they do not meet again.
 func (g *Gateway) decideActive(d *Decision, b *bucket) {
 	reserve := min(maxLaterTurnReserve, reserveFractions[d.Priority]*b.capacity)
 	required := min(b.capacity, 1+reserve)
-	d.Admitted = b.level >= required
-	d.RetryAfter = time.Duration((required - b.level) / g.refillRate(b, d.Limit) * float64(time.Second))
+	if d.Admitted = b.level >= required; d.Admitted {
+		return
+	}
+	missing := required - b.level + b.returning
+	d.RetryAfter = time.Duration(missing / g.refillRate(b, d.Limit) * float64(time.Second))
+	b.returning++
 }
 
 // decideNew admits a new program if enough remains for the active ones. The load pattern
--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -157,6 +157,9 @@
 	// assumedOthers is the assumed number of requests that the other gateways have
 	// admitted since the last total.
 	assumedOthers float64
+	// returning is the number of rejected requests of active programs that are expected to
+	// come back and to take a request each. The refill serves them.
+	returning float64
 	// answered is the count of this gateway in the last report that was answered.
 	answered uint64
 	// startAttempts counts all attempts to start a program here. reportedAttempts is its
@@ -266,6 +269,7 @@
 	}
 	seconds, rate := now.Sub(b.filled).Seconds(), g.refillRate(b, limit)
 	b.level += seconds * rate
+	b.returning = max(0, b.returning-seconds*rate)
 	b.assumedOthers += seconds * (limit.RatePerSecond - rate)
 	b.filled = now
 	b.capacity = max(1, limit.Burst)
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -232,3 +232,26 @@
 	must.True(t, g.Admit(now, firstTurn(0)).Admitted)
 	must.Less(t, int(limit.Burst), started)
 }
+
+// Guards against rejected calls of a program that are told to come back at the same time,
+// when the bucket holds one request only. Callers retry a call once or twice.
+func TestRejectedCallsReturnOneByOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	small := Limit{RatePerSecond: 10, Burst: 10}
+	g := NewGateway(func(domain.Account) (Limit, bool) { return small, true }, fixedRand(), now)
+	g.ApplyTotals(now, Totals{Origin: "1", Gateways: 1, All: true})
+	for g.Admit(now, plainCall).Admitted {
+	}
+	var returns []time.Time
+	for range 5 {
+		returns = append(returns, now.Add(g.Admit(now, plainCall).RetryAfter))
+	}
+	for i, at := range returns {
+		must.True(t, g.Admit(at, plainCall).Admitted, must.Sprintf("call %d is rejected again", i))
+	}
+	// Those that do not come back are forgotten.
+	now = now.Add(10 * time.Second)
+	for g.Admit(now, plainCall).Admitted {
+	}
+	must.LessEq(t, 250*time.Millisecond, g.Admit(now, plainCall).RetryAfter)
+}
--- a/node/gateway/budget.go
+++ b/node/gateway/budget.go
@@ -30,14 +30,14 @@
 	}
 	result, err := e.g.write(ctx, records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: share}}, sharesOf: e.turn.program, needsComplete: true})
 	if err != nil {
-		return notRun(StorageUnavailable, storageRetryAfter, err)
+		return notRun(StorageUnavailable, e.spread(storageRetryAfter), err)
 	}
 	e.recordOtherShares(result, share.Writer)
 	switch tokens.CheckBudget(e.Budget, share, result.union) {
 	case tokens.Spent:
 		return notRun(BudgetSpent, 0, nil)
 	case tokens.BlockedByAdvance:
-		return notRun(BudgetReserved, reservedRetryAfter, nil)
+		return notRun(BudgetReserved, e.spread(reservedRetryAfter), nil)
 	default:
 		return nil
 	}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -203,7 +203,7 @@
 // limits and counts it against the account's allowance.
 func (e *exchange) admit(ctx context.Context) *Refusal {
 	if !e.view.complete() {
-		return notRun(NoManifest, startRetryAfter, nil)
+		return notRun(NoManifest, e.spread(startRetryAfter), nil)
 	}
 	index := e.view.index
 	route, ok := index.Route(e.Host, e.Path)
@@ -226,6 +226,18 @@
 	return e.takeAllowance(ctx)
 }
 
+// spread lengthens a retry-after time by up to a half, by the id of the request. Requests
+// that are refused together, such as all after a loss of the storage VMs, would otherwise
+// come back together.
+func (e *exchange) spread(d time.Duration) time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(e.ID))
+	return d + d/2*time.Duration(h.Sum32()%spreadSteps)/spreadSteps
+}
+
+// spreadSteps is the number of different times that spread returns.
+const spreadSteps = 1000
+
 // fingerprintOf returns a fingerprint that is the same for all attempts of a
 // request. It does not cover the id, which differs for each attempt.
 func (e *exchange) fingerprintOf() quarantine.Fingerprint {
--- a/node/gateway/turn.go
+++ b/node/gateway/turn.go
@@ -75,7 +75,7 @@
 	case errors.Is(err, errNoTurn):
 		return nil, notRun(NoSuchTurn, 0, err)
 	case err != nil:
-		return nil, notRun(StorageUnavailable, storageRetryAfter, err)
+		return nil, notRun(StorageUnavailable, e.spread(storageRetryAfter), err)
 	}
 	if slices.ContainsFunc(chain, func(t *turnstore.Turn) bool { return t.Key.ID == e.ID }) {
 		// Stored under this id, the turn would continue itself.
