Tell a late second answer of an engine apart and shorten totals

Cause: net/http notices unexpected bytes on a connection only while it is idle. A second answer to an earlier call that arrives after the next call was sent was taken for its answer, so that a caller of the daemon got the answer of another one. Totals had 53 bytes each, most of them floating-point numbers of 9 bytes.

Change: engines repeat X-Engine-Call and an answer of another call is rejected; the stand-in engine does so. Numbers of totals are rounded to eighths and the codec uses the shortest exact floating-point encoding.

A total has 36 bytes (53 before).

--- a/adapter/codec/codec.go
+++ b/adapter/codec/codec.go
@@ -70,7 +70,7 @@
 
 // build returns a codec for the registered tags.
 func build(tags cbor.TagSet) (*Codec, error) {
-	enc, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic, Time: cbor.TimeRFC3339Nano}.EncModeWithTags(tags)
+	enc, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic, Time: cbor.TimeRFC3339Nano, ShortestFloat: cbor.ShortestFloat16}.EncModeWithTags(tags)
 	if err != nil {
 		return nil, fmt.Errorf("codec: encoder options: %w", err)
 	}
--- a/adapter/codec/codec_test.go
+++ b/adapter/codec/codec_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/mangoknot/mangoknot/core/allowance"
+	"github.com/mangoknot/mangoknot/core/coordinator"
 	"github.com/mangoknot/mangoknot/core/domain"
 )
 
@@ -46,3 +48,21 @@
 	must.NoError(t, err)
 	must.Eq(t, domain.Message(want), got)
 }
+
+// Guards against totals that grow: they are sent to every gateway a few times a second.
+func TestTotalsAreShort(t *testing.T) {
+	c, err := New(coordinator.Messages(), nil)
+	must.NoError(t, err)
+	size := func(n int) int {
+		v := &coordinator.View{}
+		for range n {
+			v.Allowances.Totals = append(v.Allowances.Totals, allowance.Total{
+				Account: "acct0001", Admitted: 12345.125, Recent: 14, Programs: 2, Demand: 13.625, StartsPerSecond: 0.75,
+			})
+		}
+		data, err := c.EncodeMessage(v)
+		must.NoError(t, err)
+		return len(data)
+	}
+	must.LessEq(t, 100*36, size(100)-size(0))
+}
--- a/adapter/target/call.go
+++ b/adapter/target/call.go
@@ -33,6 +33,7 @@
 	errStreamedError   = errors.New("the engine sent an error inside the stream")
 	errGap             = errors.New("the engine skipped events of the answer")
 	errAnswerTooLarge  = errors.New("the answer exceeds the size limit")
+	errForeignAnswer   = errors.New("the engine sent the answer of another call")
 	errResumeLimit     = errors.New("the stream was lost after each resume; the limit on resumes is reached")
 	errClosed          = errors.New("the stream was closed before its end")
 )
@@ -176,6 +177,10 @@
 		s.watchdog.stop()
 		return badAnswer(s.call.Target, response.StatusCode, body, "the engine answered with status %d", response.StatusCode)
 	}
+	if id := response.Header.Get(headerCall); id != "" && id != string(s.call.Call) {
+		// A second answer to an earlier call on a reused connection.
+		return badAnswer(s.call.Target, response.StatusCode, nil, "%w: it belongs to call %s", errForeignAnswer, id)
+	}
 	if c.events, err = newEvents(response, s.client.settings.MaxEvent); err != nil {
 		return badAnswer(s.call.Target, response.StatusCode, nil, "%w", err)
 	}
--- a/adapter/target/target_test.go
+++ b/adapter/target/target_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -322,3 +323,56 @@
 func (brokenBody) Read([]byte) (int, error) {
 	return 0, errors.New("the caller's connection was reset")
 }
+
+// Guards against a second answer to an earlier call, sent late on a reused connection,
+// that is taken for the answer to the next call: a caller would get the answer of another.
+func TestLateSecondAnswerIsNotTheNextOne(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(c)
+		}
+	}()
+	client := New(quick, func(target domain.Target) *config.TargetSpec {
+		return &config.TargetSpec{Name: target, Kind: config.TargetEngine, Address: listener.Addr().String()}
+	}, testr.New(t))
+	t.Cleanup(client.Close)
+	for _, id := range []string{"1", "2", "3"} {
+		s, err := client.Call(context.Background(), port.TargetCall{Target: "engine", Program: program, Call: domain.CallID(id), Body: chatBody("x", true)})
+		if err != nil {
+			must.ErrorIs(t, err, errForeignAnswer)
+			continue
+		}
+		payloads, _ := drain(t, s, 0)
+		for _, p := range payloads {
+			must.Eq(t, `{"call":"`+id+`"}`, p)
+		}
+	}
+}
+
+// answerTwice answers the calls of one connection. From the second one on, the answer to
+// the call before comes once more first.
+func answerTwice(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	previous := ""
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		body := fmt.Sprintf("data: {\"call\":%q}\n\ndata: [DONE]\n\n", r.Header.Get(headerCall))
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerCall, r.Header.Get(headerCall), len(body), body)
+		if _, err := io.WriteString(c, previous+answer); err != nil {
+			return
+		}
+		previous = answer
+	}
+}
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"math"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -212,8 +213,8 @@
 		}
 		programs, demand := f.activity.demand(account)
 		out.Totals = append(out.Totals, Total{
-			Account: account, Admitted: t.admitted, Recent: t.recentRequests.sum(now), Programs: programs, Demand: demand,
-			StartsPerSecond: t.programStarts.sum(now) / recentSpan.Seconds(),
+			Account: account, Admitted: round(t.admitted), Recent: round(t.recentRequests.sum(now)), Programs: programs, Demand: round(demand),
+			StartsPerSecond: round(t.programStarts.sum(now) / recentSpan.Seconds()),
 		})
 	}
 	return out
@@ -224,3 +225,6 @@
 	f.sequence++
 	t.sequence = f.sequence
 }
+
+// round returns a number with three binary places, which has a short encoding.
+func round(v float64) float64 { return math.Round(v*8) / 8 }
--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -2,7 +2,9 @@
 // with continuous batching, a prefix cache and fault injection.
 //
 // POST /v1/chat/completions and GET /v1/models follow the OpenAI protocol. The
-// headers X-Engine-Program and X-Engine-Call name the program and the call.
+// headers X-Engine-Program and X-Engine-Call name the program and the call. An answer
+// repeats X-Engine-Call, so that a late second answer is not taken for that of the next
+// call on the connection.
 // A text of n bytes has ceil(n/4) tokens. A prompt is rendered as "role\ncontent\n"
 // for each message. A last message that contains [[tool:NAME]] or
 // [[tool:NAME {"json":"arguments"}]] requests a call of the declared tool NAME.
--- a/emulator/engine/http.go
+++ b/emulator/engine/http.go
@@ -130,6 +130,7 @@
 // its offset. The connection is closed if the call was cancelled.
 func (e *Engine) stream(sess *session, w http.ResponseWriter, id string, offset int) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(HeaderCall, id)
 	w.WriteHeader(http.StatusOK)
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush() // fails only if the client has disconnected, which wait detects
@@ -150,6 +151,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderCall, id)
 	_, _ = w.Write(answer) // the client may have disconnected
 }
 
