Rename the kind of a program in core/allowance

Kind -> ProgramKind, KindOf -> ProgramKindOf: manifest, gateway and balance have kinds of their own. Comments of fleet.go are corrected. No other change.

--- a/core/allowance/activity.go
+++ b/core/allowance/activity.go
@@ -35,7 +35,7 @@
 // number, and a gateway that serves few programs cannot measure their request rate.
 type activity struct {
 	programs map[ProgramHash]*fleetProgram
-	kinds    map[Kind]*kindDemand
+	kinds    map[ProgramKind]*kindDemand
 	// active holds the number of active programs and their demand as of updated.
 	active  map[domain.Account]accountDemand
 	updated time.Time
@@ -53,7 +53,7 @@
 // fleetProgram is an active program as reported by all gateways.
 type fleetProgram struct {
 	account         domain.Account
-	kind            Kind
+	kind            ProgramKind
 	started, seen   time.Time
 	initialRequests int
 }
@@ -89,7 +89,7 @@
 }
 
 func newActivity() *activity {
-	return &activity{programs: map[ProgramHash]*fleetProgram{}, kinds: map[Kind]*kindDemand{}, active: map[domain.Account]accountDemand{}}
+	return &activity{programs: map[ProgramHash]*fleetProgram{}, kinds: map[ProgramKind]*kindDemand{}, active: map[domain.Account]accountDemand{}}
 }
 
 // add records the programs of an account that one gateway reports.
@@ -130,7 +130,7 @@
 	return slices.Clone(a.announced[len(a.announced)-int(n):])
 }
 
-func (a *activity) kind(kind Kind) *kindDemand {
+func (a *activity) kind(kind ProgramKind) *kindDemand {
 	k := a.kinds[kind]
 	if k == nil {
 		if len(a.kinds) >= maxKinds {
--- a/core/allowance/admission.go
+++ b/core/allowance/admission.go
@@ -43,7 +43,7 @@
 	// Program has an empty name if the request belongs to no program.
 	Program tokens.Program
 	// Kind is the kind of the program; it is set for turns.
-	Kind Kind
+	Kind ProgramKind
 	// IsTurn reports whether the request is a turn, HasPrevious whether it continues
 	// an earlier turn.
 	IsTurn, HasPrevious bool
@@ -207,7 +207,7 @@
 
 // costOf returns the number of requests that a new program of the kind is expected to
 // send within forecastSpan.
-func (g *Gateway) costOf(kind Kind) float64 {
+func (g *Gateway) costOf(kind ProgramKind) float64 {
 	if k, ok := g.kinds[kind]; ok {
 		return max(1, k.Cost)
 	}
--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -75,7 +75,7 @@
 	// Program is a hash of the program's name.
 	Program ProgramHash `cbor:"1,keyasint"`
 	// Kind is the kind of the program, or 0 if the gateway has seen no turn of it.
-	Kind Kind `cbor:"2,keyasint,omitempty"`
+	Kind ProgramKind `cbor:"2,keyasint,omitempty"`
 	// Requests is the number of requests admitted since the last report.
 	Requests int `cbor:"3,keyasint,omitempty"`
 }
@@ -97,7 +97,7 @@
 
 // KindStatistics holds means over the programs of a kind at all gateways.
 type KindStatistics struct {
-	Kind Kind `cbor:"1,keyasint"`
+	Kind ProgramKind `cbor:"1,keyasint"`
 	// Cost is the number of requests that a program sends in the first second after its
 	// start.
 	Cost float64 `cbor:"2,keyasint"`
@@ -186,7 +186,7 @@
 	lastAnswer   time.Time
 	disconnected bool
 	programs     *programTracker
-	kinds        map[Kind]KindStatistics
+	kinds        map[ProgramKind]KindStatistics
 	// sequence is the sequence number of the last totals, announcedUntil that of the last
 	// announced program of origin.
 	sequence, announcedUntil uint64
@@ -302,7 +302,7 @@
 func (g *Gateway) ApplyTotals(now time.Time, t Totals) {
 	sameOrigin := t.Origin == g.origin
 	g.origin, g.gateways, g.lastAnswer, g.disconnected = t.Origin, t.Gateways, now, false
-	g.kinds = map[Kind]KindStatistics{}
+	g.kinds = map[ProgramKind]KindStatistics{}
 	for _, k := range t.Kinds {
 		g.kinds[k.Kind] = k
 	}
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -65,8 +65,8 @@
 	lastRequest time.Time
 	// sequence is the sequence number of the last change.
 	sequence uint64
-	// recentRequests counts the admitted recentRequests, and programStarts counts the attempts to start a
-	// program, both over the last recentSpan.
+	// recentRequests counts the admitted requests, and programStarts the attempts to start
+	// a program, both over the last recentSpan.
 	recentRequests, programStarts recentCount
 }
 
@@ -130,7 +130,7 @@
 	seconds := now.Sub(r.lastReport).Seconds()
 	weight := min(1, seconds/smoothingPeriod.Seconds())
 	if seconds > 0 {
-		// An account that a partial report lacks had no request.
+		// An account that the report lacks had no request.
 		for account := range r.rates {
 			r.rates[account] *= 1 - weight
 		}
--- a/core/allowance/programs.go
+++ b/core/allowance/programs.go
@@ -23,15 +23,15 @@
 	defaultProgramRate = 8.0
 )
 
-// Kind identifies the programs of one route; it is a hash of the route's name. Programs
+// ProgramKind identifies the programs of one route; it is a hash of the route's name. Programs
 // of one kind have a similar demand.
-type Kind uint32
+type ProgramKind uint32
 
-// KindOf returns the kind of the programs whose turns use a route.
-func KindOf(route string) Kind {
+// ProgramKindOf returns the kind of the programs whose turns use a route.
+func ProgramKindOf(route string) ProgramKind {
 	h := fnv.New32a()
 	h.Write([]byte(route))
-	return Kind(h.Sum32())
+	return ProgramKind(h.Sum32())
 }
 
 // ProgramHash identifies a program in reports. Two programs with the same hash count as
@@ -65,7 +65,7 @@
 type programState struct {
 	inFlight int
 	ended    time.Time
-	kind     Kind
+	kind     ProgramKind
 	// unreported is the number of admitted requests since the last report.
 	unreported int
 }
@@ -127,7 +127,7 @@
 }
 
 // requestStarted records the start of an admitted request.
-func (p *programTracker) requestStarted(now time.Time, program tokens.Program, kind Kind) {
+func (p *programTracker) requestStarted(now time.Time, program tokens.Program, kind ProgramKind) {
 	if program.Name == "" {
 		return
 	}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -291,7 +291,7 @@
 	}
 	request := allowance.Request{Program: e.program(), IsTurn: e.isTurn(), HasPrevious: e.Previous != "", TimeLeft: e.ProgramTimeLeft}
 	if request.IsTurn {
-		request.Kind = allowance.KindOf(e.route.Name)
+		request.Kind = allowance.ProgramKindOf(e.route.Name)
 	}
 	d, err := e.requestAllowance(ctx, request)
 	switch {
