--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL := $(GO) tool -modfile=tools/go.mod
 BIN := build/bin
 
-.PHONY: test quick build format lint vet unit soak demo measure clean
+.PHONY: test quick build format lint vet unit fuzz soak demo measure clean
 
 test: format vet lint unit
 
@@ -25,6 +25,12 @@
 unit:
 	$(GO) test -race -count=1 ./...
 
+# Fuzzes each decoder of the platform's front ends for FUZZTIME. The unit tests run the seeds only.
+FUZZTIME ?= 10s
+fuzz:
+	for f in FuzzWorkerAnswer FuzzEvents FuzzManifest FuzzListEntry FuzzCallerRequest; do \
+		$(GO) test ./platform -run xxx -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) || exit 1; done
+
 # Tests random faults with 40 consecutive seeds, the first of which is SEED.
 SEED ?= 1000
 soak:
