--- a/core/coordinator/repair.go
+++ b/core/coordinator/repair.go
@@ -256,11 +256,11 @@
 func (c *Coordinator) othersComplete(now time.Time, set *quorum.Set, old quorum.StoreID) bool {
 	complete := 0
 	for _, m := range set.Members {
-		s := c.stores[m.ID]
+		s := c.currentReport(now, m.ID)
 		switch {
-		case m.ID == old || s == nil || now.Sub(s.receivedAt) > storeLostAfter:
+		case m.ID == old || s == nil:
 			// A silent member counts as lost together with old.
-		case !s.Complete || s.Epoch != set.Epoch:
+		case !s.isComplete(set):
 			return false
 		default:
 			complete++
@@ -340,7 +340,19 @@
 // records of the others.
 func (c *Coordinator) allComplete(now time.Time, set *quorum.Set) bool {
 	return !slices.ContainsFunc(set.Members, func(m quorum.Member) bool {
-		s := c.stores[m.ID]
-		return s == nil || now.Sub(s.receivedAt) > storeLostAfter || !s.Complete || s.Epoch != set.Epoch
+		s := c.currentReport(now, m.ID)
+		return s == nil || !s.isComplete(set)
 	})
 }
+
+// currentReport returns the last report of a storage VM, or nil if the VM is silent.
+func (c *Coordinator) currentReport(now time.Time, id quorum.StoreID) *storeReport {
+	s := c.stores[id]
+	if s == nil || now.Sub(s.receivedAt) > storeLostAfter {
+		return nil
+	}
+	return s
+}
+
+// isComplete reports whether the VM uses the set and has copied the records of the others.
+func (s *storeReport) isComplete(set *quorum.Set) bool { return s.Complete && s.Epoch == set.Epoch }
--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -145,7 +145,13 @@
 }
 
 // Serve offers a place to each waiting request in order. Requests for which place returns
-// true leave the queue.
+// true leave the queue after the last offer, so that place may call RetryAfter.
 func (q *Queue[T]) Serve(place func(value T) bool) {
-	q.items = slices.DeleteFunc(q.items, func(i item[T]) bool { return place(i.value) })
+	var kept []item[T]
+	for _, i := range q.items {
+		if !place(i.value) {
+			kept = append(kept, i)
+		}
+	}
+	q.items = kept
 }
--- a/core/waiting/waiting_test.go
+++ b/core/waiting/waiting_test.go
@@ -12,6 +12,17 @@
 
 func newQueue() *Queue[int] { return NewQueue[int](rand.New(rand.NewPCG(1, 1))) }
 
+// queueWithTenPerSecond returns a queue and the time after which ten places of the service
+// s were freed a second for a long time.
+func queueWithTenPerSecond() (*Queue[int], time.Time) {
+	q, now := newQueue(), start
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		q.Freed(now, "s")
+	}
+	return q, now
+}
+
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 // order serves all requests and returns them in their order.
@@ -38,12 +49,7 @@
 // Guards against requests that wait although they will not be served in time: with ten
 // places freed a second and a wait of at most 300 ms, only the first three can be served.
 func TestLateRequestsAreRejectedAtOnce(t *testing.T) {
-	q := newQueue()
-	now := start
-	for range 200 {
-		now = now.Add(100 * time.Millisecond)
-		q.Freed(now, "s")
-	}
+	q, now := queueWithTenPerSecond()
 	accepted := 0
 	for i := range 50 {
 		if q.Add(now, Request{Service: "s", Deadline: now.Add(time.Minute), GiveUp: now.Add(350 * time.Millisecond)}, i) {
@@ -60,12 +66,7 @@
 // Guards against rejected requests that come back together, or before a place can be
 // free: a burst of 30 requests, of which ten places a second serve three at a time.
 func TestReturnsAreSpread(t *testing.T) {
-	q := newQueue()
-	now := start
-	for range 200 {
-		now = now.Add(100 * time.Millisecond)
-		q.Freed(now, "s")
-	}
+	q, now := queueWithTenPerSecond()
 	var earliest, latest time.Duration
 	for i := range 30 {
 		if q.Add(now, Request{Service: "s", GiveUp: now.Add(350 * time.Millisecond)}, i) {
@@ -92,3 +93,19 @@
 	q.Remove(1)
 	must.SliceEmpty(t, order(q))
 }
+
+// Guards against a retry-after time that is computed from a half-updated queue, when a
+// request is refused while the queue is served.
+func TestRetryAfterWhileServing(t *testing.T) {
+	q, now := queueWithTenPerSecond()
+	for i, service := range []string{"s", "other", "s"} {
+		must.True(t, q.Add(now, Request{Service: service, Deadline: now.Add(time.Duration(i) * time.Second), GiveUp: now.Add(time.Minute)}, i))
+	}
+	q.Serve(func(value int) bool {
+		if value == 2 {
+			must.GreaterEq(t, 290*time.Millisecond, q.RetryAfter(now, "s"))
+		}
+		return value != 1
+	})
+	must.Eq(t, []int{1}, order(q))
+}
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -34,10 +34,11 @@
 		e.tried = append(e.tried, target.ID)
 	}
 	callerCtx := ctx
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	e.stall = e.startStallTimer(cancel)
-	defer e.stall.Stop()
+	if e.route.Kind == manifest.Stream {
+		var stop func()
+		ctx, stop = e.watchStall(ctx)
+		defer stop()
+	}
 	if wait, bounded := e.attemptTimeout(); bounded {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, wait)
@@ -83,14 +84,15 @@
 	return max(minStallTimeout, stallObjectives*r.Objective, stallEventGaps*r.EventGap) + stallMargin
 }
 
-// startStallTimer returns the timer that ends an attempt of a stream without events.
-// Each event resets it; a byte alone is no progress. It never fires for other requests.
-func (e *exchange) startStallTimer(cancel context.CancelCauseFunc) *time.Timer {
-	timer := time.AfterFunc(stallTimeout(e.route), func() { cancel(errStalled) })
-	if e.route.Kind != manifest.Stream {
-		timer.Stop()
+// watchStall returns a context that ends when the stream of the attempt stalls. Each event
+// resets the timer; a byte alone is no progress. stop releases both.
+func (e *exchange) watchStall(ctx context.Context) (watched context.Context, stop func()) {
+	watched, cancel := context.WithCancelCause(ctx)
+	e.stall = time.AfterFunc(stallTimeout(e.route), func() { cancel(errStalled) })
+	return watched, func() {
+		e.stall.Stop()
+		cancel(nil)
 	}
-	return timer
 }
 
 // withStall adds errStalled to the error of an attempt that was ended for it.
--- a/node/gateway/queue.go
+++ b/node/gateway/queue.go
@@ -49,7 +49,16 @@
 	if refusal == balance.AllFull && g.queue.Add(now, w.waiting, w) {
 		return
 	}
-	w.result <- pickResult{target: target, refusal: refusal, retryAfter: g.queue.RetryAfter(now, w.request.Service)}
+	g.answerWaiter(now, w, target, refusal)
+}
+
+// answerWaiter gives a waiter its target, or its refusal with a retry-after time.
+func (g *Gateway) answerWaiter(now time.Time, w *waiter, target balance.Target, refusal balance.Refusal) {
+	result := pickResult{target: target, refusal: refusal}
+	if refusal != "" {
+		result.retryAfter = g.queue.RetryAfter(now, w.request.Service)
+	}
+	w.result <- result
 }
 
 // serveQueue picks targets for the queued waiters in their order.
@@ -59,7 +68,7 @@
 		if refusal == balance.AllFull {
 			return false
 		}
-		w.result <- pickResult{target: target, refusal: refusal, retryAfter: g.queue.RetryAfter(now, w.request.Service)}
+		g.answerWaiter(now, w, target, refusal)
 		return true
 	})
 }
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -98,7 +98,7 @@
 	// at the same target, or nil.
 	reconnectTarget *balance.Target
 	reconnects      int
-	// stall ends the current attempt when its stream stalls.
+	// stall ends the current attempt when its stream stalls. It is nil for other requests.
 	stall *time.Timer
 
 	target domain.Target
--- a/port/exchange.go
+++ b/port/exchange.go
@@ -46,8 +46,6 @@
 	// LimitHead bounds the status line, the headers and the informational answers
 	// before the answer.
 	LimitHead Limit = "answer_head"
-	// LimitSkipped bounds an answer that is read only to reuse its connection.
-	LimitSkipped Limit = "skipped_answer"
 	// LimitBody bounds the body of an answer that is not a stream.
 	LimitBody Limit = "answer_body"
 	// LimitEvent bounds one event of a stream, LimitStream the whole stream.
