--- a/port/exchange.go
+++ b/port/exchange.go
@@ -43,8 +43,7 @@
 
 // The bounds on an answer, in bytes, and on the buffers of all requests of a process.
 const (
-	// LimitHead bounds the status line, the headers and the informational answers
-	// before the answer.
+	// LimitHead bounds the status line and the headers.
 	LimitHead Limit = "answer_head"
 	// LimitBody bounds the body of an answer that is not a stream.
 	LimitBody Limit = "answer_body"
