Count what gateways admitted between two leaders

Cause: a new leader took the counts in the first report of a gateway as its base, on the assumption that the former leader had counted them. It had not counted what was admitted after its last answer, for up to the whole time without a leader. Gateways already report the counts of the last answered report for accounts that appear later; the first report now uses the same base. Counts.Unanswered is no longer needed: a process without an answer has an answered count of 0.

A report whose answer was lost is counted by both leaders, which errs to the side of the limit.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -105,9 +105,6 @@
 
 // Counts is the report of one gateway.
 type Counts struct {
-	// Unanswered reports whether no coordinator has answered this process yet, so
-	// that none of its counts are included in a total.
-	Unanswered bool
 	// Counts lacks the accounts without a change since the last answer.
 	Counts []Count
 	// Origin, Sequence and AnnouncedUntil are those of the last totals.
@@ -282,7 +279,7 @@
 
 // Report returns the counts of the accounts that changed since the last answer.
 func (g *Gateway) Report(now time.Time) Counts {
-	out := Counts{Unanswered: g.origin == "", Origin: g.origin, Sequence: g.sequence, AnnouncedUntil: g.announcedUntil}
+	out := Counts{Origin: g.origin, Sequence: g.sequence, AnnouncedUntil: g.announcedUntil}
 	g.programs.update(now)
 	activities := g.programs.activities()
 	for account, b := range g.buckets {
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -31,6 +31,14 @@
 	limit     = Limit{RatePerSecond: userLimit.RatePerSecond, Burst: userLimit.Burst + slack/2}
 )
 
+// smallLimit is the allowance of a small account on a large fleet.
+var smallLimit = Limit{RatePerSecond: 12, Burst: 12}
+
+// withSlack returns the limit that gateways use for a user's limit.
+func withSlack(user Limit) Limit {
+	return Limit{RatePerSecond: user.RatePerSecond, Burst: user.Burst + slack/2}
+}
+
 // plainCall is a call outside of any program.
 var plainCall = Request{Program: tokens.Program{Account: "a"}}
 
@@ -43,6 +51,7 @@
 
 // fleet is a simulation of gateways that report to a coordinator.
 type fleet struct {
+	user        Limit
 	rand        *rand.Rand
 	now         time.Time
 	leader      *Fleet
@@ -55,7 +64,7 @@
 	offered     int
 	// restarts counts the restarts of each gateway, so that a restarted gateway reports
 	// as another process.
-	restarts [60]int
+	restarts []int
 }
 
 type pendingAnswer struct {
@@ -66,16 +75,22 @@
 
 func fixedRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
 
-func newFleet(n int, seed uint64) *fleet {
-	f := &fleet{rand: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), leader: NewFleet("1")}
+func newFleet(n int, seed uint64) *fleet { return newFleetWithLimit(n, seed, userLimit) }
+
+func newFleetWithLimit(n int, seed uint64, user Limit) *fleet {
+	f := &fleet{user: user, rand: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), leader: NewFleet("1"), restarts: make([]int, n)}
 	for range n {
-		f.gateways = append(f.gateways, NewGateway(limits, f.rand, f.now))
+		f.gateways = append(f.gateways, f.newGateway())
 		f.partitioned = append(f.partitioned, false)
 		f.next = append(f.next, f.now.Add(time.Duration(f.rand.Int64N(int64(ReportInterval)))))
 	}
 	return f
 }
 
+func (f *fleet) newGateway() *Gateway {
+	return NewGateway(func(domain.Account) (Limit, bool) { return withSlack(f.user), true }, f.rand, f.now)
+}
+
 // run offers rate requests a second, spread unevenly over the gateways.
 func (f *fleet) run(d time.Duration, rate float64) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
@@ -134,7 +149,7 @@
 
 func (f *fleet) checkBound(t *testing.T, seed uint64) {
 	t.Helper()
-	bound := (userLimit.RatePerSecond*window.Seconds()+userLimit.Burst)*(1+tolerance) + slack
+	bound := (f.user.RatePerSecond*window.Seconds()+f.user.Burst)*(1+tolerance) + slack
 	must.LessEq(t, int(bound), f.maxInWindow(), must.Sprintf("seed %d", seed))
 }
 
@@ -160,7 +175,7 @@
 
 // restart replaces a gateway by a new process without state.
 func (f *fleet) restart(i int) {
-	f.gateways[i] = NewGateway(limits, f.rand, f.now)
+	f.gateways[i] = f.newGateway()
 	f.restarts[i]++
 	f.next[i] = f.now
 	f.pending = slices.DeleteFunc(f.pending, func(p pendingAnswer) bool { return p.gateway == i })
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -98,7 +98,7 @@
 func (f *Fleet) Report(now time.Time, gateway string, reported Counts) Totals {
 	r := f.reporters[gateway]
 	if r == nil {
-		r = newReporter(now, reported)
+		r = newReporter(now)
 		f.reporters[gateway] = r
 	}
 	f.add(now, r, reported.Counts)
@@ -114,16 +114,8 @@
 }
 
 // newReporter returns the state of a gateway that has not reported to this coordinator.
-func newReporter(now time.Time, reported Counts) *reporter {
-	r := &reporter{lastReport: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programStarts: map[domain.Account]uint64{}}
-	// If the process has received an answer, an earlier coordinator has counted
-	// these requests and starts.
-	for _, c := range reported.Counts {
-		if !reported.Unanswered {
-			r.counts[c.Account], r.programStarts[c.Account] = c.Admitted, c.Starts
-		}
-	}
-	return r
+func newReporter(now time.Time) *reporter {
+	return &reporter{lastReport: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programStarts: map[domain.Account]uint64{}}
 }
 
 func (f *Fleet) add(now time.Time, r *reporter, counts []Count) {
@@ -137,7 +129,9 @@
 	}
 	for _, c := range counts {
 		if _, known := r.counts[c.Account]; !known {
-			// The account had no change in earlier reports to this coordinator.
+			// No report to this coordinator had a change of the account. Earlier
+			// coordinators counted what they answered; after a lost answer the rest is
+			// counted twice rather than not at all.
 			r.counts[c.Account], r.programStarts[c.Account] = c.AnsweredAdmitted, c.AnsweredStarts
 		}
 		delta := float64(c.Admitted - min(c.Admitted, r.counts[c.Account]))
