Keep the level of each allowance at the coordinator

Cause: no process knew the level of an account's bucket. Each gateway kept a copy and subtracted what the totals of one leader showed of the others. After a change of the leader it began to compare anew, so that what the others had admitted between the two answers was never subtracted; a gateway that started took an account at its limit for one with a full bucket; and the deficit was cut off at one second of the rate. A gateway also admitted from a positive level whatever arrived, as did all others at the same time.

Change: the coordinator runs the bucket from the gateways' reports and sends its level. A new leader continues from the lowest level that a gateway had received, and from half a burst if none had. While answers are late, gateways assume that the others admit what they receive. A request of an active program is admitted with the probability that the level covers what the fleet receives unseen. The coordinator logs accounts above their limit and what it took over.

--- a/core/allowance/admission.go
+++ b/core/allowance/admission.go
@@ -19,6 +19,9 @@
 	// startVisibleAfter is the time until a start at one gateway is part of the totals
 	// of all others: its own report and theirs.
 	startVisibleAfter = 2 * ReportInterval
+	// unseenPeriod is the period whose requests at other gateways are not part of the totals
+	// yet: a report interval and a round trip.
+	unseenPeriod = ReportInterval + 50*time.Millisecond
 	// maxLaterTurnReserve is the upper bound of the requests that a later turn leaves to
 	// plain calls. A program sends a few plain calls at once.
 	maxLaterTurnReserve = 2.0
@@ -111,9 +114,12 @@
 	}
 	if d.Priority == NewProgram {
 		d.RetryAfter = request.startRetryAfter()
-		g.decideNew(&d, request, b)
+		g.decideNew(now, &d, request, b)
 	} else {
-		g.decideActive(&d, b)
+		g.decideActive(now, &d, b)
+	}
+	if d.Admitted || d.Priority != NewProgram {
+		b.attempts++
 	}
 	if d.Admitted {
 		b.take()
@@ -129,12 +135,10 @@
 func (g *Gateway) currentBucket(now time.Time, account domain.Account, limit Limit) *bucket {
 	// The last answer created the buckets of all active accounts, so a bucket that
 	// is created here is full, unless no answer has been received yet.
-	share := 1.0
-	if g.disconnected {
-		share = 1 / float64(g.gateways)
+	b := g.refill(now, account, limit, g.newBucketShare())
+	if !b.levelKnown && !g.disconnected {
+		b.applyLevel(b.level, limit)
 	}
-	b := g.refill(now, account, limit, share)
-	b.estimated = b.estimated || !g.disconnected
 	return b
 }
 
@@ -151,38 +155,51 @@
 // more than the reserve for its priority. The load pattern that it answers: a program
 // sends several requests at once to an empty bucket. Each rejected one may come back when
 // those that were rejected before it have been served, so that they do not meet again.
-func (g *Gateway) decideActive(d *Decision, b *bucket) {
+func (g *Gateway) decideActive(now time.Time, d *Decision, b *bucket) {
 	reserve := min(maxLaterTurnReserve, reserveFractions[d.Priority]*b.capacity)
 	required := min(b.capacity, 1+reserve)
-	if d.Admitted = b.level >= required; d.Admitted {
+	expected := g.expectedUnseen(d, b)
+	if d.Admitted = b.level >= required && g.rand.Float64()*expected <= b.level+d.Limit.Unseen; d.Admitted {
 		return
 	}
 	missing := required - b.level + b.returning
-	d.RetryAfter = time.Duration(missing / g.refillRate(b, d.Limit) * float64(time.Second))
+	d.RetryAfter = time.Duration(missing / max(g.refillRate(now, b, d.Limit), d.Limit.RatePerSecond*g.trafficFraction(b)) * float64(time.Second))
 	b.returning++
 }
 
+// expectedUnseen returns the number of requests that the other gateways are expected to
+// receive until this one sees them in its totals. Those of active programs are part of the
+// level that their starts required, while the totals are recent.
+func (g *Gateway) expectedUnseen(d *Decision, b *bucket) float64 {
+	others := b.attemptsPerSecond * (1 - g.trafficFraction(b))
+	if d.TotalsAge <= startVisibleAfter {
+		others = max(0, others-b.demand)
+	}
+	return others * max(unseenPeriod, d.TotalsAge).Seconds()
+}
+
 // decideNew admits a new program if enough remains for the active ones. The load pattern
 // that it answers: many programs of an account start at many gateways at once. The
 // gateways decide from the same level until the starts of the others are part of the
 // totals. Below the contended fraction an attempt is therefore admitted with a
 // probability: the capacity for new programs divided by the number of attempts expected
 // until then.
-func (g *Gateway) decideNew(d *Decision, request Request, b *bucket) {
-	g.forecast(d, request, b)
+func (g *Gateway) decideNew(now time.Time, d *Decision, request Request, b *bucket) {
+	g.forecast(now, d, request, b)
 	required := 1 + reserveFractions[NewProgram]*b.capacity + d.ForecastDemand
 	d.NewProgramCapacity = 1 + (b.level-required)/d.Cost
-	d.ExpectedStarts = max(1, b.startsPerSecond*startVisibleAfter.Seconds())
+	d.ExpectedStarts = max(1, b.startsPerSecond*max(startVisibleAfter, d.TotalsAge).Seconds())
 	b.startAttempts++
-	switch {
-	case b.level >= b.capacity-1:
-		// A full bucket admits any program, because its account has no other traffic.
-		d.Admitted = true
-	case b.level >= contendedFraction*b.capacity:
-		d.Admitted = b.level >= required
-	default:
-		d.Admitted = d.NewProgramCapacity >= 1 && g.rand.Float64()*d.ExpectedStarts <= d.NewProgramCapacity
+	attempts := d.ExpectedStarts
+	if b.level >= contendedFraction*b.capacity {
+		// The bucket covers more starts until it is seen to be used, and a full one admits
+		// any program, because its account has no other traffic.
+		attempts /= 2
+		if b.level >= b.capacity-1 {
+			d.NewProgramCapacity = max(1, d.NewProgramCapacity)
+		}
 	}
+	d.Admitted = d.NewProgramCapacity >= 1 && g.rand.Float64()*attempts <= d.NewProgramCapacity
 	if d.Admitted {
 		b.startedCost += d.Cost
 	}
@@ -191,12 +208,12 @@
 // forecast sets the number of the account's active programs, and the demand of
 // these programs and one more that exceeds the refill of the bucket. Programs that
 // this gateway started after the last total are not part of it yet.
-func (g *Gateway) forecast(d *Decision, request Request, b *bucket) {
+func (g *Gateway) forecast(now time.Time, d *Decision, request Request, b *bucket) {
 	d.Cost = g.costOf(request.Kind)
 	needed := d.Cost + b.startedCost - b.startedAcknowledged
 	gained := d.Limit.RatePerSecond
 	if g.disconnected {
-		d.Programs, gained = g.programs.active[request.Program.Account], g.refillRate(b, d.Limit)
+		d.Programs, gained = g.programs.active[request.Program.Account], g.refillRate(now, b, d.Limit)
 		needed = float64(d.Programs+1) * d.Cost
 	} else {
 		d.Programs = b.programs
--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -46,7 +46,27 @@
 
 // Limit is the allowance of a client account across all gateways: requests a second
 // and a burst in requests.
-type Limit struct{ RatePerSecond, Burst float64 }
+type Limit struct {
+	RatePerSecond, Burst float64
+	// Unseen is the number of requests above the burst that gateways may admit before they
+	// see each other's.
+	Unseen float64
+}
+
+// Tolerance is by how much the requests of an account may exceed its rate and burst in any
+// window: by a number of requests and by a fraction.
+type Tolerance struct {
+	Slack, Fraction float64
+	Window          time.Duration
+}
+
+// Limit returns the limit that gateways use for an account. Half of the slack is added to the
+// burst, so that a small account can run a whole program at once. A quarter of the rest may be
+// admitted unseen on average; the actual number varies.
+func (t Tolerance) Limit(ratePerSecond, burst float64) Limit {
+	rest := t.Slack/2 + t.Fraction*(ratePerSecond*t.Window.Seconds()+burst)
+	return Limit{RatePerSecond: ratePerSecond, Burst: burst + t.Slack/2, Unseen: rest / 4}
+}
 
 // Limits returns the limit of an account and reports whether it has one.
 type Limits func(domain.Account) (Limit, bool)
@@ -67,6 +87,14 @@
 	// then if it had no change.
 	AnsweredAdmitted uint64 `cbor:"5,keyasint,omitempty"`
 	AnsweredStarts   uint64 `cbor:"6,keyasint,omitempty"`
+	// RatePerSecond, Burst and Unseen are the limit of the account at the gateway.
+	RatePerSecond float64 `cbor:"7,keyasint,omitempty"`
+	Burst         float64 `cbor:"8,keyasint,omitempty"`
+	Unseen        float64 `cbor:"11,keyasint,omitempty"`
+	// Level is the level of the account's bucket in the last answer.
+	Level float64 `cbor:"9,keyasint,omitempty"`
+	// Attempts is the number of requests since the last report, including rejected ones.
+	Attempts int `cbor:"10,keyasint,omitempty"`
 }
 
 // Activity is what one gateway sees of one active program. The requests of a program
@@ -85,14 +113,17 @@
 type Total struct {
 	Account  domain.Account `cbor:"1,keyasint"`
 	Admitted float64        `cbor:"2,keyasint"`
-	// Recent is the number of requests admitted in the last 4 s.
-	Recent float64 `cbor:"3,keyasint,omitempty"`
+	// Level is the level of the account's bucket, without the requests that gateways have
+	// not reported yet.
+	Level float64 `cbor:"3,keyasint,omitempty"`
 	// Programs is the number of the account's active programs, and Demand the number
 	// of requests that they are expected to send in the next second.
 	Programs int     `cbor:"4,keyasint,omitempty"`
 	Demand   float64 `cbor:"5,keyasint,omitempty"`
 	// StartsPerSecond is the rate of attempts to start a program.
 	StartsPerSecond float64 `cbor:"6,keyasint,omitempty"`
+	// AttemptsPerSecond is the rate of requests, including rejected ones.
+	AttemptsPerSecond float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // KindStatistics holds means over the programs of a kind at all gateways.
@@ -105,6 +136,10 @@
 
 // Counts is the report of one gateway.
 type Counts struct {
+	// LimitsVersion is the version of the configuration that the limits are from.
+	LimitsVersion uint64 `cbor:",omitempty"`
+	// LevelAge is the time since the last answer, in which the levels were received.
+	LevelAge time.Duration `cbor:",omitempty"`
 	// Counts lacks the accounts without a change since the last answer.
 	Counts []Count
 	// Origin, Sequence and AnnouncedUntil are those of the last totals.
@@ -126,6 +161,9 @@
 	// covers all accounts, so that an account without a total is idle.
 	Sequence uint64
 	All      bool `cbor:",omitempty"`
+	// Uncertain reports whether the coordinator may not know all recent requests yet, so
+	// that a bucket without a total may not be full.
+	Uncertain bool `cbor:",omitempty"`
 	// Kinds lists the kinds of programs that were started recently.
 	Kinds []KindStatistics `cbor:",omitempty"`
 	// Announced lists the hashes of programs that have started since the totals that
@@ -147,13 +185,13 @@
 	acknowledged, reported uint64
 	lastTotal              float64
 	totalKnown             bool
-	// estimated reports whether the level accounts for an answer of a coordinator.
-	estimated          bool
+	// answeredLevel is the level of the fleet's bucket at the last answer, without the
+	// requests that this gateway had not reported then.
+	answeredLevel float64
+	// levelKnown reports whether the level is based on an answer of a coordinator.
+	levelKnown         bool
 	ownRate, fleetRate float64 // averaged requests per second
 	ratesUpdated       time.Time
-	// assumedOthers is the assumed number of requests that the other gateways have
-	// admitted since the last total.
-	assumedOthers float64
 	// returning is the number of rejected requests of active programs that are expected to
 	// come back and to take a request each. The refill serves them.
 	returning float64
@@ -164,6 +202,10 @@
 	startAttempts, reportedAttempts, answeredAttempts uint64
 	// startsPerSecond is the rate of attempts over all gateways.
 	startsPerSecond float64
+	// attempts counts all requests since the last report, including rejected ones.
+	// attemptsPerSecond is their rate over all gateways.
+	attempts          int
+	attemptsPerSecond float64
 	// startedCost is the cost of all programs that were started here. startedReported
 	// is its value at the last report, startedAcknowledged the part that the last
 	// total includes.
@@ -187,7 +229,10 @@
 	// sequence is the sequence number of the last totals, announcedUntil that of the last
 	// announced program of origin.
 	sequence, announcedUntil uint64
-	rand                     *rand.Rand
+	// uncertain is the value in the last totals. reportAll requests that the next report has
+	// the levels of all buckets, because the last totals came from another coordinator.
+	uncertain, reportAll bool
+	rand                 *rand.Rand
 }
 
 // NewGateway returns a gateway without buckets that counts as disconnected until it
@@ -245,13 +290,18 @@
 // refillRate returns the rate at which the bucket is refilled, in requests a second:
 // the limit less the rate that the other gateways are assumed to admit until the next
 // answer. Otherwise all copies of the bucket would be refilled at the whole rate while
-// answers are late.
-func (g *Gateway) refillRate(b *bucket, limit Limit) float64 {
+// answers are late. Without recent answers the others are assumed to admit all that they
+// receive, so the rate is negative until the bucket is empty.
+func (g *Gateway) refillRate(now time.Time, b *bucket, limit Limit) float64 {
 	own := limit.RatePerSecond * g.trafficFraction(b)
-	if g.disconnected {
+	switch {
+	case g.disconnected:
 		return own
+	case now.Sub(g.lastAnswer) > startVisibleAfter && b.level > 0:
+		return limit.RatePerSecond - max(b.othersRate(), b.attemptsPerSecond*(1-g.trafficFraction(b)))
+	default:
+		return max(own, limit.RatePerSecond-b.othersRate())
 	}
-	return max(own, limit.RatePerSecond-b.othersRate())
 }
 
 func (b *bucket) othersRate() float64 { return max(0, b.fleetRate-b.ownRate) }
@@ -264,10 +314,9 @@
 		b = &bucket{level: max(1, limit.Burst*share), filled: now}
 		g.buckets[account] = b
 	}
-	seconds, rate := now.Sub(b.filled).Seconds(), g.refillRate(b, limit)
-	b.level += seconds * rate
+	seconds, rate := now.Sub(b.filled).Seconds(), g.refillRate(now, b, limit)
+	b.level = max(b.level+seconds*rate, min(b.level, 0))
 	b.returning = max(0, b.returning-seconds*rate)
-	b.assumedOthers += seconds * (limit.RatePerSecond - rate)
 	b.filled = now
 	b.capacity = max(1, limit.Burst)
 	if g.disconnected {
@@ -277,19 +326,27 @@
 	return b
 }
 
-// Report returns the counts of the accounts that changed since the last answer.
-func (g *Gateway) Report(now time.Time) Counts {
-	out := Counts{Origin: g.origin, Sequence: g.sequence, AnnouncedUntil: g.announcedUntil}
+// Report returns the counts of the accounts that changed since the last answer, made under
+// the given version of the configuration.
+func (g *Gateway) Report(now time.Time, limitsVersion uint64) Counts {
+	out := Counts{
+		Origin: g.origin, Sequence: g.sequence, AnnouncedUntil: g.announcedUntil,
+		LimitsVersion: limitsVersion, LevelAge: now.Sub(g.lastAnswer),
+	}
 	g.programs.update(now)
 	activities := g.programs.activities()
 	for account, b := range g.buckets {
 		b.reported, b.reportedAttempts, b.startedReported = b.admitted, b.startAttempts, b.startedCost
 		programs := activities[account]
-		if b.admitted != b.answered || b.startAttempts != b.answeredAttempts || len(programs) > 0 {
+		limit, _ := g.limits(account)
+		if b.admitted != b.answered || b.startAttempts != b.answeredAttempts || b.attempts > 0 || len(programs) > 0 || (g.reportAll && b.levelKnown) {
 			out.Counts = append(out.Counts, Count{
 				Account: account, Admitted: b.admitted, Starts: b.startAttempts, Programs: programs,
 				AnsweredAdmitted: b.answered, AnsweredStarts: b.answeredAttempts,
+				RatePerSecond: limit.RatePerSecond, Burst: limit.Burst, Unseen: limit.Unseen,
+				Level: round(b.answeredLevel), Attempts: b.attempts,
 			})
+			b.attempts = 0
 		}
 	}
 	return out
@@ -298,7 +355,9 @@
 // ApplyTotals applies the coordinator's answer to the last report.
 func (g *Gateway) ApplyTotals(now time.Time, t Totals) {
 	sameOrigin := t.Origin == g.origin
+	sinceAnswer := now.Sub(g.lastAnswer)
 	g.origin, g.gateways, g.lastAnswer, g.disconnected = t.Origin, t.Gateways, now, false
+	g.uncertain, g.reportAll = t.Uncertain, !sameOrigin
 	g.kinds = map[ProgramKind]KindStatistics{}
 	for _, k := range t.Kinds {
 		g.kinds[k.Kind] = k
@@ -317,60 +376,82 @@
 			continue
 		}
 		b := g.refill(now, total.Account, limit, 1)
-		b.applyTotal(now, total.Admitted, limit)
-		b.estimate(total.Recent, limit)
-		b.programs, b.demand, b.startsPerSecond = total.Programs, total.Demand, total.StartsPerSecond
+		b.applyTotal(now, total.Admitted)
+		b.applyLevel(total.Level, limit)
+		b.applyForecast(total, t.Uncertain)
 		b.startedAcknowledged = b.startedReported
 	}
 	for account, b := range g.buckets {
-		limit, limited := g.limits(account)
-		switch {
-		case !limited || limit.RatePerSecond <= 0 || included[account]:
-		case t.All:
-			// The account is idle.
-			b.programs, b.demand = 0, 0
-			b.startedAcknowledged = b.startedReported
-			b.estimate(0, limit)
-		case b.totalKnown:
-			// The total has not changed.
-			g.refill(now, account, limit, 1).applyTotal(now, b.lastTotal, limit)
+		if limit, limited := g.limits(account); limited && limit.RatePerSecond > 0 && !included[account] {
+			g.applyMissing(now, b, limit, t, sinceAnswer)
 		}
 	}
 }
 
-// applyTotal applies the total of the last report.
-func (b *bucket) applyTotal(now time.Time, admitted float64, limit Limit) {
+// applyMissing applies totals that lack an account.
+func (g *Gateway) applyMissing(now time.Time, b *bucket, limit Limit, t Totals, sinceAnswer time.Duration) {
+	switch {
+	case !t.All && !b.totalKnown:
+		return
+	case !t.All:
+		b.applyTotal(now, b.lastTotal)
+	default:
+		// The coordinator has counted no recent request.
+		b.applyForecast(Total{}, t.Uncertain)
+		b.startedAcknowledged = b.startedReported
+	}
+	if !b.levelKnown {
+		b.applyLevel(limit.Burst*g.newBucketShare(), limit)
+		return
+	}
+	b.applyLevel(b.answeredLevel+sinceAnswer.Seconds()*limit.RatePerSecond, limit)
+}
+
+// newBucketShare returns the share of its burst that an account without a total has left.
+func (g *Gateway) newBucketShare() float64 {
+	switch {
+	case g.disconnected:
+		return 1 / float64(g.gateways)
+	case g.uncertain:
+		return assumedShare
+	default:
+		return 1
+	}
+}
+
+// applyTotal applies the total of the last report and updates the averaged rates.
+func (b *bucket) applyTotal(now time.Time, total float64) {
 	if b.totalKnown {
-		b.subtractOthers(now, admitted, limit)
+		b.updateRates(now, total)
 	}
-	b.totalKnown, b.lastTotal, b.acknowledged, b.ratesUpdated, b.assumedOthers = true, admitted, b.reported, now, 0
+	b.totalKnown, b.lastTotal, b.acknowledged, b.ratesUpdated = true, total, b.reported, now
 }
 
-// estimate sets the level of a bucket that was created before the first answer, from
-// the requests that the fleet admitted recently. A bucket that was full at the start
-// of that period holds at least this level now.
-func (b *bucket) estimate(recent float64, limit Limit) {
-	if b.estimated {
-		return
+// applyLevel sets the level from that of the fleet's bucket, which includes the requests
+// that this gateway has reported.
+func (b *bucket) applyLevel(level float64, limit Limit) {
+	b.levelKnown, b.answeredLevel = true, min(limit.Burst, level)
+	b.level = b.answeredLevel - float64(b.admitted-b.reported) + float64(b.returned)
+}
+
+// applyForecast applies what the coordinator expects of the account. A coordinator that has
+// just begun to count expects too little.
+func (b *bucket) applyForecast(t Total, uncertain bool) {
+	if uncertain {
+		t.Programs, t.Demand = max(t.Programs, b.programs), max(t.Demand, b.demand)
+		t.StartsPerSecond = max(t.StartsPerSecond, b.startsPerSecond)
+		t.AttemptsPerSecond = max(t.AttemptsPerSecond, b.attemptsPerSecond)
 	}
-	b.estimated = true
-	sinceReport := float64(b.admitted - b.reported)
-	gained := limit.RatePerSecond * recentSpan.Seconds()
-	b.level = min(limit.Burst, limit.Burst+gained-recent) - sinceReport
+	b.programs, b.demand, b.startsPerSecond, b.attemptsPerSecond = t.Programs, t.Demand, t.StartsPerSecond, t.AttemptsPerSecond
 }
 
-// subtractOthers subtracts the requests that the other gateways admitted since the
-// last total, and updates the averaged rates.
-func (b *bucket) subtractOthers(now time.Time, total float64, limit Limit) {
-	own := float64(b.reported - b.acknowledged)
-	all := max(own, total-b.lastTotal)
-	// The deficit is bounded by one second of the rate, so that an account that
-	// exceeded its limit is served again soon.
-	b.level = max(b.level-(all-own)+b.assumedOthers, -limit.RatePerSecond)
+func (b *bucket) updateRates(now time.Time, total float64) {
 	seconds := now.Sub(b.ratesUpdated).Seconds()
 	if seconds <= 0 {
 		return
 	}
+	own := float64(b.reported - b.acknowledged)
+	all := max(own, total-b.lastTotal)
 	weight := min(1, seconds/smoothingPeriod.Seconds())
 	b.ownRate += weight * (own/seconds - b.ownRate)
 	b.fleetRate += weight * (all/seconds - b.fleetRate)
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -17,17 +17,21 @@
 	rates      map[domain.Account]float64
 	// programStarts is the number of attempts to start a program so far.
 	programStarts map[domain.Account]uint64
+	// extrapolated is the number of requests that were added for the gateway since its last
+	// report.
+	extrapolated map[domain.Account]float64
 	// extrapolatedUntil is the time up to which the counts of a gateway that does not
 	// report were extrapolated.
 	extrapolatedUntil time.Time
 }
 
 const (
-	// recentSpan is the period for which the coordinator reports recently admitted
-	// requests to a gateway that has just started. A bucket with a burst of one
-	// second refills completely within it.
+	// recentSpan is the period over which the coordinator measures rates.
 	recentSpan  = 4 * time.Second
 	recentSlots = 8
+	// attemptPeriod is the time over which the rate of requests is averaged. A sudden
+	// increase has to count after about one report of each gateway.
+	attemptPeriod = time.Second
 )
 
 // recentCount is a sliding-window counter over the last recentSpan.
@@ -60,20 +64,55 @@
 	return sum
 }
 
+// attemptRate is the averaged rate of requests of an account.
+type attemptRate struct {
+	rate    float64
+	updated time.Time
+}
+
+func (a *attemptRate) perSecond(now time.Time) float64 {
+	return a.rate * math.Exp(-now.Sub(a.updated).Seconds()/attemptPeriod.Seconds())
+}
+
+func (a *attemptRate) add(now time.Time, attempts float64) {
+	a.rate, a.updated = a.perSecond(now)+attempts/attemptPeriod.Seconds(), now
+}
+
 type accountTotal struct {
 	admitted    float64
 	lastRequest time.Time
 	// sequence is the sequence number of the last change.
 	sequence uint64
-	// recentRequests counts the admitted requests, and programStarts the attempts to start
-	// a program, both over the last recentSpan.
-	recentRequests, programStarts recentCount
+	// programStarts counts the attempts to start a program over the last recentSpan.
+	programStarts recentCount
+	attempts      attemptRate
+	bucket        fleetBucket
 }
 
-func (t *accountTotal) add(now time.Time, requests float64) {
-	t.recentRequests.add(now, requests)
+// add counts requests and reports whether the account's bucket became overdrawn.
+func (t *accountTotal) add(now time.Time, requests float64) bool {
 	t.admitted += requests
 	t.lastRequest = now
+	return t.bucket.take(now, requests)
+}
+
+// Overdraft is an account for which the gateways admitted more than they may before they see
+// each other's requests.
+type Overdraft struct {
+	Account domain.Account
+	Level   float64
+	Limit   Limit
+}
+
+// Takeover is what a coordinator learned about earlier requests when it began to count.
+type Takeover struct {
+	// Gateways is the number of gateways that reported, and Unanswered the number of
+	// requests that no former coordinator had answered.
+	Gateways   int
+	Unanswered float64
+	// Adopted is the number of accounts whose level a gateway knew, and Assumed the number
+	// of the others.
+	Adopted, Assumed int
 }
 
 // Fleet holds the coordinator's counts over all gateways. It is not safe for
@@ -85,6 +124,11 @@
 	activity  *activity
 	// sequence is the sequence number of the last change of a total.
 	sequence uint64
+	// takeoverEnds is the end of takeoverPeriod. It is zero before the first report.
+	takeoverEnds time.Time
+	takenOver    bool
+	unanswered   float64
+	overdrafts   []Overdraft
 }
 
 // NewFleet returns a fleet without gateways. The origin must be unique for each
@@ -96,12 +140,15 @@
 // Report adds the counts of a gateway process and returns the totals. The name is
 // unique for each start of the gateway.
 func (f *Fleet) Report(now time.Time, gateway string, reported Counts) Totals {
+	if f.takeoverEnds.IsZero() {
+		f.takeoverEnds = now.Add(takeoverPeriod)
+	}
 	r := f.reporters[gateway]
 	if r == nil {
 		r = newReporter(now)
 		f.reporters[gateway] = r
 	}
-	f.add(now, r, reported.Counts)
+	f.add(now, r, reported)
 	r.lastReport, r.extrapolatedUntil = now, now
 	f.extrapolateSilent(now)
 	out := f.collectTotals(now, reported)
@@ -115,10 +162,13 @@
 
 // newReporter returns the state of a gateway that has not reported to this coordinator.
 func newReporter(now time.Time) *reporter {
-	return &reporter{lastReport: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programStarts: map[domain.Account]uint64{}}
+	return &reporter{lastReport: now, counts: map[domain.Account]uint64{}, rates: map[domain.Account]float64{}, programStarts: map[domain.Account]uint64{}, extrapolated: map[domain.Account]float64{}}
 }
 
-func (f *Fleet) add(now time.Time, r *reporter, counts []Count) {
+// takingOver reports whether the coordinator may not know all recent requests.
+func (f *Fleet) takingOver(now time.Time) bool { return now.Before(f.takeoverEnds) }
+
+func (f *Fleet) add(now time.Time, r *reporter, reported Counts) {
 	seconds := now.Sub(r.lastReport).Seconds()
 	weight := min(1, seconds/smoothingPeriod.Seconds())
 	if seconds > 0 {
@@ -127,21 +177,31 @@
 			r.rates[account] *= 1 - weight
 		}
 	}
-	for _, c := range counts {
+	for _, c := range reported.Counts {
 		if _, known := r.counts[c.Account]; !known {
 			// No report to this coordinator had a change of the account. Earlier
 			// coordinators counted what they answered; after a lost answer the rest is
 			// counted twice rather than not at all.
 			r.counts[c.Account], r.programStarts[c.Account] = c.AnsweredAdmitted, c.AnsweredStarts
 		}
+		f.updateBucket(now, c, reported)
+		if c.Attempts > 0 {
+			t := f.total(c.Account)
+			t.attempts.add(now, float64(c.Attempts))
+			f.changed(t)
+		}
 		delta := float64(c.Admitted - min(c.Admitted, r.counts[c.Account]))
+		if reported.Origin != f.origin {
+			f.unanswered += delta
+		}
 		r.counts[c.Account] = c.Admitted
 		if seconds > 0 {
 			r.rates[c.Account] += weight * delta / seconds
 		}
-		if delta > 0 {
-			f.addRequests(now, c.Account, delta)
+		if added := delta - min(delta, r.extrapolated[c.Account]); added > 0 {
+			f.addRequests(now, c.Account, added)
 		}
+		r.extrapolated[c.Account] -= min(delta, r.extrapolated[c.Account])
 		if starts := c.Starts - min(c.Starts, r.programStarts[c.Account]); starts > 0 {
 			t := f.total(c.Account)
 			t.programStarts.add(now, float64(starts))
@@ -150,14 +210,69 @@
 		r.programStarts[c.Account] = c.Starts
 		f.activity.add(now, c.Account, c.Programs)
 	}
+	f.returnExtrapolated(now, r)
+}
+
+// updateBucket applies the limit and the level in a report to the account's bucket.
+func (f *Fleet) updateBucket(now time.Time, c Count, reported Counts) {
+	share := 1.0
+	if f.takingOver(now) {
+		share = assumedShare
+	}
+	t := f.total(c.Account)
+	t.bucket.setLimit(now, reported.LimitsVersion, Limit{RatePerSecond: c.RatePerSecond, Burst: c.Burst, Unseen: c.Unseen}, share)
+	hasLevel := reported.Origin != "" && f.takingOver(now)
+	if hasLevel && (reported.Origin != f.origin || !t.bucket.confirmed) {
+		t.bucket.adopt(c.Level, reported.LevelAge)
+		f.changed(t)
+	}
+}
+
+// returnExtrapolated returns the requests that were added for a gateway while it was silent
+// and that it did not admit.
+func (f *Fleet) returnExtrapolated(now time.Time, r *reporter) {
+	for account, n := range r.extrapolated {
+		if n > 0 {
+			t := f.total(account)
+			t.bucket.take(now, -n)
+			f.changed(t)
+		}
+	}
+	clear(r.extrapolated)
 }
 
 func (f *Fleet) addRequests(now time.Time, account domain.Account, requests float64) {
 	t := f.total(account)
-	t.add(now, requests)
+	if t.add(now, requests) {
+		f.overdrafts = append(f.overdrafts, Overdraft{Account: account, Level: t.bucket.level, Limit: t.bucket.limit})
+	}
 	f.changed(t)
 }
 
+// Overdrafts returns the accounts that were overdrawn since the last call.
+func (f *Fleet) Overdrafts() []Overdraft {
+	out := f.overdrafts
+	f.overdrafts = nil
+	return out
+}
+
+// Takeover returns what was learned about earlier requests, once after takeoverPeriod.
+func (f *Fleet) Takeover(now time.Time) (Takeover, bool) {
+	if f.takenOver || f.takeoverEnds.IsZero() || f.takingOver(now) {
+		return Takeover{}, false
+	}
+	f.takenOver = true
+	out := Takeover{Gateways: len(f.reporters), Unanswered: f.unanswered}
+	for _, t := range f.totals {
+		if t.bucket.confirmed {
+			out.Adopted++
+		} else {
+			out.Assumed++
+		}
+	}
+	return out, true
+}
+
 func (f *Fleet) total(account domain.Account) *accountTotal {
 	t := f.totals[account]
 	if t == nil {
@@ -180,7 +295,9 @@
 			continue
 		}
 		for account, rate := range r.rates {
-			f.addRequests(now, account, rate*now.Sub(r.extrapolatedUntil).Seconds())
+			requests := rate * now.Sub(r.extrapolatedUntil).Seconds()
+			r.extrapolated[account] += requests
+			f.addRequests(now, account, requests)
 		}
 		r.extrapolatedUntil = now
 	}
@@ -200,15 +317,16 @@
 		f.changed(f.total(account))
 	}
 	all := reported.Origin != f.origin
-	out := Totals{Origin: f.origin, Gateways: len(f.reporters), Kinds: f.activity.statistics(), Sequence: f.sequence, All: all}
+	out := Totals{Origin: f.origin, Gateways: len(f.reporters), Kinds: f.activity.statistics(), Sequence: f.sequence, All: all, Uncertain: f.takingOver(now)}
 	for account, t := range f.totals {
 		if now.Sub(t.lastRequest) >= totalRetention || (!all && t.sequence <= reported.Sequence) {
 			continue
 		}
 		programs, demand := f.activity.demand(account)
+		t.bucket.refill(now)
 		out.Totals = append(out.Totals, Total{
-			Account: account, Admitted: round(t.admitted), Recent: round(t.recentRequests.sum(now)), Programs: programs, Demand: round(demand),
-			StartsPerSecond: round(t.programStarts.sum(now) / recentSpan.Seconds()),
+			Account: account, Admitted: round(t.admitted), Level: round(t.bucket.level), Programs: programs, Demand: round(demand),
+			StartsPerSecond: round(t.programStarts.sum(now) / recentSpan.Seconds()), AttemptsPerSecond: round(t.attempts.perSecond(now)),
 		})
 	}
 	return out
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -37,12 +37,23 @@
 	if r.Gateway {
 		c.recordGatewayProcess(r.Process)
 		view.Allowances = c.fleet.Report(now, r.Process, r.Counts)
+		c.logAllowances(now)
 		c.crashCounter.Report(now, r.Crashes)
 		view.Quarantined = c.crashCounter.Quarantined(now)
 	}
 	return view
 }
 
+// logAllowances records accounts above their limit, and what a new leader took over.
+func (c *Coordinator) logAllowances(now time.Time) {
+	for _, o := range c.fleet.Overdrafts() {
+		c.event("an account was admitted above its limit", map[string]any{"account": o.Account, "level": o.Level, "rate": o.Limit.RatePerSecond, "burst": o.Limit.Burst})
+	}
+	if t, done := c.fleet.Takeover(now); done {
+		c.event("the counts of allowances were taken over", map[string]any{"gateways": t.Gateways, "unanswered": t.Unanswered, "adopted": t.Adopted, "assumed": t.Assumed})
+	}
+}
+
 // targetsUsable reports whether this VM may distribute its list of targets. The leader
 // may distribute a list of any age, because an old list is better than none while the
 // platform does not answer. Without a leader the list must be recent. It must not be
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -18,10 +18,6 @@
 	// unreadyDelay is the time between becoming unready and closing the listener.
 	// The balancer removes a VM after two failed checks, one per second.
 	unreadyDelay = 2300 * time.Millisecond
-	// allowanceSlackShare is the fraction of the configured slack that is added to
-	// each burst. The rest covers requests that other gateways admit between
-	// reports.
-	allowanceSlackShare = 0.5
 	// bufferPercent is the part of the VM's memory that the buffers of all requests may
 	// use, in percent. The soft memory limit of the runtime holds it twice, because
 	// freed buffers are collected late.
@@ -44,8 +40,8 @@
 	g := gateway.New(gateway.Options{
 		Process: p.settings.IP + "/" + p.startID, DataCentre: p.settings.DataCentre, Region: p.settings.Region,
 		Calls: p.rpcClient, Targets: platform.NewWorkers(), Decode: platform.DecodePackedManifest,
-		AllowanceSlack: allowanceSlackShare * p.settings.AllowanceSlack,
-		Clock:          p.clock, Rand: p.rand, Metrics: metrics, Log: p.log,
+		AllowanceTolerance: p.settings.AllowanceTolerance,
+		Clock:              p.clock, Rand: p.rand, Metrics: metrics, Log: p.log,
 	})
 	p.group.Add(g.Run, func(error) { g.Stop() })
 	f := follower.New(p.rpcClient, g, p.seeds, p.log)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -55,11 +55,9 @@
 	Region     domain.Region
 	Calls      port.RPCClient
 	Targets    port.TargetCaller
-	// AllowanceSlack is added to the burst of each account, in requests.
-	// Operators permit some requests above the allowance within a time window;
-	// the slack uses part of them. It lets a small account run a whole program
-	// at once.
-	AllowanceSlack float64
+	// AllowanceTolerance is by how much operators permit the requests of an account to
+	// exceed its allowance.
+	AllowanceTolerance allowance.Tolerance
 	// Decode parses a manifest document. The front end provides it, because it
 	// defines the encoding.
 	Decode  func([]byte) (*manifest.Manifest, error)
@@ -146,7 +144,7 @@
 	if !ok {
 		return allowance.Limit{}, false
 	}
-	return allowance.Limit{RatePerSecond: a.RatePerSecond, Burst: a.Burst + g.o.AllowanceSlack}, true
+	return g.o.AllowanceTolerance.Limit(a.RatePerSecond, a.Burst), true
 }
 
 func (g *Gateway) settle(now time.Time) time.Time {
@@ -259,7 +257,7 @@
 			r.Stores = v.stores.Epoch
 		}
 		r.Targets = g.targetSequence
-		r.Counts = g.allowances.Report(now)
+		r.Counts = g.allowances.Report(now, uint64(r.Document))
 		r.Crashes = g.watch.Crashes(now)
 	})
 	return r, err
