Read large configurations in parts

Cause: the reply to a report of a gateway without configuration has the whole document. A call that takes longer than 250 ms, or 400 ms with a known leader, is given up and repeated, to up to three coordinators, and each repetition sends the document again. All gateways restart at once, so the link between the regions stays full.

Change: a reply has a document of up to 8 KB. A larger one is announced and read in parts of 32 KB, one at a time for each gateway, by calls with a long time-out, on from where the last part ended, also at another coordinator.

--- a/core/coordinator/messages.go
+++ b/core/coordinator/messages.go
@@ -178,9 +178,12 @@
 	// Coordinators lists the peer addresses of all voters and learners.
 	Coordinators []string
 	Document     *manifest.Document
-	Stores       *quorum.Set
-	Targets      *TargetList
-	Allowances   allowance.Totals
+	// NewerDocument is the version of a newer document that is too large for the reply, or
+	// 0. It is read with ReadDocument.
+	NewerDocument manifest.Version `cbor:",omitempty"`
+	Stores        *quorum.Set
+	Targets       *TargetList
+	Allowances    allowance.Totals
 	// Quarantined lists the requests that must not run again.
 	Quarantined []quarantine.Fingerprint
 }
@@ -188,6 +191,28 @@
 // MessageName implements domain.Message.
 func (*View) MessageName() string { return "coordinator.View" }
 
+// ReadDocument requests the part of the newest document that begins at Offset. Version is the
+// version of the part before it, or that of the report's reply.
+type ReadDocument struct {
+	Version manifest.Version
+	Offset  int
+}
+
+// MessageName implements domain.Message.
+func (*ReadDocument) MessageName() string { return "coordinator.ReadDocument" }
+
+// DocumentPart is the reply to ReadDocument: a part of the document with the newest version
+// that the coordinator has, and the size of the whole in bytes. Data is empty if the
+// requested version is another one.
+type DocumentPart struct {
+	Version      manifest.Version
+	Size, Offset int
+	Data         []byte
+}
+
+// MessageName implements domain.Message.
+func (*DocumentPart) MessageName() string { return "coordinator.DocumentPart" }
+
 // TargetList is the platform's list of targets as a coordinator last read it.
 type TargetList struct {
 	// Sequence changes with the content; 0 means no list. Each coordinator starts from a
@@ -244,7 +269,7 @@
 
 // Messages returns a value of each message type of the package, for codecs.
 func Messages() []domain.Message {
-	return []domain.Message{&Report{}, &View{}, &Join{}, &JoinReply{}, &Envelope{}, &Received{}}
+	return []domain.Message{&Report{}, &View{}, &ReadDocument{}, &DocumentPart{}, &Join{}, &JoinReply{}, &Envelope{}, &Received{}}
 }
 
 // Timing and limits of repairs.
@@ -283,6 +308,10 @@
 	// gatewayCountTolerance is the relative change in the number of gateways up to which
 	// no log entry is proposed.
 	gatewayCountTolerance = 0.25
+	// maxReplyDocument is the size in bytes up to which a document is part of the reply to a
+	// report. A larger one is read in parts of documentPartBytes.
+	maxReplyDocument  = 8 << 10
+	documentPartBytes = 32 << 10
 	// entriesPerSnapshot is the number of applied entries between two snapshots.
 	entriesPerSnapshot = 64
 )
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -19,7 +19,11 @@
 		view.Leader = VMAddress(status.Leader)
 	}
 	if c.state.Document.Version > r.Document {
-		view.Document = &c.state.Document
+		if len(c.state.Document.Raw) <= maxReplyDocument {
+			view.Document = &c.state.Document
+		} else {
+			view.NewerDocument = c.state.Document.Version
+		}
 	}
 	if c.state.Stores != nil && c.state.Stores.Epoch > r.Stores {
 		view.Stores = c.state.Stores
@@ -44,6 +48,16 @@
 	return view
 }
 
+// ReadDocument returns a part of the newest applied document.
+func (c *Coordinator) ReadDocument(r *ReadDocument) *DocumentPart {
+	raw := c.state.Document.Raw
+	part := &DocumentPart{Version: c.state.Document.Version, Size: len(raw), Offset: r.Offset}
+	if r.Version == part.Version && r.Offset >= 0 && r.Offset < len(raw) {
+		part.Data = raw[r.Offset:min(r.Offset+documentPartBytes, len(raw))]
+	}
+	return part
+}
+
 // logAllowances records accounts above their limit, and what a new leader took over.
 func (c *Coordinator) logAllowances(now time.Time) {
 	for _, o := range c.fleet.Overdrafts() {
--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -185,6 +185,8 @@
 		return reply, nil
 	case *coordinator.Report:
 		err = n.Do(ctx, func(now time.Time) { reply = n.coordinator.Report(now, m) })
+	case *coordinator.ReadDocument:
+		err = n.Do(ctx, func(time.Time) { reply = n.coordinator.ReadDocument(m) })
 	case *coordinator.Join:
 		err = n.Do(ctx, func(now time.Time) { reply = n.coordinator.Join(now, m) })
 	default:
--- a/node/follower/follower.go
+++ b/node/follower/follower.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -49,8 +50,12 @@
 	next         int
 	leader       string
 	connected    bool
+	documents    documentReader
 }
 
+// errUnexpectedReply is returned for a reply of another type.
+var errUnexpectedReply = errors.New("follower: the reply is of an unexpected type; check that all VMs run compatible versions")
+
 // answer is the reply of one coordinator, or its error.
 type answer struct {
 	address string
@@ -61,7 +66,7 @@
 // New returns a follower that starts with the seeds, the peer addresses of some
 // coordinators. The result of seeds may change while the process runs.
 func New(calls port.RPCClient, process Process, seeds func() []string, log logr.Logger) *Follower {
-	return &Follower{calls: calls, process: process, seeds: seeds, coordinators: seeds(), log: log}
+	return &Follower{calls: calls, process: process, seeds: seeds, coordinators: seeds(), log: log, documents: documentReader{calls: calls, process: process, log: log}}
 }
 
 // Run sends reports until the context ends, and returns the context's error.
@@ -89,17 +94,17 @@
 		return false
 	}
 	addresses, timeout := f.recipients()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answers := make(chan answer, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			reply, err := f.calls.Call(ctx, address, report)
+			reply, err := f.calls.Call(callCtx, address, report)
 			answers <- answer{address, reply, err}
 		}()
 	}
 	for range addresses {
-		if f.handleAnswer(<-answers) {
+		if f.handleAnswer(ctx, <-answers) {
 			return true
 		}
 	}
@@ -121,7 +126,7 @@
 }
 
 // handleAnswer applies one answer and reports whether it comes from the leader.
-func (f *Follower) handleAnswer(a answer) bool {
+func (f *Follower) handleAnswer(ctx context.Context, a answer) bool {
 	if a.err != nil {
 		f.callFailed(a.address, a.err)
 		return false
@@ -134,6 +139,10 @@
 	}
 	f.updateLeader(a.address, view)
 	f.process.Apply(view)
+	if view.NewerDocument > 0 {
+		// The coordinator that answered first is probably the nearest one.
+		f.documents.start(ctx, view.NewerDocument, append([]string{a.address}, f.coordinators...))
+	}
 	return view.Authoritative
 }
 
