--- a/core/coordinator/messages.go
+++ b/core/coordinator/messages.go
@@ -16,6 +16,7 @@
 	"github.com/mangoknot/mangoknot/core/manifest"
 	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
+	"github.com/mangoknot/mangoknot/core/raft"
 )
 
 // VMAddress returns the peer address in the ID of a coordinator. The ID has the form
@@ -247,6 +248,23 @@
 // MessageName implements domain.Message.
 func (*Envelope) MessageName() string { return "coordinator.Envelope" }
 
+// IsLarge reports whether the message carries a document that is too large for the reply to
+// a report.
+func (e *Envelope) IsLarge() bool {
+	switch m := e.Body.(type) {
+	case *raft.InstallSnapshot:
+		state, ok := m.Snapshot.Data.(*State)
+		return ok && len(state.Document.Raw) > maxReplyDocument
+	case *raft.Append:
+		return slices.ContainsFunc(m.Entries, func(entry raft.Entry) bool {
+			put, ok := entry.Data.(*PutDocument)
+			return ok && len(put.Document.Raw) > maxReplyDocument
+		})
+	default:
+		return false
+	}
+}
+
 // Validate returns an error if the body is missing or malformed.
 func (e *Envelope) Validate() error {
 	if e.Body == nil {
--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -25,6 +25,10 @@
 	// sendTimeout bounds the delivery of one Raft message; later messages carry
 	// the same state.
 	sendTimeout = 500 * time.Millisecond
+	// largeSendTimeout bounds the delivery of a message with a large document. Until it
+	// ends no other one is sent to the peer: Raft repeats what was not answered, and
+	// repeated documents would keep a narrow link full.
+	largeSendTimeout = 5 * time.Second
 	// sendLimit bounds the in-flight Raft messages to all peers together.
 	sendLimit = 256
 	// joinInterval is the pause between two join requests.
@@ -64,6 +68,8 @@
 	coordinator  *coordinator.Coordinator
 	pendingSends []sendsAfterSync
 	operations   map[coordinator.Ticket]chan error
+	// sendingLarge holds the peers to which a large message is being sent.
+	sendingLarge map[domain.VM]bool
 
 	sendSlots chan struct{}
 }
@@ -71,10 +77,11 @@
 // New returns a node that is not running yet.
 func New(o Options) *Node {
 	n := &Node{
-		o:           o,
-		coordinator: coordinator.New(o.Config, o.Restored, o.Clock.Now()),
-		operations:  map[coordinator.Ticket]chan error{},
-		sendSlots:   make(chan struct{}, sendLimit),
+		o:            o,
+		coordinator:  coordinator.New(o.Config, o.Restored, o.Clock.Now()),
+		operations:   map[coordinator.Ticket]chan error{},
+		sendingLarge: map[domain.VM]bool{},
+		sendSlots:    make(chan struct{}, sendLimit),
 	}
 	n.Actor = loop.NewActor(o.Clock, n.settle)
 	return n
@@ -148,20 +155,32 @@
 // above the limit is dropped.
 func (n *Node) send(sends []domain.Send) {
 	for _, s := range sends {
+		envelope := &coordinator.Envelope{From: n.o.Config.Self, To: s.To, Body: s.Body}
+		large := envelope.IsLarge()
+		if large && n.sendingLarge[s.To] {
+			continue
+		}
 		select {
 		case n.sendSlots <- struct{}{}:
-			go n.sendOne(s)
+			if large {
+				n.sendingLarge[s.To] = true
+			}
+			go n.sendOne(s, envelope, large)
 		default:
 			n.o.Log.V(1).Info("dropped a message because too many are in flight", "to", s.To)
 		}
 	}
 }
 
-func (n *Node) sendOne(s domain.Send) {
+func (n *Node) sendOne(s domain.Send, envelope *coordinator.Envelope, large bool) {
 	defer func() { <-n.sendSlots }()
-	ctx, cancel := context.WithTimeout(n.Context(), sendTimeout)
+	timeout := sendTimeout
+	if large {
+		timeout = largeSendTimeout
+		defer n.Deliver(func(time.Time) { delete(n.sendingLarge, s.To) })
+	}
+	ctx, cancel := context.WithTimeout(n.Context(), timeout)
 	defer cancel()
-	envelope := &coordinator.Envelope{From: n.o.Config.Self, To: s.To, Body: s.Body}
 	if _, err := n.o.Calls.Call(ctx, coordinator.VMAddress(s.To), envelope); err != nil {
 		n.o.Log.V(1).Info("a message could not be delivered to its peer", "to", s.To, "error", err.Error())
 	}
