--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -154,6 +154,7 @@
 // normal operation, during a change of the coordinator, and while a gateway that
 // serves callers is partitioned.
 func TestRateAcrossGateways(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		f := newFleet(6, seed)
 		f.run(6*time.Second, 40)
@@ -180,6 +181,7 @@
 
 // Guards against a restarted gateway that grants an account its burst once more.
 func TestRestartGrantsNoNewBurst(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		f := newFleet(6, seed)
 		f.run(2*time.Second, 40)
@@ -211,6 +213,7 @@
 
 // Guards against refusals within the rate, also after a change of the coordinator.
 func TestNoRefusalWithinRate(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		f := newFleet(6, seed)
 		// Callers reach a gateway only after its first answer from a coordinator.
--- a/core/allowance/programs_test.go
+++ b/core/allowance/programs_test.go
@@ -131,6 +131,7 @@
 // serve: requests of active programs are then refused, and their work is wasted. The
 // account must still use its rate. Single runs vary, so 95% of them must pass.
 func TestActiveProgramsAreServed(t *testing.T) {
+	t.Parallel()
 	atLimit := withSlack(Limit{RatePerSecond: 40, Burst: 40})
 	const seeds, seconds = 200, 20
 	passed := 0
@@ -151,6 +152,7 @@
 // program, or counts a program that others count too. The outcome must be that of
 // programs which each stay at one gateway.
 func TestProgramsOverManyGateways(t *testing.T) {
+	t.Parallel()
 	small := withSlack(Limit{RatePerSecond: 16, Burst: 16})
 	var spread, single programStats
 	for seed := range uint64(20) {
@@ -186,6 +188,7 @@
 // fraction of the rate for each gateway is too small. The programs need half of the
 // rate on average. Single runs vary.
 func TestSmallAccountInLargeFleetStartsPrograms(t *testing.T) {
+	t.Parallel()
 	small := withSlack(Limit{RatePerSecond: 20, Burst: 20})
 	var w programStats
 	for seed := range uint64(40) {
