--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -316,7 +316,7 @@
 	}
 	seconds, rate := now.Sub(b.filled).Seconds(), g.refillRate(now, b, limit)
 	b.level = max(b.level+seconds*rate, min(b.level, 0))
-	b.returning = max(0, b.returning-seconds*rate)
+	b.returning = max(0, b.returning-seconds*max(0, rate))
 	b.filled = now
 	b.capacity = max(1, limit.Burst)
 	if g.disconnected {
