Play series of disturbances that overlap on the roles

TestSoak runs the roles as processes with callers on kept connections, and signals, restarts, kills, changes of the configuration (up to 600 routes) and of a target's limit in series that overlap, by seed. It checks at the target and at the callers that run-once requests run once, that "not run" is true, that whole answers are whole and the caller's own, that kept turns exist, and that a gateway that is not killed cuts nothing.

--- a/Makefile
+++ b/Makefile
@@ -35,10 +35,12 @@
 	for f in FuzzWorkerAnswer FuzzEvents FuzzManifest FuzzListEntry FuzzCallerRequest; do \
 		$(GO) test ./platform -run xxx -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) || exit 1; done
 
-# Tests random faults with 40 consecutive seeds, the first of which is SEED.
+# Tests random faults with 40 consecutive seeds, the first of which is SEED: of the daemon's
+# controllers, and of the roles as processes.
 SEED ?= 1000
 soak:
 	SOAK=$(SEED) $(GO) test -race -count=1 -timeout 3600s -run TestRandomFaults ./core/controller
+	SOAK=40,$(SEED) $(GO) test -count=1 -timeout 3600s -run 'TestSoak$$' ./platform
 
 build:
 	mkdir -p $(BIN)
