Abort a stream that cannot be resumed

Cause: a resumed stream that finds no target, or whose time ends while it looks for one, returned a refusal like a request that nothing was sent for. The front end wrote it after the events, and the server ended the body.

TestUnresumedStreamIsAborted failed before: a refusal instead of an aborted reply.

Change: Serve aborts the reply if a refusal comes after its start, whatever the reason.

--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -377,3 +377,21 @@
 	must.Nil(t, look("6"))
 	must.Nil(t, look("7"))
 }
+
+// Guards against a stream that is resumed, finds no target, and is ended like a whole one with
+// the refusal as its last bytes.
+func TestUnresumedStreamIsAborted(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.targets.answer = func(n int, _ port.TargetRequest) (port.Answer, error) {
+		if n == 1 {
+			return &scriptedAnswer{status: 200, events: []string{"a"}, err: io.ErrUnexpectedEOF}, nil
+		}
+		return nil, &port.UnreachableError{Address: "x", Err: io.EOF}
+	}
+	refusal, reply := r.serve(g, &Request{ID: "1", Host: "h", Path: "/resume/1", Key: "key"})
+	must.Nil(t, refusal)
+	must.True(t, reply.aborted)
+	must.False(t, reply.ended)
+	must.Eq(t, []string{"a"}, reply.events)
+}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -118,7 +118,8 @@
 }
 
 // Serve serves one request. It returns the refusal that the front end has to
-// send; after nil the reply is complete or aborted.
+// send, before which nothing of the reply was sent; after nil the reply is complete or
+// aborted.
 func (g *Gateway) Serve(ctx context.Context, req *Request, reply port.Reply) *Refusal {
 	if req.Buffers == nil {
 		req.Buffers = port.UnlimitedBuffers{}
@@ -130,6 +131,11 @@
 	}
 	e.returnAllowance(refusal)
 	e.log(refusal)
+	if refusal != nil && e.replyStarted {
+		// A refusal after the first event of a stream would end it like a whole one.
+		e.reply.Abort()
+		return nil
+	}
 	return refusal
 }
 
