--- a/adapter/codec/codec_test.go
+++ b/adapter/codec/codec_test.go
@@ -57,7 +57,7 @@
 		v := &coordinator.View{}
 		for range n {
 			v.Allowances.Totals = append(v.Allowances.Totals, allowance.Total{
-				Account: "acct0001", Admitted: 12345.125, Level: 14.125, Programs: 2, Demand: 13.625, StartsPerSecond: 0.75,
+				Account: "acct0001", Admitted: 12345.125, Level: 14.125, Programs: 2, Demand: 13.625, StartsPerSecond: 0.75, AttemptsPerSecond: 4.5,
 			})
 		}
 		data, err := c.EncodeMessage(v)
--- a/core/coordinator/malformed_test.go
+++ b/core/coordinator/malformed_test.go
@@ -1,17 +1,21 @@
 package coordinator
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
 	"github.com/mangoknot/mangoknot/core/allowance"
+	"github.com/mangoknot/mangoknot/core/balance"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/raft"
+	"github.com/mangoknot/mangoknot/core/targetlimit"
 )
 
 func genMessage() *rapid.Generator[domain.Message] {
@@ -96,3 +100,47 @@
 		}
 	})
 }
+
+// Guards against a report with unusual numbers that ends the process of a leader, or that
+// grants more permits than it asked for.
+func TestMalformedReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		self := NewVM(address(0), "first")
+		now := time.Unix(1000, 0)
+		c := New(Config{Self: self, Voters: []domain.VM{self}, Rand: rand.New(rand.NewPCG(1, 1))}, raft.Restored{}, now)
+		for range 5 {
+			now = now.Add(time.Second)
+			c.Tick(now)
+			c.Persisted(now, c.Ready(now).Token)
+		}
+		c.TargetsListed(now, []balance.Target{{ID: "t", Service: "s"}}, nil)
+		number := rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0}))
+		for range rapid.IntRange(1, 20).Draw(t, "reports") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "pause")))
+			wanted := rapid.Int().Draw(t, "wanted")
+			view := c.Report(now, &Report{
+				Process: rapid.SampledFrom([]string{"", "a/1", "a/2", "b/1"}).Draw(t, "process"), Gateway: true,
+				Counts: allowance.Counts{
+					Origin: rapid.SampledFrom([]string{"", "x"}).Draw(t, "origin"), LevelAge: time.Duration(rapid.Int64().Draw(t, "levelAge")),
+					Counts: []allowance.Count{{
+						Account: "a", Admitted: rapid.Uint64().Draw(t, "admitted"), RatePerSecond: number.Draw(t, "rate"), Burst: number.Draw(t, "burst"),
+						Level: number.Draw(t, "level"), Attempts: rapid.Int().Draw(t, "attempts"),
+					}},
+				},
+				Limits: targetlimit.Report{
+					Observed: []targetlimit.Observation{{Target: "t", Limited: rapid.Bool().Draw(t, "limited"), PerSecond: number.Draw(t, "limit"), Age: time.Duration(rapid.Int64().Draw(t, "age"))}},
+					Wanted:   []targetlimit.Want{{Service: "s", Permits: wanted}},
+					Unused:   []targetlimit.Permits{{Target: "t", N: rapid.Int().Draw(t, "unused")}},
+				},
+			})
+			must.True(t, view.Authoritative)
+			granted := 0
+			for _, p := range view.Limits.Permits {
+				granted += p.N
+			}
+			must.LessEq(t, max(0, wanted), granted)
+			c.ReadDocument(&ReadDocument{Offset: rapid.Int().Draw(t, "offset")})
+			c.Ready(now)
+		}
+	})
+}
