--- a/core/allowance/admission.go
+++ b/core/allowance/admission.go
@@ -12,9 +12,9 @@
 	// forecastSpan is the period over which the demand of active programs is
 	// forecast. Most programs take about a second.
 	forecastSpan = time.Second
-	// contendedFraction is the fraction of the bucket's capacity below which the
-	// gateways divide the capacity for new programs among themselves. Above it the
-	// bucket covers the programs that all gateways start until their next reports.
+	// contendedFraction is the fraction of the bucket's capacity above which gateways
+	// expect half of the attempts to start a program: the bucket covers more of them until
+	// it is seen to be used.
 	contendedFraction = 0.9
 	// startVisibleAfter is the time until a start at one gateway is part of the totals
 	// of all others: its own report and theirs.
@@ -152,7 +152,8 @@
 }
 
 // decideActive admits a plain call or a later turn if the bucket holds one request
-// more than the reserve for its priority. The load pattern that it answers: a program
+// more than the reserve for its priority, and with the probability that the bucket covers
+// what other gateways receive meanwhile. The load pattern that it answers: a program
 // sends several requests at once to an empty bucket. Each rejected one may come back when
 // those that were rejected before it have been served, so that they do not meet again.
 func (g *Gateway) decideActive(now time.Time, d *Decision, b *bucket) {
@@ -181,9 +182,8 @@
 // decideNew admits a new program if enough remains for the active ones. The load pattern
 // that it answers: many programs of an account start at many gateways at once. The
 // gateways decide from the same level until the starts of the others are part of the
-// totals. Below the contended fraction an attempt is therefore admitted with a
-// probability: the capacity for new programs divided by the number of attempts expected
-// until then.
+// totals. An attempt is therefore admitted with a probability: the capacity for new
+// programs divided by the number of attempts expected until then.
 func (g *Gateway) decideNew(now time.Time, d *Decision, request Request, b *bucket) {
 	g.forecast(now, d, request, b)
 	required := 1 + reserveFractions[NewProgram]*b.capacity + d.ForecastDemand
@@ -192,10 +192,10 @@
 	b.startAttempts++
 	attempts := d.ExpectedStarts
 	if b.level >= contendedFraction*b.capacity {
-		// The bucket covers more starts until it is seen to be used, and a full one admits
-		// any program, because its account has no other traffic.
 		attempts /= 2
 		if b.level >= b.capacity-1 {
+			// The account has no other traffic, so one program may start even if its
+			// demand exceeds the burst.
 			d.NewProgramCapacity = max(1, d.NewProgramCapacity)
 		}
 	}
