Return only permits that the present coordinator granted

A gateway without a coordinator issues its part of a target's limit itself. Its unused permits were reported as returned once it had a coordinator again, which credited its bucket with requests that it had never taken from it, up to the burst of the bucket at each report. The same held for permits of a former coordinator. Either could raise what a target gets above its limit (LIMIT).

Permits know who granted them now. TestOnlyGrantedPermitsAreReturned failed before: one target with returned permits after 5 s without a coordinator.

--- a/core/targetlimit/targetlimit.go
+++ b/core/targetlimit/targetlimit.go
@@ -74,7 +74,7 @@
 	Region     domain.Region     `cbor:",omitempty"`
 	Observed   []Observation     `cbor:",omitempty"`
 	Wanted     []Want            `cbor:",omitempty"`
-	// Unused lists permits that expired since the last report.
+	// Unused lists permits of the coordinator that expired since the last report.
 	Unused []Permits `cbor:",omitempty"`
 }
 
@@ -104,16 +104,26 @@
 	// observation since then, and changed whether that changed the limit.
 	reported       time.Time
 	fresh, changed bool
-	// expiries are the times at which the permits expire, in ascending order.
-	expiries []time.Time
+	// permits are the unused permits in the order in which they expire.
+	permits []permit
 	// debt is the number of requests that were sent without a permit.
 	debt int
 	// nextOwn is the time at which a gateway without a coordinator issues the next permit.
 	nextOwn time.Time
-	// unused is the number of expired permits that were not reported.
+	// unused is the number of expired permits of the coordinator that were not reported.
 	unused int
 }
 
+// permit allows one request to a target. origin is the origin of the pool that granted it, or
+// ownOrigin.
+type permit struct {
+	expires time.Time
+	origin  uint64
+}
+
+// ownOrigin is the origin of permits that a gateway issued itself.
+const ownOrigin = 0
+
 // Gateway holds the permits of one gateway. It is not safe for concurrent use.
 type Gateway struct {
 	rand      *rand.Rand
@@ -197,7 +207,7 @@
 		return true
 	}
 	g.update(now, t)
-	return len(t.expiries) > 0
+	return len(t.permits) > 0
 }
 
 // Sent uses a permit for a request. Without one the next permit is used for it.
@@ -207,8 +217,8 @@
 		return
 	}
 	g.update(now, t)
-	if len(t.expiries) > 0 {
-		t.expiries = t.expiries[1:]
+	if len(t.permits) > 0 {
+		t.permits = t.permits[1:]
 		return
 	}
 	t.debt++
@@ -231,9 +241,12 @@
 
 // update removes expired permits and, without a coordinator, issues the gateway's own ones.
 func (g *Gateway) update(now time.Time, t *limitedTarget) {
-	for len(t.expiries) > 0 && !now.Before(t.expiries[0]) {
-		t.expiries = t.expiries[1:]
-		t.unused++
+	for len(t.permits) > 0 && !now.Before(t.permits[0].expires) {
+		// The present coordinator has counted only the permits that it granted itself.
+		if p := t.permits[0]; p.origin != ownOrigin && p.origin == origin(g.sequence) {
+			t.unused++
+		}
+		t.permits = t.permits[1:]
 	}
 	if now.Sub(g.lastGrant) < silenceTimeout || t.perSecond <= 0 {
 		t.nextOwn = time.Time{}
@@ -245,18 +258,19 @@
 		t.nextOwn = now.Add(time.Duration(g.rand.Float64() * float64(interval)))
 	}
 	for !now.Before(t.nextOwn) {
-		if expiry := t.nextOwn.Add(PermitTTL); now.Before(expiry) {
-			t.addPermits(expiry, 1)
+		if expires := t.nextOwn.Add(PermitTTL); now.Before(expires) {
+			t.addPermits(permit{expires, ownOrigin}, 1)
 		}
 		t.nextOwn = t.nextOwn.Add(interval)
 	}
 }
 
-func (t *limitedTarget) addPermits(expiry time.Time, n int) {
+// addPermits adds n permits, the first of which are used for requests sent without one.
+func (t *limitedTarget) addPermits(p permit, n int) {
 	paid := min(n, t.debt)
 	t.debt -= paid
 	for range n - paid {
-		t.expiries = append(t.expiries, expiry)
+		t.permits = append(t.permits, p)
 	}
 }
 
@@ -282,7 +296,7 @@
 		}
 		if t.limited {
 			limited[service] = true
-			held[service] += len(t.expiries) - t.debt
+			held[service] += len(t.permits) - t.debt
 		}
 	}
 	g.reportAll = false
@@ -304,14 +318,19 @@
 
 // Apply applies the coordinator's reply.
 func (g *Gateway) Apply(now time.Time, grant Grant) {
-	g.reportAll = g.reportAll || origin(g.sequence) != origin(grant.Sequence)
+	if origin(g.sequence) != origin(grant.Sequence) {
+		g.reportAll = true
+		for _, t := range g.targets {
+			t.unused = 0
+		}
+	}
 	g.lastGrant, g.sequence = now, grant.Sequence
 	for _, o := range grant.Observed {
 		g.learn(o.Target, known{o.Limited, o.PerSecond, now.Add(-o.Age)}, false)
 	}
 	for _, p := range grant.Permits {
 		if t := g.targets[p.Target]; t != nil {
-			t.addPermits(now.Add(PermitTTL), p.N)
+			t.addPermits(permit{now.Add(PermitTTL), origin(grant.Sequence)}, p.N)
 		}
 	}
 }
--- a/core/targetlimit/targetlimit_test.go
+++ b/core/targetlimit/targetlimit_test.go
@@ -188,3 +188,30 @@
 	grant := p.Report(now, Report{Wanted: []Want{{"s", 3}}}, []Candidate{{Target: "a", Service: "s"}, {Target: "b", Service: "other"}}, 1)
 	must.Eq(t, []Permits{{"a", 3}}, grant.Permits)
 }
+
+// Guards against a coordinator that is credited with permits it has not granted: those that a
+// gateway issued itself, or that a former coordinator granted.
+func TestOnlyGrantedPermitsAreReturned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := 10.0
+	g := NewGateway(rand.New(rand.NewPCG(1, 1)))
+	g.SetGateways(1)
+	must.True(t, g.Observe(now, limited, &limit))
+	// Without a coordinator the gateway issues ten permits a second, which expire unused.
+	for range 50 {
+		g.MaySend(now, limited)
+		now = now.Add(100 * time.Millisecond)
+	}
+	must.SliceEmpty(t, g.Report(now, services).Unused)
+
+	sequence := uint64(1) << originShift
+	g.Apply(now, Grant{Sequence: sequence, Permits: []Permits{{limited, 3}}})
+	now = now.Add(PermitTTL)
+	g.Apply(now, Grant{Sequence: sequence})
+	must.Eq(t, []Permits{{limited, 3}}, g.Report(now, services).Unused)
+
+	g.Apply(now, Grant{Sequence: sequence, Permits: []Permits{{limited, 3}}})
+	now = now.Add(PermitTTL)
+	g.Apply(now, Grant{Sequence: 2 * sequence})
+	must.SliceEmpty(t, g.Report(now, services).Unused)
+}
