Read a document on at the coordinator that answered last

The reader of large configurations began each part at the first coordinator, also after that one had failed: each of 16 parts of 500 KB then cost a failed call, of up to 3 s where the connection is silent, so that a start of everything could take most of the time within which service has to be back (RECOVER).

TestDocumentIsReadOnAtAnotherCoordinator failed before: 16 calls to the failed coordinator, now 2.

--- a/node/follower/document.go
+++ b/node/follower/document.go
@@ -52,16 +52,18 @@
 	if d.version < version {
 		d.version, d.raw = version, nil
 	}
+	// The read goes on at the coordinator that answered last.
+	next := 0
 	for failures := 0; failures < maxPartFailures && ctx.Err() == nil; {
-		address := addresses[failures%len(addresses)]
+		address := addresses[next%len(addresses)]
 		part, err := d.readPart(ctx, address)
 		switch {
 		case err != nil:
 			d.log.Info("a part of the configuration was not received", "coordinator", address, "version", d.version, "bytes", len(d.raw), "error", err.Error())
-			failures++
+			failures, next = failures+1, next+1
 			continue
 		case part.Version < d.version:
-			failures++
+			failures, next = failures+1, next+1
 			continue
 		case part.Version > d.version:
 			d.version, d.raw = part.Version, nil
--- a/node/follower/link_test.go
+++ b/node/follower/link_test.go
@@ -146,3 +146,33 @@
 		must.Eq(t, 0, without, must.Sprintf("of %d gateways", remoteGateways))
 	})
 }
+
+// lostCoordinator answers one call and fails afterwards.
+type lostCoordinator struct {
+	*link
+	lost  string
+	calls map[string]int
+}
+
+func (l *lostCoordinator) Call(ctx context.Context, address string, m domain.Message) (domain.Message, error) {
+	l.calls[address]++
+	if address == l.lost && l.calls[address] > 1 {
+		return nil, errDown
+	}
+	return l.link.Call(ctx, address, m)
+}
+
+// Guards against a document whose every part is first requested from a coordinator that has
+// failed, which may take a time-out each.
+func TestDocumentIsReadOnAtAnotherCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, err := codec.New(coordinator.Messages(), nil)
+		must.NoError(t, err)
+		l := &lostCoordinator{link: &link{codec: c, coordinator: newLeader(t, 500_000)}, lost: "a", calls: map[string]int{}}
+		p := &restarted{}
+		d := documentReader{calls: l, process: p, log: logr.Discard()}
+		d.read(t.Context(), 1, []string{"a", "b", "c"})
+		must.Eq(t, 1, p.version)
+		must.Eq(t, 2, l.calls["a"])
+	})
+}
