Use one average rate, one merge of observations, and existing loops

- core/rate: core/waiting and core/targetlimit each had the same averaged rate with a linear decay.
- core/targetlimit: gateways and the pool compare observations in one place; Gateway.Limited was used by a test only.
- core/allowance: silent gateways are counted in the loop that looks for them at each report anyway, instead of in a second one; an account's total is looked up once; fractions have names; Attempts says what it counts.
- node/coordination: sendOne got the peer twice.
- port: RejectedError stood between UnreachableError and its Unwrap.

--- a/core/allowance/admission.go
+++ b/core/allowance/admission.go
@@ -12,10 +12,11 @@
 	// forecastSpan is the period over which the demand of active programs is
 	// forecast. Most programs take about a second.
 	forecastSpan = time.Second
-	// contendedFraction is the fraction of the bucket's capacity above which gateways
-	// expect half of the attempts to start a program: the bucket covers more of them until
-	// it is seen to be used.
-	contendedFraction = 0.9
+	// contendedFraction is the fraction of the bucket's capacity above which the attempts
+	// to start a program that a gateway expects are divided by uncontendedDivisor: the bucket
+	// covers more of them until it is seen to be used.
+	contendedFraction  = 0.9
+	uncontendedDivisor = 2
 	// startVisibleAfter is the time until a start at one gateway is part of the totals
 	// of all others: its own report and theirs.
 	startVisibleAfter = 2 * ReportInterval
@@ -192,7 +193,7 @@
 	b.startAttempts++
 	attempts := d.ExpectedStarts
 	if b.level >= contendedFraction*b.capacity {
-		attempts /= 2
+		attempts /= uncontendedDivisor
 		if b.level >= b.capacity-1 {
 			// The account has no other traffic, so one program may start even if its
 			// demand exceeds the burst.
--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -53,6 +53,15 @@
 	Unseen float64
 }
 
+const (
+	// slackInBurst is the fraction of the slack that is added to a burst, so that a small
+	// account can run a whole program at once.
+	slackInBurst = 0.5
+	// unseenFraction is the fraction of the rest that gateways may admit on average before
+	// they see each other's requests. The actual number varies.
+	unseenFraction = 0.25
+)
+
 // Tolerance is by how much the requests of an account may exceed its rate and burst in any
 // window: by a number of requests and by a fraction.
 type Tolerance struct {
@@ -60,12 +69,10 @@
 	Window          time.Duration
 }
 
-// Limit returns the limit that gateways use for an account. Half of the slack is added to the
-// burst, so that a small account can run a whole program at once. A quarter of the rest may be
-// admitted unseen on average; the actual number varies.
+// Limit returns the limit that gateways use for an account.
 func (t Tolerance) Limit(ratePerSecond, burst float64) Limit {
-	rest := t.Slack/2 + t.Fraction*(ratePerSecond*t.Window.Seconds()+burst)
-	return Limit{RatePerSecond: ratePerSecond, Burst: burst + t.Slack/2, Unseen: rest / 4}
+	rest := (1-slackInBurst)*t.Slack + t.Fraction*(ratePerSecond*t.Window.Seconds()+burst)
+	return Limit{RatePerSecond: ratePerSecond, Burst: burst + slackInBurst*t.Slack, Unseen: unseenFraction * rest}
 }
 
 // Limits returns the limit of an account and reports whether it has one.
@@ -93,7 +100,8 @@
 	Unseen        float64 `cbor:"11,keyasint,omitempty"`
 	// Level is the level of the account's bucket in the last answer.
 	Level float64 `cbor:"9,keyasint,omitempty"`
-	// Attempts is the number of requests since the last report, including rejected ones.
+	// Attempts is the number of requests since the last report: admitted ones, and rejected
+	// ones of active programs or of none.
 	Attempts int `cbor:"10,keyasint,omitempty"`
 }
 
@@ -122,7 +130,7 @@
 	Demand   float64 `cbor:"5,keyasint,omitempty"`
 	// StartsPerSecond is the rate of attempts to start a program.
 	StartsPerSecond float64 `cbor:"6,keyasint,omitempty"`
-	// AttemptsPerSecond is the rate of requests, including rejected ones.
+	// AttemptsPerSecond is the rate of the requests that Count.Attempts counts.
 	AttemptsPerSecond float64 `cbor:"7,keyasint,omitempty"`
 }
 
@@ -202,8 +210,8 @@
 	startAttempts, reportedAttempts, answeredAttempts uint64
 	// startsPerSecond is the rate of attempts over all gateways.
 	startsPerSecond float64
-	// attempts counts all requests since the last report, including rejected ones.
-	// attemptsPerSecond is their rate over all gateways.
+	// attempts is the value of Count.Attempts for the next report, and attemptsPerSecond the
+	// rate over all gateways.
 	attempts          int
 	attemptsPerSecond float64
 	// startedCost is the cost of all programs that were started here. startedReported
--- a/core/allowance/fleet.go
+++ b/core/allowance/fleet.go
@@ -129,6 +129,8 @@
 	takenOver    bool
 	unanswered   float64
 	overdrafts   []Overdraft
+	// silent is the number of reporters that were silent at the last report.
+	silent int
 }
 
 // NewFleet returns a fleet without gateways. The origin must be unique for each
@@ -184,9 +186,9 @@
 			// counted twice rather than not at all.
 			r.counts[c.Account], r.programStarts[c.Account] = c.AnsweredAdmitted, c.AnsweredStarts
 		}
-		f.updateBucket(now, c, reported)
+		t := f.total(c.Account)
+		f.updateBucket(now, t, c, reported)
 		if c.Attempts > 0 {
-			t := f.total(c.Account)
 			t.attempts.add(now, float64(c.Attempts))
 			f.changed(t)
 		}
@@ -203,7 +205,6 @@
 		}
 		r.extrapolated[c.Account] -= min(delta, r.extrapolated[c.Account])
 		if starts := c.Starts - min(c.Starts, r.programStarts[c.Account]); starts > 0 {
-			t := f.total(c.Account)
 			t.programStarts.add(now, float64(starts))
 			f.changed(t)
 		}
@@ -214,12 +215,11 @@
 }
 
 // updateBucket applies the limit and the level in a report to the account's bucket.
-func (f *Fleet) updateBucket(now time.Time, c Count, reported Counts) {
+func (f *Fleet) updateBucket(now time.Time, t *accountTotal, c Count, reported Counts) {
 	share := 1.0
 	if f.takingOver(now) {
 		share = assumedShare
 	}
-	t := f.total(c.Account)
 	t.bucket.setLimit(now, reported.LimitsVersion, Limit{RatePerSecond: c.RatePerSecond, Burst: c.Burst, Unseen: c.Unseen}, share)
 	hasLevel := reported.Origin != "" && f.takingOver(now)
 	if hasLevel && (reported.Origin != f.origin || !t.bucket.confirmed) {
@@ -285,6 +285,7 @@
 // extrapolateSilent adds requests at the last known rates of gateways that do not
 // report, because they may serve callers across a partition.
 func (f *Fleet) extrapolateSilent(now time.Time) {
+	f.silent = 0
 	for name, r := range f.reporters {
 		silent := now.Sub(r.lastReport)
 		if silent > reporterTTL {
@@ -294,6 +295,7 @@
 		if silent < silenceTimeout {
 			continue
 		}
+		f.silent++
 		for account, rate := range r.rates {
 			requests := rate * now.Sub(r.extrapolatedUntil).Seconds()
 			r.extrapolated[account] += requests
@@ -306,15 +308,10 @@
 // Gateways returns the number of gateways that have reported within reporterTTL.
 func (f *Fleet) Gateways() int { return len(f.reporters) }
 
-// ReportingShare returns the fraction of the gateways that are not silent.
-func (f *Fleet) ReportingShare(now time.Time) float64 {
-	silent := 0
-	for _, r := range f.reporters {
-		if now.Sub(r.lastReport) >= silenceTimeout {
-			silent++
-		}
-	}
-	return 1 - float64(silent)/float64(max(1, len(f.reporters)))
+// ReportingShare returns the fraction of the gateways that were not silent at the last
+// report.
+func (f *Fleet) ReportingShare() float64 {
+	return 1 - float64(f.silent)/float64(max(1, len(f.reporters)))
 }
 
 // Remove removes a gateway process that was replaced by another one on the same VM.
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -63,7 +63,7 @@
 // grantPermits handles what a gateway reports of targets that limit their requests.
 func (c *Coordinator) grantPermits(now time.Time, r targetlimit.Report) targetlimit.Grant {
 	before := c.limits.Limited()
-	grant := c.limits.Report(now, r, c.candidates(r), c.fleet.ReportingShare(now))
+	grant := c.limits.Report(now, r, c.candidates(r), c.fleet.ReportingShare())
 	if n := c.limits.Limited(); n != before {
 		c.event("the number of targets that limit their requests changed", map[string]any{"targets": n})
 	}
--- a/core/targetlimit/targetlimit.go
+++ b/core/targetlimit/targetlimit.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/rate"
 )
 
 const (
@@ -94,8 +95,10 @@
 	at        time.Time
 }
 
-// newer reports whether an observation made at a time replaces k.
-func (k *known) newer(at time.Time) bool { return at.After(k.at) }
+// compare reports whether the observation n is newer than k, and whether its limit differs.
+func (k *known) compare(n known) (newer, changed bool) {
+	return n.at.After(k.at), k.limited != n.limited || k.perSecond != n.perSecond
+}
 
 // limitedTarget is a target with its permits at one gateway.
 type limitedTarget struct {
@@ -137,15 +140,10 @@
 	reportAll bool
 }
 
-// demand is the averaged rate of the requests to a service.
+// demand is the rate of the requests to a service, and the time of the last one.
 type demand struct {
-	perSecond          float64
-	updated, requested time.Time
-}
-
-func (d *demand) decay(now time.Time) {
-	d.perSecond *= max(0, 1-now.Sub(d.updated).Seconds()/demandPeriod.Seconds())
-	d.updated = now
+	rate      rate.Average
+	requested time.Time
 }
 
 // NewGateway returns a gateway that knows no limited target.
@@ -173,16 +171,17 @@
 
 func (g *Gateway) learn(target domain.Target, k known, own bool) bool {
 	t := g.targets[target]
-	switch {
-	case t == nil && !k.limited:
-		return false
-	case t == nil:
+	if t == nil {
+		if !k.limited {
+			return false
+		}
 		t = &limitedTarget{}
 		g.targets[target] = t
-	case !t.newer(k.at):
+	}
+	newer, changed := t.compare(k)
+	if !newer {
 		return false
 	}
-	changed := t.limited != k.limited || t.perSecond != k.perSecond
 	t.known = k
 	t.fresh, t.changed = own, own && (t.changed || changed)
 	if changed {
@@ -191,12 +190,6 @@
 	return changed
 }
 
-// Limited reports whether the target has a limit.
-func (g *Gateway) Limited(target domain.Target) bool {
-	t := g.targets[target]
-	return t != nil && t.limited
-}
-
 // Any reports whether any target has had a limit.
 func (g *Gateway) Any() bool { return len(g.targets) > 0 }
 
@@ -231,12 +224,11 @@
 	}
 	d := g.demand[service]
 	if d == nil {
-		d = &demand{updated: now}
+		d = &demand{rate: rate.Average{Period: demandPeriod}}
 		g.demand[service] = d
 	}
-	d.decay(now)
 	d.requested = now
-	d.perSecond += 1 / demandPeriod.Seconds()
+	d.rate.Add(now)
 }
 
 // update removes expired permits and, without a coordinator, issues the gateway's own ones.
@@ -301,7 +293,6 @@
 	}
 	g.reportAll = false
 	for service, d := range g.demand {
-		d.decay(now)
 		if now.Sub(d.requested) >= demandRetention {
 			delete(g.demand, service)
 			continue
@@ -309,7 +300,7 @@
 		if !limited[service] {
 			continue
 		}
-		if n := 1 + int(d.perSecond*demandSpan.Seconds()) - held[service]; n > 0 {
+		if n := 1 + int(d.rate.PerSecond(now)*demandSpan.Seconds()) - held[service]; n > 0 {
 			out.Wanted = append(out.Wanted, Want{service, min(n, maxWanted)})
 		}
 	}
@@ -408,22 +399,24 @@
 }
 
 func (p *Pool) observe(now time.Time, o Observation) {
-	at := now.Add(-max(0, o.Age))
+	k := known{o.Limited, o.PerSecond, now.Add(-max(0, o.Age))}
 	t := p.targets[o.Target]
-	switch {
-	case t == nil && !o.Limited:
-		return
-	case t == nil:
+	if t == nil {
+		if !o.Limited {
+			return
+		}
 		t = &poolTarget{}
 		p.targets[o.Target] = t
-	case !t.newer(at):
+	}
+	newer, changed := t.compare(k)
+	if !newer {
 		return
 	}
-	if t.limited != o.Limited || t.perSecond != o.PerSecond {
+	if changed {
 		p.sequence++
-		t.refill(now, p.share)
+		t.refill(now, p.share) // at the former rate
 	}
-	t.known = known{o.Limited, o.PerSecond, at}
+	t.known = k
 }
 
 func (p *Pool) observations(now time.Time) []Observation {
--- a/core/targetlimit/targetlimit_test.go
+++ b/core/targetlimit/targetlimit_test.go
@@ -171,7 +171,7 @@
 	f.run(2*time.Second, 60, 0)
 	must.Eq(t, 0, f.pool.Limited())
 	for i, g := range f.gateways {
-		must.False(t, g.Limited(limited), must.Sprintf("gateway %d", i))
+		must.False(t, g.targets[limited].limited, must.Sprintf("gateway %d", i))
 	}
 	f.refused = 0
 	f.run(time.Second, 60, 0)
--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/mangoknot/mangoknot/core/rate"
 )
 
 const (
@@ -50,7 +52,8 @@
 type Queue[T comparable] struct {
 	rand  *rand.Rand
 	items []item[T]
-	freed map[string]*freedRate
+	// freed holds, for each service, the rate at which its places become free.
+	freed map[string]*rate.Average
 }
 
 type item[T comparable] struct {
@@ -58,21 +61,9 @@
 	value   T
 }
 
-// freedRate is the averaged rate at which places of a service become free.
-type freedRate struct {
-	perSecond float64
-	updated   time.Time
-}
-
-// decay updates the average to the present time.
-func (f *freedRate) decay(now time.Time) {
-	f.perSecond *= max(0, 1-now.Sub(f.updated).Seconds()/ratePeriod.Seconds())
-	f.updated = now
-}
-
 // NewQueue returns an empty queue.
 func NewQueue[T comparable](r *rand.Rand) *Queue[T] {
-	return &Queue[T]{rand: r, freed: map[string]*freedRate{}}
+	return &Queue[T]{rand: r, freed: map[string]*rate.Average{}}
 }
 
 // Add adds a request, unless the queue is full or the request would give up before its
@@ -110,11 +101,11 @@
 	if f == nil {
 		return 0, false
 	}
-	f.decay(now)
-	if f.perSecond*ratePeriod.Seconds() < 1 {
+	perSecond := f.PerSecond(now)
+	if perSecond*ratePeriod.Seconds() < 1 {
 		return 0, false
 	}
-	return time.Duration(float64(ahead+1) / f.perSecond * float64(time.Second)), true
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second)), true
 }
 
 // RetryAfter returns the time after which a rejected request can expect a place: when all
@@ -137,11 +128,10 @@
 func (q *Queue[T]) Freed(now time.Time, service string) {
 	f := q.freed[service]
 	if f == nil {
-		f = &freedRate{updated: now}
+		f = &rate.Average{Period: ratePeriod}
 		q.freed[service] = f
 	}
-	f.decay(now)
-	f.perSecond += 1 / ratePeriod.Seconds()
+	f.Add(now)
 }
 
 // Serve offers a place to each waiting request in order. Requests for which place returns
--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -165,24 +165,24 @@
 			if large {
 				n.sendingLarge[s.To] = true
 			}
-			go n.sendOne(s, envelope, large)
+			go n.sendOne(envelope, large)
 		default:
 			n.o.Log.V(1).Info("dropped a message because too many are in flight", "to", s.To)
 		}
 	}
 }
 
-func (n *Node) sendOne(s domain.Send, envelope *coordinator.Envelope, large bool) {
+func (n *Node) sendOne(e *coordinator.Envelope, large bool) {
 	defer func() { <-n.sendSlots }()
 	timeout := sendTimeout
 	if large {
 		timeout = largeSendTimeout
-		defer n.Deliver(func(time.Time) { delete(n.sendingLarge, s.To) })
+		defer n.Deliver(func(time.Time) { delete(n.sendingLarge, e.To) })
 	}
 	ctx, cancel := context.WithTimeout(n.Context(), timeout)
 	defer cancel()
-	if _, err := n.o.Calls.Call(ctx, coordinator.VMAddress(s.To), envelope); err != nil {
-		n.o.Log.V(1).Info("a message could not be delivered to its peer", "to", s.To, "error", err.Error())
+	if _, err := n.o.Calls.Call(ctx, coordinator.VMAddress(e.To), e); err != nil {
+		n.o.Log.V(1).Info("a message could not be delivered to its peer", "to", e.To, "error", err.Error())
 	}
 }
 
--- a/node/gateway/queue.go
+++ b/node/gateway/queue.go
@@ -44,8 +44,8 @@
 }
 
 // pickOrWait picks a target for a waiter at once, or queues the waiter if all targets are
-// full or at their limit. A waiter that would not be served in time is refused. It runs on the control
-// goroutine.
+// full or at their limit. A waiter that would not be served in time is refused. It runs on
+// the control goroutine.
 func (g *Gateway) pickOrWait(now time.Time, w *waiter) {
 	g.limits.Wanted(now, w.request.Service)
 	target, refusal := g.balancer.Pick(now, w.request)
--- a/port/exchange.go
+++ b/port/exchange.go
@@ -35,6 +35,9 @@
 	return "target " + e.Address + " cannot be reached; send the request to another one: " + e.Err.Error()
 }
 
+// Unwrap returns ErrNotRun and the cause, so that errors.Is finds both.
+func (e *UnreachableError) Unwrap() []error { return []error{ErrNotRun, e.Err} }
+
 // RejectedError is the error of an exchange whose answer cannot be forwarded.
 type RejectedError struct {
 	Head AnswerHead
@@ -46,9 +49,6 @@
 // Unwrap returns the reason.
 func (e *RejectedError) Unwrap() error { return e.Err }
 
-// Unwrap returns ErrNotRun and the cause, so that errors.Is finds both.
-func (e *UnreachableError) Unwrap() []error { return []error{ErrNotRun, e.Err} }
-
 // Limit names a bound on what one request may use.
 type Limit string
 
