--- a/review/rig/retire.go
+++ b/review/rig/retire.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	retireLines = 20
+	retireLines = 30
 	// retireEnd is the time at which no further round begins.
-	retireEnd = 88 * time.Second
+	retireEnd = 97 * time.Second
 	// retireDuration is the time that the operator gives for emptying a machine.
 	retireDuration = 10
 	// reportTime is the time after which a new machine is known to the system.
