--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -50,13 +50,17 @@
 	folder string
 	// prefix holds the first two parts of all addresses, and the ports are the same on all
 	// machines.
-	prefix                        string
-	internal                      int
-	front, ready, control         int
-	regions                       map[string]string
-	platform                      *platform
+	prefix                string
+	internal              int
+	front, ready, control int
+	regions               map[string]string
+	platform              *platform
+	// lock is held while the run uses the addresses with its prefix.
+	lock net.Listener
+	// mu guards processes and stopped.
 	mu                            sync.Mutex
 	processes                     map[string]*exec.Cmd
+	stopped                       bool
 	edges, stores                 []machine
 	seeds                         []string
 	nextEdge, nextStore, attempts int
@@ -67,13 +71,12 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{
-		rec: rec, folder: folder, prefix: fmt.Sprintf("127.%d", 16+rand.IntN(200)), processes: map[string]*exec.Cmd{},
+	f := &fleet{rec: rec, folder: folder, processes: map[string]*exec.Cmd{}}
+	if err := f.choosePrefix(); err != nil {
+		return nil, err
 	}
-	for _, port := range []*int{&f.internal, &f.front, &f.ready, &f.control} {
-		if *port, err = freePort(f.prefix + ".1.1"); err != nil {
-			return nil, err
-		}
+	if err := f.choosePorts(); err != nil {
+		return nil, err
 	}
 	if f.platform, err = newPlatform(rec, f.prefix+".200.1"); err != nil {
 		return nil, err
@@ -81,22 +84,53 @@
 	return f, nil
 }
 
-// freePort returns a port of an address that is free together with its successor.
-func freePort(ip string) (int, error) {
+// lockPort is the port with which a run reserves the addresses with its prefix.
+const lockPort = 19999
+
+// choosePrefix reserves addresses that no other run uses.
+func (f *fleet) choosePrefix() error {
+	for range 100 {
+		f.prefix = fmt.Sprintf("127.%d", 16+rand.IntN(200))
+		lock, err := net.Listen("tcp4", fmt.Sprintf("%s.240.1:%d", f.prefix, lockPort))
+		if err == nil {
+			f.lock = lock
+			return nil
+		}
+	}
+	return errors.New("no addresses are free")
+}
+
+const (
+	// firstPort and portSpan bound the ports of the machines. They lie below those that the
+	// system gives to connections.
+	firstPort = 20000
+	portSpan  = 10000
+	// internalPorts is the number of ports for processes among themselves.
+	internalPorts = 16
+)
+
+// choosePorts chooses the ports of the machines, which are free on one address at least.
+func (f *fleet) choosePorts() error {
 	for range 100 {
-		l, err := net.Listen("tcp4", ip+":0")
+		base := firstPort + rand.IntN(portSpan)
+		f.internal, f.front, f.ready, f.control = base, base+internalPorts, base+internalPorts+1, base+internalPorts+2
+		if portsFree(f.prefix+".1.1", f.internal, f.control) {
+			return nil
+		}
+	}
+	return errors.New("no ports are free")
+}
+
+// portsFree reports whether all ports from first to last are free on an address.
+func portsFree(ip string, first, last int) bool {
+	for port := first; port <= last; port++ {
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
-			return 0, err
+			return false
 		}
-		port := l.Addr().(*net.TCPAddr).Port
-		next, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port+1))
 		l.Close()
-		if err == nil {
-			next.Close()
-			return port, nil
-		}
 	}
-	return 0, errors.New("no two consecutive ports are free")
+	return true
 }
 
 func (f *fleet) addEdge(zone string) machine {
@@ -135,7 +169,7 @@
 	}
 	out := map[string]any{
 		"nodeName": m.name, "role": role, "machineClass": m.class, "serves": serves, "ip": m.ip, "zone": m.zone,
-		"region": f.regions[m.zone], "internalPorts": []int{f.internal, f.internal + 15}, "seeds": f.seeds,
+		"region": f.regions[m.zone], "internalPorts": []int{f.internal, f.internal + internalPorts - 1}, "seeds": f.seeds,
 		"firstStart": first, "tolerated": m.class == "storage", "discovery": "cloud", "entry": "vip", "heartbeatMs": 1200,
 		"contracts":  []string{"base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "tenants", "quota"},
 		"configMode": "highest", "zones": f.regions, "listen": listen, "limits": limits,
@@ -181,15 +215,21 @@
 	command := exec.Command(program, words...)
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.folder, "MANGOKNOT_BOOT=" + settings}
 	command.Stdout, command.Stderr = log, log
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return errStopped
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.processes[name] = command
 	return nil
 }
 
+// errStopped is returned for a process that is to be started after the end of the run.
+var errStopped = errors.New("the run has ended")
+
 // kill kills the processes of a machine.
 func (f *fleet) kill(m machine) {
 	f.rec.printf("platform: kills the processes of %s", m.name)
@@ -231,6 +271,7 @@
 // for the logs.
 func (f *fleet) stop() {
 	f.mu.Lock()
+	f.stopped = true
 	var names []string
 	for name := range f.processes {
 		names = append(names, name)
@@ -240,6 +281,7 @@
 		f.killProcess(name)
 	}
 	f.platform.close()
+	f.lock.Close()
 	if os.Getenv("KEEP") != "" {
 		fmt.Fprintln(os.Stderr, "logs:", f.folder)
 		return
