Count only complete members for a stored turn

Cause: a turn counted as stored on a majority of the new set even if one of its members was the joining one, which had copied nothing yet. The third member did not know the new set then. A gateway with the former set asked that member and the retired one, and took their answers for a majority that knows no such turn.

TestTurnIsFoundWithFormerSet plays the same order of events and fails with the earlier write.

Change: a write ends when a majority of complete members has stored it, as reservations of tokens already did. A joining member is complete only after enough other members have adopted the new epoch durably, so every majority of the former set has a member that names the new set, and the reader starts again with it. Old gateways keep the earlier rule until they are replaced; messages are unchanged. A settlement that did not ask for the shares of the program no longer sets the weight of the other shares to 0.

--- a/node/gateway/budget.go
+++ b/node/gateway/budget.go
@@ -28,12 +28,12 @@
 	case taken:
 		return nil
 	}
-	result, err := e.g.write(ctx, records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: share}}, sharesOf: e.turn.program, needsComplete: true})
+	union, err := e.g.write(ctx, records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: share}}, sharesOf: e.turn.program})
 	if err != nil {
 		return notRun(StorageUnavailable, e.spread(storageRetryAfter), err)
 	}
-	e.recordOtherShares(result, share.Writer)
-	switch tokens.CheckBudget(e.Budget, share, result.union) {
+	e.recordOtherShares(union, share.Writer)
+	switch tokens.CheckBudget(e.Budget, share, union) {
 	case tokens.Spent:
 		return notRun(BudgetSpent, 0, nil)
 	case tokens.BlockedByAdvance:
@@ -90,11 +90,8 @@
 
 // recordOtherShares records the tokens that the other gateways hold of the
 // program's budget.
-func (e *exchange) recordOtherShares(result writeResult, writer string) {
-	if !result.complete {
-		return
-	}
-	others, _ := result.union.SumOthers(writer)
+func (e *exchange) recordOtherShares(union tokens.Union, writer string) {
+	others, _ := union.SumOthers(writer)
 	e.g.Deliver(func(time.Time) { e.g.shares.SetOthersWeight(e.turn.program, others) })
 }
 
@@ -149,23 +146,23 @@
 		if advance {
 			r.sharesOf = t.program
 		}
-		result, err := e.g.write(ctx, r)
-		e.g.Deliver(func(now time.Time) { e.g.settlementWritten(now, t.program, share, result, err, done) })
+		union, err := e.g.write(ctx, r)
+		e.g.Deliver(func(now time.Time) { e.g.settlementWritten(now, t.program, share, union, err, done) })
 		return err
 	}
 }
 
-// settlementWritten applies the outcome of a write of the share. It runs on the
-// control goroutine.
-func (g *Gateway) settlementWritten(now time.Time, program tokens.Program, share tokens.Share, result writeResult, err error, done chan struct{}) {
-	if err != nil {
+// settlementWritten applies the outcome of a write of the share. The union is empty if the
+// write did not request the shares of the program. It runs on the control goroutine.
+func (g *Gateway) settlementWritten(now time.Time, program tokens.Program, share tokens.Share, union tokens.Union, err error, done chan struct{}) {
+	switch {
+	case err != nil:
 		g.shares.WriteFailed(program)
-	}
-	if result.complete {
-		others, _ := result.union.SumOthers(share.Writer)
+	case len(union) > 0:
+		others, _ := union.SumOthers(share.Writer)
 		g.shares.SetOthersWeight(program, others)
 	}
-	g.shares.ConfirmAdvance(now, program, share.Version, err == nil && result.complete)
+	g.shares.ConfirmAdvance(now, program, share.Version, err == nil)
 	if g.pendingSettlements[program] == done {
 		delete(g.pendingSettlements, program)
 	}
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -246,6 +246,29 @@
 	must.Eq(t, quorum.StoreID(storeAddress(7)+"/disk"), g.view.Load().stores.Members[2].ID)
 }
 
+// Guards against a 404 for a stored turn while the storage set changes: a gateway with the
+// former set asks two of its members, one of which has left and one of which does not know the
+// new set, and takes them for a majority.
+func TestTurnIsFoundWithFormerSet(t *testing.T) {
+	r := newRig(t)
+	former := r.startGateway(1)
+	// A VM in data centre a replaces the one in data centre c. Its copy does not end.
+	joined := r.startStore(7, "a", "north")
+	r.network.setCut(storeAddress(7)+" "+storeAddress(1), true)
+	r.set = r.set.Replace(r.set.Members[2].ID, joined)
+	r.network.stores[storeAddress(7)].Apply(&coordinator.View{Stores: r.set})
+	first := turnRequest("1", "")
+	first.Budget = 0 // a reservation of tokens would bring the new set to the other members
+	refusal, _ := r.serve(r.startGateway(0), first)
+	must.Nil(t, refusal)
+
+	former.suspect(r.set.Members[0].ID, errSlow) // asked last
+	must.NoError(t, former.Do(t.Context(), func(time.Time) {}))
+	refusal, _ = r.serve(former, turnRequest("2", "1"))
+	must.Nil(t, refusal)
+	must.Eq(t, "[1]x\n[2]", r.targets.bodies()[1])
+}
+
 // Guards against a wrong 401 or 404 from a gateway without a configuration.
 func TestServesNothingWithoutManifest(t *testing.T) {
 	r := newRig(t)
--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -162,42 +162,38 @@
 type records struct {
 	turn   *turnstore.Turn
 	shares []tokens.ProgramShare
-	// sharesOf names the program whose shares the members return, if any. With
-	// needsComplete, the write ends only when a majority of members that hold
-	// every earlier record has stored it.
-	sharesOf      tokens.Program
-	needsComplete bool
+	// sharesOf names the program whose shares the members return, if any.
+	sharesOf tokens.Program
 }
 
-// writeResult is the outcome of a write.
-type writeResult struct {
-	// union holds the shares of the program in sharesOf that the answering
-	// members hold.
-	union tokens.Union
-	// complete reports whether a majority of members that hold every earlier
-	// record has answered, so that the union suffices for a decision on the
-	// budget.
-	complete bool
-}
+// errCopying is the cause that is logged for a suspected member that still copies the
+// records of the others.
+var errCopying = errors.New("it still copies the records of the other members")
 
-// write stores records on a majority of the storage set.
-func (g *Gateway) write(ctx context.Context, r records) (writeResult, error) {
+// write stores records on a majority of the storage set and returns the shares of the
+// program in sharesOf that the members hold.
+//
+// Only members that hold every earlier record count. Before a joining member counts, it has
+// copied from enough others that no majority of the former set is left that does not know the
+// new one. A gateway that still reads with the former set is therefore told of the new one
+// before it can take a stored turn for absent.
+func (g *Gateway) write(ctx context.Context, r records) (tokens.Union, error) {
 	for range maxSetAttempts {
 		set := g.view.Load().stores
 		if set == nil {
-			return writeResult{}, fmt.Errorf("%w: the storage set is not known yet", errNoMajority)
+			return nil, fmt.Errorf("%w: the storage set is not known yet", errNoMajority)
 		}
-		result, err := g.writeTo(ctx, set, r)
+		union, err := g.writeTo(ctx, set, r)
 		if !errors.Is(err, errSetChanged) {
-			return result, err
+			return union, err
 		}
 	}
-	return writeResult{}, errSetChanged
+	return nil, errSetChanged
 }
 
-func (g *Gateway) writeTo(ctx context.Context, set *quorum.Set, r records) (writeResult, error) {
-	result := writeResult{union: tokens.Union{}}
-	stored, complete := 0, 0
+func (g *Gateway) writeTo(ctx context.Context, set *quorum.Set, r records) (tokens.Union, error) {
+	union := tokens.Union{}
+	stored := 0
 	message := func(attachSet bool) domain.Message {
 		m := &turnstore.Write{Epoch: set.Epoch, Turn: r.turn, Shares: r.shares, SharesOf: r.sharesOf}
 		if attachSet {
@@ -214,16 +210,16 @@
 		if err != nil || !counts {
 			return false, err
 		}
-		stored++
-		if reply.Status.Complete {
-			complete++
+		union.Merge(reply.Shares...)
+		if !reply.Status.Complete {
+			g.suspect(a.member.ID, errCopying)
+			return false, nil
 		}
-		result.union.Merge(reply.Shares...)
-		result.complete = complete >= set.Majority()
-		return stored >= set.Majority() && (!r.needsComplete || result.complete), nil
+		stored++
+		return stored >= set.Majority(), nil
 	}
 	err := g.queryMembers(ctx, memberQuery{set: set, initialMembers: set.Majority(), message: message, collect: collect})
-	return result, err
+	return union, err
 }
 
 // errNoTurn is returned if a majority of complete members does not hold the
