Let a voter take part again after its disk was full

Cause: the disk adapter kept the first error of a stream for the life of the process, and raft.PersistFailed stopped the voter for good. The unknown part is only the end of the old file; the state in memory is whole.

TestVoterTakesPartAfterFullDisk fails with the earlier code.

Change: after a failed write the disk accepts a Replace of the stream, which writes a new file; appends fail until then. A voter whose write failed steps down, is silent, drops the messages that waited for the write, and writes its whole log again every 250 ms until that is durable. What was not synced was never sent, so no promise is lost. The file of the applied state is written again too. The format of files is unchanged.

Tests: TestFirstFailureIsPermanent demanded that a failed stream stays failed after the disk works again, which is the fault. Its successor TestAppendsFailUntilReplaced demands the same of appends, of failed replacements and of the content after a crash, and that a successful replacement ends it. TestPersistFailure demanded NextWake to be zero after a failure; it now demands that no message leaves the voter and no write but a replacement of the log is made, however long the disk is full.

--- a/adapter/disk/disk.go
+++ b/adapter/disk/disk.go
@@ -152,7 +152,13 @@
 	store store
 
 	storeMu sync.Mutex // serializes the use of the store
-	failed  error      // first error of the store, guarded by storeMu
+	// unreadable is the error of a load. It is permanent, because a write could cover
+	// records that were not loaded.
+	unreadable error
+	// failed is the error of the last write. Appends fail with it until a replacement
+	// succeeds, because the end of the stored records is unknown. Both errors are guarded
+	// by storeMu.
+	failed error
 
 	mu      sync.Mutex
 	queue   []write
@@ -165,9 +171,9 @@
 	s.storeMu.Lock()
 	defer s.storeMu.Unlock()
 	if err := s.store.load(apply); err != nil {
-		s.failed = err // no writes after records that could not be loaded
+		s.unreadable = err
 	}
-	return s.failed
+	return s.unreadable
 }
 
 // enqueue queues a write. It rejects the write when the queue is full, and any
@@ -251,17 +257,19 @@
 	return batch, s.stopped
 }
 
-// commit writes one batch to the store. After the first error of the store all
-// writes fail with that error, because the state of the store is unknown.
+// commit writes one batch to the store. A replacement writes a new file, so it does not
+// depend on what a failed write has left behind.
 func (s *stream) commit(batch []write) error {
 	s.storeMu.Lock()
 	defer s.storeMu.Unlock()
-	if s.failed != nil {
-		return s.failed
-	}
-	if batch[0].replace {
+	switch {
+	case s.unreadable != nil:
+		return s.unreadable
+	case batch[0].replace:
 		s.failed = s.store.replace(batch[0].records)
 		return s.failed
+	case s.failed != nil:
+		return s.failed
 	}
 	var records []domain.Record
 	for _, w := range batch {
--- a/core/controller/agreement.go
+++ b/core/controller/agreement.go
@@ -66,10 +66,16 @@
 
 func (c *Controller) raftPersisted(token uint64, err error) {
 	if err != nil {
-		c.raft.PersistFailed(err)
-		c.log("raft", "the disk failed and this voter stopped voting; repair the disk, remove the voter and add it again", "error", err.Error())
+		if c.raft.Status().Failed == nil {
+			c.log("raft", "the disk rejects writes and this voter is silent until its log is written again; check the free space and the device", "error", err.Error())
+		}
+		c.raft.PersistFailed(c.now, err)
+		c.callers.afterSync = nil
 		return
 	}
+	if c.raft.Status().Failed != nil {
+		c.log("raft", "the log is durable again; this voter takes part again")
+	}
 	waiting := c.callers.afterSync
 	for len(waiting) > 0 && waiting[0].token <= token {
 		c.sendAll(waiting[0].sends)
--- a/core/coordinator/coordinator.go
+++ b/core/coordinator/coordinator.go
@@ -170,8 +170,9 @@
 // Persisted reports that the records up to the token are durable.
 func (c *Coordinator) Persisted(now time.Time, token raft.PersistToken) { c.raft.Persisted(now, token) }
 
-// PersistFailed reports that records could not be persisted, which stops this voter.
-func (c *Coordinator) PersistFailed(err error) { c.raft.PersistFailed(err) }
+// PersistFailed reports that records could not be persisted. This voter is silent until its
+// whole log is durable again.
+func (c *Coordinator) PersistFailed(now time.Time, err error) { c.raft.PersistFailed(now, err) }
 
 // Tick handles the timers that are due. On the leader, it also repairs the voters and
 // the storage set.
@@ -188,7 +189,7 @@
 // NextWake returns the time at which Tick is due.
 func (c *Coordinator) NextWake(now time.Time) time.Time {
 	wake := c.raft.NextWake()
-	if wake.IsZero() || wake.Sub(now) > repairInterval {
+	if wake.Sub(now) > repairInterval {
 		return now.Add(repairInterval)
 	}
 	return wake
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -20,6 +20,9 @@
 // queue.
 const maxInFlightBatches = 8
 
+// rewriteInterval is the pause before the log is written again after a failed write.
+const rewriteInterval = 250 * time.Millisecond
+
 // maxClockDriftPercent is the assumed limit of the difference in rate between
 // two clocks over the duration of a lease.
 const maxClockDriftPercent = 1
@@ -78,7 +81,8 @@
 	Last, Commit, Snapshot Index
 	Members                Members
 	Fenced                 bool
-	Failed                 error
+	// Failed is the error of the last write, until the log is durable again.
+	Failed error
 }
 
 type pendingPersist struct {
@@ -100,7 +104,12 @@
 	members      Members
 	membersIndex Index
 	fenced       bool
-	failed       error
+
+	// failed is the error of the last write, or nil. rewriteDue is the time of the next
+	// attempt to write the whole log, and rewriting is set while one is in progress.
+	failed     error
+	rewriteDue time.Time
+	rewriting  bool
 
 	// withholdVotesUntil is the end of the lease that this VM granted to the
 	// leader: until then it does not vote for another VM. The lease is not
@@ -214,6 +223,7 @@
 // Tick runs the timers that are due. It must be called at or after NextWake.
 func (r *Raft) Tick(now time.Time) {
 	if r.failed != nil {
+		r.tickRewrite(now)
 		return
 	}
 	if r.role == Leader {
@@ -230,11 +240,11 @@
 	}
 }
 
-// NextWake returns when Tick is due. It is zero once PersistFailed was called.
+// NextWake returns when Tick is due.
 func (r *Raft) NextWake() time.Time {
 	switch {
 	case r.failed != nil:
-		return time.Time{}
+		return r.rewriteDue
 	case r.role == Leader:
 		return r.heartbeatDue
 	case r.noLeaderSinceBoot && r.probeDue.Before(r.electionDeadline):
@@ -246,7 +256,7 @@
 // Ready returns the pending output and clears it.
 func (r *Raft) Ready() Ready {
 	if r.failed != nil {
-		return Ready{}
+		return r.readyToRewrite()
 	}
 	if r.role == Leader && r.appendDue {
 		r.appendDue = false
@@ -292,11 +302,16 @@
 }
 
 // Persisted must be called when the records of the Ready with this token, and of
-// all earlier ones, are durable.
+// all earlier ones, are durable. After PersistFailed the next call is for a Ready with
+// Replace, or for one after it, and ends the silence of this VM.
 func (r *Raft) Persisted(now time.Time, token PersistToken) {
-	if r.failed != nil || token <= r.durableToken {
+	if token <= r.durableToken {
 		return
 	}
+	if r.failed != nil {
+		r.failed, r.rewriting = nil, false
+		r.resetElection(now)
+	}
 	r.durableToken = token
 	for len(r.pendingWrites) > 0 && r.pendingWrites[0].token <= token {
 		done := r.pendingWrites[0]
@@ -314,17 +329,37 @@
 	}
 }
 
-// PersistFailed records a failed write and permanently stops voting and leading.
-// After a failed sync the content of the disk is unknown, and a later successful
-// write does not change that.
-func (r *Raft) PersistFailed(err error) {
-	if r.failed == nil {
-		r.failed = err
-	}
-	r.role, r.leader, r.transfer = Follower, "", nil
+// PersistFailed must be called when a write has failed. The content of the disk is
+// unknown from then on, so this VM neither votes nor leads nor answers. Ready returns the
+// whole log at intervals, until it is durable. What was not durable before the failure was
+// never sent, because the messages that wait for it are dropped.
+func (r *Raft) PersistFailed(now time.Time, err error) {
+	r.failed, r.rewriting = err, false
+	r.rewriteDue = now.Add(rewriteInterval)
+	r.becomeFollower(now, r.hardState.Term, "")
 	r.immediateSends, r.afterSyncSends = nil, nil
 }
 
+// tickRewrite starts an attempt to write the whole log when it is due and none is in
+// progress.
+func (r *Raft) tickRewrite(now time.Time) {
+	if now.Before(r.rewriteDue) {
+		return
+	}
+	r.rewriteDue = now.Add(rewriteInterval)
+	r.rewriteLog = r.rewriteLog || !r.rewriting
+}
+
+// readyToRewrite returns the whole log if an attempt to write it is due.
+func (r *Raft) readyToRewrite() Ready {
+	if !r.rewriteLog || r.rewriting {
+		return Ready{}
+	}
+	r.rewriting = true
+	records := r.takeRecords()
+	return Ready{Records: records, Replace: true, Token: r.issuedToken}
+}
+
 // Compact replaces the log up to and including upTo by a snapshot of the state
 // at upTo. It does nothing if upTo was not yet in Ready.Committed or is already
 // compacted.
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -60,7 +60,7 @@
 func (r *Raft) checkCanPropose() error {
 	switch {
 	case r.failed != nil:
-		return ErrStopped
+		return ErrDiskFailed
 	case r.role != Leader:
 		return &NotLeaderError{r.leader}
 	case r.transfer != nil:
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -243,7 +243,7 @@
 	ErrChangePending = errors.New("raft: an earlier voter change or the first entry of the leader is not committed yet; retry after it")
 	ErrNotCaughtUp   = errors.New("raft: the learner has not caught up with the log; retry when status shows that it has")
 	ErrInvalidChange = errors.New("raft: the voter change is not valid for the current member set")
-	ErrStopped       = errors.New("raft: this voter stopped because its disk failed; repair the disk, remove the voter and add it again as a learner")
+	ErrDiskFailed    = errors.New("raft: this voter is silent because its disk rejects writes; send the proposal to another voter, and check the free space and the device of this one")
 )
 
 // NotLeaderError rejects a proposal. It names the leader if one is known.
--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -33,6 +33,8 @@
 	sendLimit = 256
 	// joinInterval is the pause between two join requests.
 	joinInterval = 300 * time.Millisecond
+	// appliedRetryDelay is the pause before the applied state is written again.
+	appliedRetryDelay = 500 * time.Millisecond
 	// listTimeout bounds one read of the platform's list of targets, for all
 	// pages together.
 	listTimeout = 900 * time.Millisecond
@@ -67,7 +69,13 @@
 	// The fields below belong to the control goroutine.
 	coordinator  *coordinator.Coordinator
 	pendingSends []sendsAfterSync
-	operations   map[coordinator.Ticket]chan error
+	// diskFailed reports that the last write of the log failed.
+	diskFailed bool
+	// applied is the newest applied state. appliedDue is the time at which it is written
+	// again after a failure, and zero otherwise.
+	applied    *coordinator.State
+	appliedDue time.Time
+	operations map[coordinator.Ticket]chan error
 	// sendingLarge holds the peers to which a large message is being sent.
 	sendingLarge map[domain.VM]bool
 
@@ -100,7 +108,10 @@
 		}
 	}
 	if effects.Applied != nil {
-		n.o.Disk.Replace(AppliedStream, []domain.Record{effects.Applied}, n.appliedStateWritten)
+		n.applied = effects.Applied
+		n.writeApplied()
+	} else if !n.appliedDue.IsZero() && !now.Before(n.appliedDue) {
+		n.writeApplied()
 	}
 	for _, e := range effects.Events {
 		n.o.Log.Info(e.Message, "detail", e.Detail)
@@ -112,12 +123,22 @@
 	return n.coordinator.NextWake(now)
 }
 
-// appliedStateWritten handles the result of a write of the applied state. The
-// log holds the state as well, so a failure only delays the next start.
-func (n *Node) appliedStateWritten(err error) {
-	if err != nil {
-		n.o.Log.Error(err, "the applied state was not written to the disk; after a restart this coordinator serves it only once there is a leader")
-	}
+// writeApplied writes the applied state. The log holds the state as well, so a failure only
+// delays the next start; the write is retried.
+func (n *Node) writeApplied() {
+	state := n.applied
+	n.appliedDue = time.Time{}
+	n.o.Disk.Replace(AppliedStream, []domain.Record{state}, func(err error) {
+		if err == nil {
+			return
+		}
+		n.o.Log.Error(err, "the applied state was not written to the disk; the write is retried")
+		n.Deliver(func(now time.Time) {
+			if n.applied == state {
+				n.appliedDue = now.Add(appliedRetryDelay)
+			}
+		})
+	})
 }
 
 func (n *Node) persist(e coordinator.Effects) {
@@ -139,11 +160,19 @@
 
 func (n *Node) persisted(now time.Time, token raft.PersistToken, err error) {
 	if err != nil {
-		n.o.Log.Error(err, "the disk failed; this voter stops voting")
-		n.coordinator.PersistFailed(err)
+		if !n.diskFailed {
+			n.diskFailed = true
+			n.o.Metrics.Count("the disk failed")
+			n.o.Log.Error(err, "the disk rejects writes; this voter is silent until its log is written again")
+		}
+		n.coordinator.PersistFailed(now, err)
 		n.pendingSends = nil
 		return
 	}
+	if n.diskFailed {
+		n.diskFailed = false
+		n.o.Log.Info("the log is durable again; this voter takes part again")
+	}
 	n.coordinator.Persisted(now, token)
 	for len(n.pendingSends) > 0 && n.pendingSends[0].token <= token {
 		n.send(n.pendingSends[0].sends)
--- a/port/disk.go
+++ b/port/disk.go
@@ -19,8 +19,9 @@
 // Disk stores named streams of records. Writes to one stream complete in order.
 // The callback done runs on another goroutine than the caller's and must not
 // block. It receives nil once the records are durable. After a failed write or
-// sync, the durable content is unknown; every later write to the stream then
-// fails with that first error.
+// sync, the durable content is unknown: it holds what was durable before, and any
+// part of the failed write. Every later Append to the stream then fails with the
+// error of the last write, until a Replace succeeds.
 type Disk interface {
 	// Append adds records to the end of a stream.
 	Append(stream string, records []domain.Record, done func(error))
@@ -28,6 +29,7 @@
 	// before the first write to the stream.
 	Load(stream string, apply func(domain.Record) error) error
 	// Replace atomically replaces the whole content of a stream with records:
-	// after a crash the stream has either the old or the new content.
+	// after a crash the stream has either the old or the new content. If it
+	// succeeds, the stream accepts appends again.
 	Replace(stream string, records []domain.Record, done func(error))
 }
