Let a storage VM accept requests again after its disk was full

Cause: the storage role kept the first error of its disk for the life of the process, the same cause as that of the voters in code of its own.

Change: after a failed write the node rejects requests, changes nothing, and writes all its records into a new file every 500 ms until that is durable. It then accepts requests again. Nothing may be added meanwhile: it would be in memory only, and a repeated write would be acknowledged without a sync.

--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -35,6 +35,8 @@
 	// live ones before the disk is compacted. It is a fraction of the smallest
 	// disk in use.
 	compactSlackBytes = 64 << 20
+	// rewriteDelay is the pause before the records are written again after a failed write.
+	rewriteDelay = 500 * time.Millisecond
 )
 
 // Options holds the settings and adapters of a Node.
@@ -66,9 +68,13 @@
 	writtenBytes int
 	// pendingAppends is the number of appends that are not synced yet.
 	pendingAppends int
-	// failed is the first error of the disk. The content of the disk is unknown
-	// after it, so the node rejects all requests.
-	failed error
+	// failed is the error of the last write. The content of the disk is unknown after it, so
+	// the node rejects all requests and changes nothing until it has written all its records
+	// again. rewriteDue is the time of the next attempt.
+	failed     error
+	rewriteDue time.Time
+	// replacing reports that a write of all records is in progress.
+	replacing bool
 }
 
 // New returns a node that is not running yet.
@@ -87,32 +93,69 @@
 	}
 	n.store.Sweep(now)
 	n.origins.Sweep(now)
-	n.compact()
-	return now.Add(idleWake)
+	if n.failed == nil {
+		n.compact()
+		return now.Add(idleWake)
+	}
+	if !n.replacing && !now.Before(n.rewriteDue) {
+		n.replaceRecords()
+	}
+	return now.Add(rewriteDelay)
 }
 
 // compact rewrites the disk when expired records take up much of it.
 func (n *Node) compact() {
 	_, _, live := n.store.Counts()
-	if n.writtenBytes < 2*live+compactSlackBytes {
-		return
+	if !n.replacing && n.writtenBytes >= 2*live+compactSlackBytes {
+		n.replaceRecords()
 	}
-	n.writtenBytes = live
+}
+
+// replaceRecords writes all records that the store holds in place of the content of the disk.
+func (n *Node) replaceRecords() {
+	n.replacing = true
+	_, _, n.writtenBytes = n.store.Counts()
 	n.o.Disk.Replace(Stream, n.store.LiveRecords(), func(err error) {
-		if err != nil {
-			n.o.Log.Error(err, "the disk failed; this storage VM rejects all requests")
-			n.Deliver(func(time.Time) { n.failed = err })
-		}
+		n.Deliver(func(now time.Time) {
+			n.replacing = false
+			if err != nil {
+				n.writeFailed(now, err)
+				return
+			}
+			if n.failed != nil {
+				n.failed = nil
+				n.o.Log.Info("all records are on the disk again; this storage VM accepts requests")
+			}
+		})
 	})
 }
 
+func (n *Node) writeFailed(now time.Time, err error) {
+	if n.failed == nil {
+		n.o.Metrics.Count("the disk failed")
+		n.o.Log.Error(err, "the disk rejects writes; this storage VM rejects requests until all its records are written again")
+	}
+	n.failed = err
+	n.rewriteDue = now.Add(rewriteDelay)
+}
+
+// apply changes the store and returns a channel that receives the result of the sync of the
+// resulting records. While the disk rejects writes it changes nothing: a record that is added
+// during the rewriting would be in the store and not on the disk.
+func (n *Node) apply(change func() []domain.Record) <-chan error {
+	if n.failed != nil {
+		return completed(n.failed)
+	}
+	return n.persist(change())
+}
+
 // persist appends records and returns a channel that receives the result of
 // their sync. It runs on the control goroutine. Without records it waits for
 // the earlier appends: a repeated write must not be acknowledged before the
 // first one is synced.
 func (n *Node) persist(records []domain.Record) <-chan error {
-	if n.failed != nil || (len(records) == 0 && n.pendingAppends == 0) {
-		return completed(n.failed)
+	if len(records) == 0 && n.pendingAppends == 0 {
+		return completed(nil)
 	}
 	done := make(chan error, 1)
 	for _, r := range records {
@@ -122,13 +165,10 @@
 	}
 	n.pendingAppends++
 	n.o.Disk.Append(Stream, records, func(err error) {
-		if err != nil {
-			n.o.Log.Error(err, "the disk failed; this storage VM rejects all requests")
-		}
-		n.Deliver(func(time.Time) {
+		n.Deliver(func(now time.Time) {
 			n.pendingAppends--
 			if err != nil {
-				n.failed = err
+				n.writeFailed(now, err)
 			}
 		})
 		done <- err
@@ -152,7 +192,7 @@
 		n.o.Metrics.Count(m.MessageName())
 		if err != nil {
 			n.o.Metrics.Count("refused: the disk failed")
-			return nil, fmt.Errorf("storage: the disk failed; replace the VM: %w", err)
+			return nil, fmt.Errorf("storage: the disk rejects writes; use another member, and check the disk of this one: %w", err)
 		}
 		return reply, nil
 	case <-ctx.Done():
@@ -161,27 +201,45 @@
 }
 
 func (n *Node) handle(now time.Time, m domain.Message) (domain.Message, <-chan error) {
-	var reply domain.Message
-	var records []domain.Record
 	switch m := m.(type) {
 	case *turnstore.Write:
-		reply, records = n.store.Write(now, m)
+		reply := &turnstore.WriteReply{}
+		synced := n.apply(func() (records []domain.Record) {
+			reply, records = n.store.Write(now, m)
+			return records
+		})
+		return reply, synced
 	case *turnstore.ReadChain:
-		reply, records = n.store.Read(now, m)
-		if len(records) == 0 {
-			// A turn is immutable, so it may be read before it is synced.
-			return reply, completed(n.failed)
-		}
+		return n.read(now, m)
 	case *turnstore.Pull:
-		reply, records = n.store.Pull(m)
+		reply := &turnstore.PullReply{}
+		synced := n.apply(func() (records []domain.Record) {
+			reply, records = n.store.Pull(m)
+			return records
+		})
+		return reply, synced
 	case *origin.Register:
-		return n.origins.Register(now, m), completed(n.failed)
+		return n.origins.Register(now, m), completed(nil)
 	case *origin.Lookup:
-		return n.origins.Lookup(now, m), completed(n.failed)
+		return n.origins.Lookup(now, m), completed(nil)
 	case *turnstore.Fetch:
 		// The member that copies syncs the turns itself, so they need not be
 		// synced here.
 		return n.store.Fetch(m), completed(n.failed)
+	default:
+		return nil, nil
+	}
+}
+
+// read returns a chain. A turn is immutable, so it may be read before it is synced; a set that
+// came with the request may not.
+func (n *Node) read(now time.Time, m *turnstore.ReadChain) (domain.Message, <-chan error) {
+	if n.failed != nil {
+		return &turnstore.ChainReply{}, completed(n.failed)
+	}
+	reply, records := n.store.Read(now, m)
+	if len(records) == 0 {
+		return reply, completed(nil)
 	}
 	return reply, n.persist(records)
 }
@@ -224,7 +282,12 @@
 	n.Deliver(func(time.Time) { n.adoptSet(v.Stores) })
 }
 
+// adoptSet switches to a newer set. While the disk rejects writes it does not; the coordinators
+// send the set again because the VM does not report its epoch then.
 func (n *Node) adoptSet(set *quorum.Set) {
+	if n.failed != nil {
+		return
+	}
 	record := n.store.AdoptSet(set)
 	if record == nil {
 		return
@@ -295,7 +358,7 @@
 // resulting records are synced.
 func (n *Node) applyDurably(change func(now time.Time) []domain.Record) error {
 	var synced <-chan error
-	if err := n.Do(n.Context(), func(now time.Time) { synced = n.persist(change(now)) }); err != nil {
+	if err := n.Do(n.Context(), func(now time.Time) { synced = n.apply(func() []domain.Record { return change(now) }) }); err != nil {
 		return err
 	}
 	return <-synced
@@ -371,12 +434,13 @@
 }
 
 func (n *Node) finishCopy(set *quorum.Set) bool {
-	var record domain.Record
-	var synced <-chan error
-	err := n.Do(n.Context(), func(time.Time) {
-		if record = n.store.FinishCopy(set); record != nil {
-			synced = n.persist([]domain.Record{record})
+	finished := false
+	err := n.applyDurably(func(time.Time) []domain.Record {
+		record := n.store.FinishCopy(set)
+		if finished = record != nil; !finished {
+			return nil
 		}
+		return []domain.Record{record}
 	})
-	return err == nil && record != nil && <-synced == nil
+	return err == nil && finished
 }
--- a/node/storage/node_test.go
+++ b/node/storage/node_test.go
@@ -8,11 +8,13 @@
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
+	"github.com/mangoknot/mangoknot/adapter/disk"
 	"github.com/mangoknot/mangoknot/adapter/systemclock"
 	"github.com/mangoknot/mangoknot/core/coordinator"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/turnstore"
+	"github.com/mangoknot/mangoknot/internal/disktest"
 )
 
 type noMetrics struct{}
@@ -79,3 +81,47 @@
 	must.NoError(t, n.Do(t.Context(), func(time.Time) {}))
 	must.Error(t, <-write(t, n))
 }
+
+// Guards against a storage VM that rejects requests for good after its disk was full, and
+// against one that acknowledges or reports what a full disk has not stored: after a restart it
+// must hold every acknowledged turn.
+func TestStoreReturnsAfterFullDisk(t *testing.T) {
+	memory := disk.NewMemory(0)
+	full := disktest.New(memory)
+	store := turnstore.New()
+	appended := make(chan error, 1)
+	full.Append(Stream, []domain.Record{store.AssignID("a/1")}, func(err error) { appended <- err })
+	must.NoError(t, <-appended)
+	n := New(Options{Store: store, Disk: full, Clock: systemclock.Boot{}, Log: logr.Discard(), Metrics: noMetrics{}})
+	go n.Run() //nolint:errcheck // ends with Stop
+	t.Cleanup(n.Stop)
+	sets := []*quorum.Set{{Epoch: 1, Members: []quorum.Member{{ID: "a/1"}}}, {Epoch: 2, Members: []quorum.Member{{ID: "a/1"}}}}
+	n.Apply(&coordinator.View{Stores: sets[0]})
+	put := func(epoch domain.Epoch, id string) error {
+		reply, err := n.Handle(t.Context(), &turnstore.Write{Epoch: epoch, Turn: &turnstore.Turn{Key: turnstore.TurnKey{Account: "x", ID: id}, Retention: time.Minute}})
+		if err == nil {
+			must.True(t, reply.(*turnstore.WriteReply).Status.Accepted)
+		}
+		return err
+	}
+	must.NoError(t, put(1, "before"))
+	full.SetFull(true)
+	must.Error(t, put(1, "during"))
+	must.Error(t, put(1, "during"))
+	n.Apply(&coordinator.View{Stores: sets[1]})
+	report, err := n.Report(t.Context())
+	must.NoError(t, err)
+	must.Nil(t, report.Store)
+	full.SetFull(false)
+	for end := time.Now().Add(10 * time.Second); put(1, "after") != nil; time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprint("the disk has room again, and writes are rejected"))
+	}
+	must.NoError(t, put(1, "during"))
+
+	restored := turnstore.New()
+	must.NoError(t, memory.Load(Stream, func(r domain.Record) error { return restored.Restore(time.Now(), r) }))
+	turns, _, _ := restored.Counts()
+	must.Eq(t, 3, turns)
+	must.Eq(t, quorum.StoreID("a/1"), restored.ID())
+	must.Eq(t, domain.Epoch(1), restored.Set().Epoch)
+}
