Bring the missed turns of a chain to a member that stores a later one

Cause: a turn was written to one majority, once. Its time is prolonged only where later turns of its chain arrive. The member that had missed it got the later ones without it, and the third member, which got none, dropped its copy. One disk was left with the turn.

TestLaterTurnBringsMissedOnes finds one of three turns at the second member with the earlier code.

Change: WriteReply.Missing names the newest earlier turn that a member lacks, and the gateway sends it the missing ones in Write.Ancestors before the member counts. Whenever a turn is acknowledged its whole chain is on a majority and is prolonged there. Builds from before ignore both fields.

--- a/core/turnstore/copy.go
+++ b/core/turnstore/copy.go
@@ -67,7 +67,7 @@
 	for size := 0; reply.Handled < len(f.Turns) && size < maxReplyBytes; reply.Handled++ {
 		if stored, ok := s.turns[f.Turns[reply.Handled]]; ok {
 			reply.Turns = append(reply.Turns, stored.turn)
-			size += stored.turn.size()
+			size += stored.turn.Size()
 		}
 	}
 	return reply
--- a/core/turnstore/messages.go
+++ b/core/turnstore/messages.go
@@ -36,7 +36,8 @@
 // RecordName implements domain.Record.
 func (*Turn) RecordName() string { return "turnstore.Turn" }
 
-func (t *Turn) size() int {
+// Size returns the size of the turn with its overhead, in bytes.
+func (t *Turn) Size() int {
 	n := len(t.Input) + len(t.Key.ID) + len(t.Previous) + turnOverheadBytes
 	for _, e := range t.Events {
 		n += len(e)
@@ -81,10 +82,12 @@
 
 // Write stores records. Set is present when an earlier reply requested it.
 type Write struct {
-	Epoch  domain.Epoch
-	Set    *quorum.Set
-	Turn   *Turn
-	Shares []tokens.ProgramShare
+	Epoch domain.Epoch
+	Set   *quorum.Set
+	Turn  *Turn
+	// Ancestors holds turns before Turn that the store lacks, newest first.
+	Ancestors []*Turn
+	Shares    []tokens.ProgramShare
 	// SharesOf is the program whose shares the reply returns. Its name is empty when
 	// no shares are requested.
 	SharesOf tokens.Program `cbor:"Asks"`
@@ -96,6 +99,8 @@
 // WriteReply is the reply to Write, sent after the records are durable.
 type WriteReply struct {
 	Status MemberStatus `cbor:"Standing"`
+	// Missing is the ID of the newest turn before Write.Turn that the store lacks, or "".
+	Missing string
 	// Shares holds all stored shares of the program Write.SharesOf.
 	Shares []tokens.Share
 }
@@ -184,6 +189,9 @@
 // errIncomplete is returned for a message that lacks a part that its sender always sets.
 var errIncomplete = errors.New("turnstore: the message lacks a part; check that both VMs run compatible versions")
 
+// Validate returns an error if an ancestor is missing.
+func (w *Write) Validate() error { return validateTurns(w.Ancestors) }
+
 // Validate returns an error if the set is missing.
 func (p *Pull) Validate() error {
 	if p.Set == nil {
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -171,8 +171,16 @@
 	if !reply.Status.Accepted {
 		return reply, records
 	}
-	if w.Turn != nil && s.addTurn(now, w.Turn) {
-		records = append(records, w.Turn)
+	for _, t := range w.Ancestors {
+		if s.addTurn(now, t) {
+			records = append(records, t)
+		}
+	}
+	if w.Turn != nil {
+		if s.addTurn(now, w.Turn) {
+			records = append(records, w.Turn)
+		}
+		reply.Missing = s.firstMissing(w.Turn)
 	}
 	records = append(records, s.addShares(now, w.Shares)...)
 	if w.SharesOf.Name != "" {
@@ -209,10 +217,26 @@
 	}
 	s.turns[t.Key] = &storedTurn{turn: t, lastUse: now}
 	s.appendOrder(orderEntry{turn: t.Key, isTurn: true})
-	s.liveBytes += t.size()
+	s.liveBytes += t.Size()
 	return true
 }
 
+// firstMissing returns the ID of the newest turn before t that the store lacks, or "".
+func (s *Store) firstMissing(t *Turn) string {
+	key := TurnKey{Account: t.Key.Account, ID: t.Previous}
+	for range MaxChainTurns {
+		stored, ok := s.turns[key]
+		if key.ID == "" || !ok {
+			break
+		}
+		key.ID = stored.turn.Previous
+	}
+	if _, ok := s.turns[key]; ok {
+		return "" // longer than any chain that is read
+	}
+	return key.ID
+}
+
 func (s *Store) appendOrder(p orderEntry) {
 	s.lastSequence++
 	p.sequence = s.lastSequence
@@ -288,7 +312,7 @@
 		if now.Sub(stored.lastUse) < retentionFactor*stored.turn.Retention {
 			return false
 		}
-		s.liveBytes -= stored.turn.size()
+		s.liveBytes -= stored.turn.Size()
 		delete(s.turns, entry.turn)
 		return true
 	}
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/targetlimit"
+	"github.com/mangoknot/mangoknot/core/turnstore"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -269,6 +270,32 @@
 	must.Eq(t, "[1]x\n[2]", r.targets.bodies()[1])
 }
 
+// Guards against a chain that one lost disk ends: a storage VM that missed a turn stores the
+// later ones without it, and the only other copy of it expires where no later turn arrives.
+func TestLaterTurnBringsMissedOnes(t *testing.T) {
+	r := newRig(t)
+	r.network.setCut(storeAddress(1), true)
+	previous, text := "", ""
+	for _, id := range []string{"1", "2"} {
+		refusal, _ := r.serve(r.startGateway(0), turnRequest(id, previous))
+		must.Nil(t, refusal)
+		previous, text = id, text+"["+id+"]x\n"
+	}
+	r.network.setCut(storeAddress(1), false)
+	refusal, reply := r.serve(r.startGateway(1), turnRequest("3", "2"))
+	must.Nil(t, refusal)
+	must.True(t, reply.ended)
+
+	for _, store := range []int{0, 1} {
+		answer, err := r.network.stores[storeAddress(store)].Handle(t.Context(), &turnstore.ReadChain{Epoch: 1, Key: turnstore.TurnKey{Account: "acme", ID: "3"}})
+		must.NoError(t, err)
+		chain := answer.(*turnstore.ChainReply)
+		must.Len(t, 3, chain.Turns, must.Sprintf("store %d", store))
+		must.Eq(t, "", chain.Missing)
+		must.Eq(t, text, string(joinBody(chain.Turns[1:], nil, 0)))
+	}
+}
+
 // Guards against a wrong 401 or 404 from a gateway without a configuration.
 func TestServesNothingWithoutManifest(t *testing.T) {
 	r := newRig(t)
--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -26,6 +26,11 @@
 	// maxSetAttempts bounds the attempts of an operation while the storage set
 	// changes.
 	maxSetAttempts = 3
+	// maxFollowingRequests bounds the requests of one operation to one member after the first.
+	// It covers the longest chain that is read.
+	maxFollowingRequests = 40
+	// maxAncestorBytes limits the ancestors in one write. The first one may exceed it.
+	maxAncestorBytes = 1 << 20
 )
 
 // errNoMajority is returned if no majority of the storage VMs answered.
@@ -49,6 +54,9 @@
 	// message returns the request, with the set attached for a member that
 	// lacks it.
 	message func(attachSet bool) domain.Message
+	// next returns the request that follows a reply of the same member, or nil if the reply
+	// is the last one. It may be nil.
+	next func(ctx context.Context, reply domain.Message) domain.Message
 	// collect handles one reply and returns true if no more replies are needed.
 	collect func(storeAnswer) (bool, error)
 }
@@ -65,7 +73,7 @@
 	start := func() {
 		if next < len(members) {
 			pending[members[next].ID] = true
-			go g.queryMember(ctx, members[next], query.message, answers)
+			go g.queryMember(ctx, members[next], query, answers)
 			next++
 		}
 	}
@@ -125,17 +133,32 @@
 	return append(responsive, suspected...)
 }
 
-func (g *Gateway) queryMember(ctx context.Context, m quorum.Member, message func(bool) domain.Message, answers chan<- storeAnswer) {
+func (g *Gateway) queryMember(ctx context.Context, m quorum.Member, query memberQuery, answers chan<- storeAnswer) {
 	answer := storeAnswer{member: m, err: loop.ErrPanicked}
-	loop.Contain(g.reportPanic, func() {
-		answer.reply, answer.err = g.o.Calls.Call(ctx, m.ID.Address(), message(false))
-		if answer.err == nil && statusOf(answer.reply).WantsSet {
-			answer.reply, answer.err = g.o.Calls.Call(ctx, m.ID.Address(), message(true))
-		}
-	})
+	loop.Contain(g.reportPanic, func() { answer.reply, answer.err = g.converse(ctx, m, query) })
 	answers <- answer
 }
 
+// converse sends the request of a query to a member, and the requests that follow, and returns
+// the last reply.
+func (g *Gateway) converse(ctx context.Context, m quorum.Member, query memberQuery) (domain.Message, error) {
+	reply, err := g.o.Calls.Call(ctx, m.ID.Address(), query.message(false))
+	if err == nil && statusOf(reply).WantsSet {
+		reply, err = g.o.Calls.Call(ctx, m.ID.Address(), query.message(true))
+	}
+	for range maxFollowingRequests {
+		if err != nil || query.next == nil {
+			break
+		}
+		following := query.next(ctx, reply)
+		if following == nil {
+			break
+		}
+		reply, err = g.o.Calls.Call(ctx, m.ID.Address(), following)
+	}
+	return reply, err
+}
+
 func statusOf(m domain.Message) turnstore.MemberStatus {
 	switch m := m.(type) {
 	case *turnstore.WriteReply:
@@ -195,12 +218,15 @@
 	union := tokens.Union{}
 	stored := 0
 	message := func(attachSet bool) domain.Message {
-		m := &turnstore.Write{Epoch: set.Epoch, Turn: r.turn, Shares: r.shares, SharesOf: r.sharesOf}
+		m := r.message(set)
 		if attachSet {
 			m.Set = set
 		}
 		return m
 	}
+	next := func(ctx context.Context, reply domain.Message) domain.Message {
+		return g.ancestorsWrite(ctx, set, r, reply)
+	}
 	collect := func(a storeAnswer) (bool, error) {
 		reply, ok := a.reply.(*turnstore.WriteReply)
 		if !ok {
@@ -215,13 +241,45 @@
 			g.suspect(a.member.ID, errCopying)
 			return false, nil
 		}
+		if reply.Missing != "" {
+			return false, nil
+		}
 		stored++
 		return stored >= set.Majority(), nil
 	}
-	err := g.queryMembers(ctx, memberQuery{set: set, initialMembers: set.Majority(), message: message, collect: collect})
+	err := g.queryMembers(ctx, memberQuery{set: set, initialMembers: set.Majority(), message: message, next: next, collect: collect})
 	return union, err
 }
 
+// message returns the request that writes the records.
+func (r records) message(set *quorum.Set) *turnstore.Write {
+	return &turnstore.Write{Epoch: set.Epoch, Turn: r.turn, Shares: r.shares, SharesOf: r.sharesOf}
+}
+
+// ancestorsWrite returns the write that brings the next missing turns to a member that has
+// stored a turn without all its ancestors, or nil if it lacks none. A chain must be whole on
+// each member that counts: turns are kept where later ones of their chain arrive, so an old turn
+// would be left on the members that have both, and be lost with them.
+func (g *Gateway) ancestorsWrite(ctx context.Context, set *quorum.Set, r records, reply domain.Message) domain.Message {
+	written, ok := reply.(*turnstore.WriteReply)
+	if !ok || written.Missing == "" || !written.Status.Accepted || !written.Status.Complete {
+		return nil
+	}
+	chain, err := g.cachedChain(ctx, turnstore.TurnKey{Account: r.turn.Key.Account, ID: written.Missing})
+	if err != nil {
+		g.o.Log.Info("the earlier turns that a storage VM lacks were not found", "turn", r.turn.Key.ID, "missing", written.Missing, "error", err.Error())
+		return nil
+	}
+	n, size := 0, 0
+	for n < len(chain) && (n == 0 || size+chain[n].Size() <= maxAncestorBytes) {
+		size += chain[n].Size()
+		n++
+	}
+	m := r.message(set)
+	m.Ancestors = chain[:n]
+	return m
+}
+
 // errNoTurn is returned if a majority of complete members does not hold the
 // turn.
 var errNoTurn = errors.New("the turn does not exist on a majority of the storage VMs")
--- a/node/gateway/turn.go
+++ b/node/gateway/turn.go
@@ -63,14 +63,7 @@
 		return e.Body, nil
 	}
 	key := turnstore.TurnKey{Account: e.account, ID: e.Previous}
-	var chain []*turnstore.Turn
-	err := e.g.Do(ctx, func(time.Time) { chain = e.g.cache.chain(key) })
-	if err == nil && chain == nil {
-		chain, err = e.g.chain(ctx, key)
-		if err == nil {
-			e.g.cacheTurns(chain)
-		}
-	}
+	chain, err := e.g.cachedChain(ctx, key)
 	switch {
 	case errors.Is(err, errNoTurn):
 		return nil, notRun(NoSuchTurn, 0, err)
@@ -89,6 +82,19 @@
 	return joinBody(chain, e.Body, size), nil
 }
 
+// cachedChain returns a turn and all its predecessors, newest first, from the cache or from the
+// storage VMs.
+func (g *Gateway) cachedChain(ctx context.Context, key turnstore.TurnKey) (chain []*turnstore.Turn, err error) {
+	err = g.Do(ctx, func(time.Time) { chain = g.cache.chain(key) })
+	if err != nil || chain != nil {
+		return chain, err
+	}
+	if chain, err = g.chain(ctx, key); err == nil {
+		g.cacheTurns(chain)
+	}
+	return chain, err
+}
+
 // cacheTurns adds turns that were read or written to the cache.
 func (g *Gateway) cacheTurns(chain []*turnstore.Turn) {
 	g.Post(func(now time.Time) {
