Repair shares of budgets that a storage VM has missed

Fault: the share of a gateway that no longer serves a program stays on the members that were up when it was written.

Change: after a write that returns the shares of the program, the gateway sends each member the shares that only another one returned.

--- a/core/tokens/tokens.go
+++ b/core/tokens/tokens.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// NewerThan returns the shares of the union that are missing or older in held.
+func (u Union) NewerThan(held []Share) []Share {
+	known := Union{}
+	known.Merge(held...)
+	var newer []Share
+	for _, s := range u {
+		if known.Add(s) {
+			newer = append(newer, s)
+		}
+	}
+	return newer
+}
+
 // SumOthers sums the shares of all writers except one. It returns their weight and the
 // advance reservations included in it.
 func (u Union) SumOthers(writer string) (weight, advance domain.Tokens) {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/targetlimit"
+	"github.com/mangoknot/mangoknot/core/tokens"
 	"github.com/mangoknot/mangoknot/core/turnstore"
 	"github.com/mangoknot/mangoknot/port"
 )
@@ -296,6 +297,24 @@
 	}
 }
 
+// Guards against a budget that can be exceeded after one lost disk: a storage VM that missed the
+// share of a gateway never gets it, and the only other copy expires where no later share of the
+// program arrives.
+func TestMissedShareIsRepaired(t *testing.T) {
+	r := newRig(t)
+	r.network.setCut(storeAddress(1), true)
+	refusal, _ := r.serve(r.startGateway(0), turnRequest("1", ""))
+	must.Nil(t, refusal)
+	r.network.setCut(storeAddress(1), false)
+	refusal, _ = r.serve(r.startGateway(1), turnRequest("2", ""))
+	must.Nil(t, refusal)
+	must.True(t, eventually(func() bool {
+		answer, err := r.network.stores[storeAddress(1)].Handle(t.Context(), &turnstore.Write{Epoch: 1, SharesOf: tokens.Program{Account: "acme", Name: "p"}})
+		must.NoError(t, err)
+		return len(answer.(*turnstore.WriteReply).Shares) == 2
+	}))
+}
+
 // Guards against a wrong 401 or 404 from a gateway without a configuration.
 func TestServesNothingWithoutManifest(t *testing.T) {
 	r := newRig(t)
--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -216,7 +216,7 @@
 
 func (g *Gateway) writeTo(ctx context.Context, set *quorum.Set, r records) (tokens.Union, error) {
 	union := tokens.Union{}
-	stored := 0
+	var counted []memberShares
 	message := func(attachSet bool) domain.Message {
 		m := r.message(set)
 		if attachSet {
@@ -244,13 +244,49 @@
 		if reply.Missing != "" {
 			return false, nil
 		}
-		stored++
-		return stored >= set.Majority(), nil
+		counted = append(counted, memberShares{member: a.member, shares: reply.Shares})
+		return len(counted) >= set.Majority(), nil
 	}
 	err := g.queryMembers(ctx, memberQuery{set: set, initialMembers: set.Majority(), message: message, next: next, collect: collect})
+	if err == nil && r.sharesOf.Name != "" {
+		g.repairShares(set, r.sharesOf, union, counted)
+	}
 	return union, err
 }
 
+// memberShares holds the shares of a program that a member returned.
+type memberShares struct {
+	member quorum.Member
+	shares []tokens.Share
+}
+
+// repairShares sends each member the shares of a program that only another member returned.
+// Shares are kept where later ones of their program arrive, so the share of a gateway that no
+// longer serves the program would be left on the members that have both, and be lost with them.
+func (g *Gateway) repairShares(set *quorum.Set, program tokens.Program, union tokens.Union, counted []memberShares) {
+	for _, c := range counted {
+		m := &turnstore.Write{Epoch: set.Epoch}
+		for _, share := range union.NewerThan(c.shares) {
+			m.Shares = append(m.Shares, tokens.ProgramShare{Program: program, Share: share})
+		}
+		if len(m.Shares) > 0 {
+			go g.sendShares(c.member, m)
+		}
+	}
+}
+
+// sendShares sends a write that nobody waits for. The next write of the program repeats it if
+// it fails.
+func (g *Gateway) sendShares(to quorum.Member, m *turnstore.Write) {
+	ctx, cancel := context.WithTimeout(g.Context(), storeTimeout)
+	defer cancel()
+	err := loop.ErrPanicked
+	loop.Contain(g.reportPanic, func() { _, err = g.o.Calls.Call(ctx, to.ID.Address(), m) })
+	if err != nil {
+		g.o.Log.V(1).Info("shares were not brought to a storage VM that lacks them", "store", to.ID, "error", err.Error())
+	}
+}
+
 // message returns the request that writes the records.
 func (r records) message(set *quorum.Set) *turnstore.Write {
 	return &turnstore.Write{Epoch: set.Epoch, Turn: r.turn, Shares: r.shares, SharesOf: r.sharesOf}
