Date lists of targets by their read, and let new versions settle

Cause: a stream without a record is resumed if only one version of its service was listed lately. A gateway took its list for current for 2.5 s from when it had applied an answer, so one that had stood still used a list that other gateways had left behind, and an answer that had waited in its socket made that list current again. Without a standstill a list could still lack for a second what another gateway already used.

Change: coordinators date a list by the start of its read and state its age; a gateway counts from when it sent its report. A version that joins begins no stream that can be resumed for as long as an older list can count as current, unless no other version is left. Former builds ignore the new field of the View, and their views are dated as before.

Tests: TestStreamResumesWithoutRecordWhileOneVersionServes applied views without the report that a view answers; it sends the report now. The tests of lists pass the time of the read, which is the time of before.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -235,6 +235,9 @@
 	// Version restricts a stream that is resumed to the targets with this software
 	// version. It is empty for other requests.
 	Version string
+	// Unsettled lists software versions that the request avoids while another one of the
+	// service is available.
+	Unsettled map[origin.Origin]bool
 	// Tried lists the targets that have rejected or failed the request.
 	Tried []domain.Target
 	// ConnectionCap limits the in-flight requests of this gateway at one target; 0
@@ -242,8 +245,13 @@
 	ConnectionCap int
 }
 
-// fits reports whether the target has the software version that the request needs.
-func (r *Request) fits(s *targetState) bool { return r.Version == "" || r.Version == s.Version }
+// fits reports whether the target has a software version that the request may use.
+func (r *Request) fits(s *targetState) bool {
+	if r.Version != "" {
+		return r.Version == s.Version
+	}
+	return !r.Unsettled[origin.Origin{Service: s.Service, Version: s.Version}]
+}
 
 // Refusal is the reason why no target was chosen; it is empty if one was.
 type Refusal string
@@ -274,6 +282,9 @@
 // Pick returns the target with the lowest cost and counts the request as in flight
 // there.
 func (b *Balancer) Pick(now time.Time, request Request) (Target, Refusal) {
+	if len(request.Unsettled) > 0 && !b.anyUsable(request) {
+		request.Unsettled = nil
+	}
 	best, refusal := b.cheapest(now, request, false)
 	if best == nil {
 		// Without other targets those in backoff are used, because the length of the
@@ -291,6 +302,13 @@
 	return best.Target, ""
 }
 
+// anyUsable reports whether the service has a target that the request may use, full or not.
+func (b *Balancer) anyUsable(request Request) bool {
+	return slices.ContainsFunc(b.services[request.Service], func(s *targetState) bool {
+		return !s.Leaving && request.fits(s)
+	})
+}
+
 func (b *Balancer) cheapest(now time.Time, request Request, includeBackoff bool) (*targetState, Refusal) {
 	var best *targetState
 	bestCost := 0.0
--- a/core/coordinator/coordinator_test.go
+++ b/core/coordinator/coordinator_test.go
@@ -265,9 +265,9 @@
 	r.run(2 * time.Second)
 	list := []balance.Target{{ID: "t"}}
 	l := r.leader()
-	l.c.TargetsListed(r.now, list, nil)
+	l.c.TargetsListed(r.now, r.now, list, nil)
 	r.run(5 * time.Second)
-	l.c.TargetsListed(r.now, nil, errors.New("the platform does not answer"))
+	l.c.TargetsListed(r.now, r.now, nil, errors.New("the platform does not answer"))
 	must.NotNil(t, l.c.Report(r.now, &Report{}).Targets)
 	for _, v := range r.vms {
 		if v != l {
@@ -276,7 +276,7 @@
 	}
 	r.run(3 * time.Second)
 	for _, v := range r.vms {
-		v.c.TargetsListed(r.now, list, nil)
+		v.c.TargetsListed(r.now, r.now, list, nil)
 		must.NotNil(t, v.c.Report(r.now, &Report{}).Targets)
 		r.run(listMaxAge + time.Second)
 		must.Nil(t, v.c.Report(r.now, &Report{}).Targets)
@@ -291,7 +291,7 @@
 	l := r.leader()
 	list := func(seconds int, version string) *View {
 		for range seconds {
-			l.c.TargetsListed(r.now, []balance.Target{{ID: "t", Service: "s", Version: version}}, nil)
+			l.c.TargetsListed(r.now, r.now, []balance.Target{{ID: "t", Service: "s", Version: version}}, nil)
 			r.run(time.Second)
 		}
 		return l.c.Report(r.now, &Report{})
@@ -314,12 +314,12 @@
 	r.run(2 * time.Second)
 	l := r.leader()
 	list := []balance.Target{{ID: "t"}, {ID: "u"}}
-	l.c.TargetsListed(r.now, list, nil)
+	l.c.TargetsListed(r.now, r.now, list, nil)
 	before := l.c.Report(r.now, &Report{}).Targets
 	l.c.Report(r.now, &Report{Leaving: []domain.Target{"t", "unknown"}})
 	after := l.c.Report(r.now, &Report{Targets: before.Sequence}).Targets
 	must.NotNil(t, after)
 	must.Eq(t, []balance.Target{{ID: "t", Leaving: true}, {ID: "u"}}, after.Targets)
-	l.c.TargetsListed(r.now, list, nil)
+	l.c.TargetsListed(r.now, r.now, list, nil)
 	must.Nil(t, l.c.Report(r.now, &Report{Targets: after.Sequence}).Targets, must.Sprint("a list that is older than the answer"))
 }
--- a/core/coordinator/malformed_test.go
+++ b/core/coordinator/malformed_test.go
@@ -113,7 +113,7 @@
 			c.Tick(now)
 			c.Persisted(now, c.Ready(now).Token)
 		}
-		c.TargetsListed(now, []balance.Target{{ID: "t", Service: "s"}}, nil)
+		c.TargetsListed(now, now, []balance.Target{{ID: "t", Service: "s"}}, nil)
 		number := rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0}))
 		for range rapid.IntRange(1, 20).Draw(t, "reports") {
 			now = now.Add(time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "pause")))
--- a/core/coordinator/messages.go
+++ b/core/coordinator/messages.go
@@ -195,7 +195,9 @@
 	Targets       *TargetList
 	// TargetsCurrent reports whether Targets, or the list that the process has, is current.
 	TargetsCurrent bool `cbor:",omitempty"`
-	Allowances     allowance.Totals
+	// TargetsAge is the time since the sender began to read that list.
+	TargetsAge time.Duration `cbor:",omitempty"`
+	Allowances allowance.Totals
 	// Quarantined lists the requests that must not run again.
 	Quarantined []quarantine.Fingerprint
 	Limits      targetlimit.Grant
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -35,7 +35,7 @@
 	view.Allowances.Gateways = c.state.Gateways
 	c.recordDepartures(now, r.Leaving)
 	if c.targetsUsable(now) {
-		view.TargetsCurrent = c.listIsCurrent(now)
+		view.TargetsCurrent, view.TargetsAge = c.listIsCurrent(now), now.Sub(c.listedAt)
 		if c.targets.Sequence != r.Targets {
 			view.Targets = c.targets
 		}
@@ -184,16 +184,19 @@
 	return status.Fenced || !slices.Contains(slices.Concat(status.Members.Voters, status.Members.Learners), c.cfg.Self)
 }
 
-// TargetsListed handles the result of a read of the platform's list of targets. On an
-// error the earlier list stays in force.
-func (c *Coordinator) TargetsListed(now time.Time, list []balance.Target, err error) {
+// TargetsListed handles the result of a read of the platform's list of targets that began at
+// readAt. On an error the earlier list stays in force.
+func (c *Coordinator) TargetsListed(now, readAt time.Time, list []balance.Target, err error) {
 	c.listing = false
 	if err != nil {
 		c.event("the list of targets was not read; the earlier one stays in force", map[string]any{"error": err.Error()})
 		return
 	}
-	c.listedAt, c.read = now, list
-	c.versions.Listed(now, balance.Origins(list))
+	if readAt.Before(c.listedAt) {
+		return // overtaken by a read that began later
+	}
+	c.listedAt, c.read = readAt, list
+	c.versions.Listed(now, readAt, balance.Origins(list))
 	c.publishTargets(now)
 }
 
--- a/core/origin/history_test.go
+++ b/core/origin/history_test.go
@@ -21,7 +21,7 @@
 func listFor(h *History, now time.Time, seconds int, names ...string) time.Time {
 	for range seconds {
 		now = now.Add(time.Second)
-		h.Listed(now, versions(names...))
+		h.Listed(now, now, versions(names...))
 	}
 	return now
 }
@@ -67,3 +67,27 @@
 	_, ok := h.Only(now, "model", period, nil)
 	must.False(t, ok)
 }
+
+// Guards against a list that counts as current although it was read long before it arrived, and
+// against a version that is used for streams before every gateway with a current list knows it.
+func TestLateListAndUnsettledVersion(t *testing.T) {
+	h := &History{}
+	now := listFor(h, start, 10, "v1")
+	_, ok := h.Only(now, "model", period, nil)
+	must.True(t, ok)
+	must.Nil(t, h.Unsettled(now))
+	now = now.Add(3 * time.Second)
+	h.Confirmed(now.Add(-3 * time.Second))
+	_, ok = h.Only(now, "model", period, nil)
+	must.False(t, ok, must.Sprint("the list was read 3 s ago"))
+
+	v2 := Origin{Service: "model", Version: "v2"}
+	h.Listed(now, now.Add(-time.Second), versions("v1", "v2"))
+	must.MapContainsKey(t, h.Unsettled(now), v2)
+	must.MapNotContainsKey(t, h.Unsettled(now), Origin{Service: "model", Version: "v1"})
+	must.MapContainsKey(t, h.Unsettled(now.Add(MaxListAge-1)), v2)
+	must.Nil(t, h.Unsettled(now.Add(MaxListAge)))
+	// An older list that replaces a newer one makes the history older.
+	h.Listed(now, now.Add(-MaxListAge-1), versions("v1"))
+	must.False(t, h.isCurrent(now))
+}
--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -218,8 +218,9 @@
 func (n *Node) listTargets() {
 	ctx, cancel := context.WithTimeout(n.Context(), listTimeout)
 	defer cancel()
+	readAt := n.o.Clock.Now()
 	list, err := n.o.Targets.List(ctx)
-	n.Deliver(func(now time.Time) { n.coordinator.TargetsListed(now, list, err) })
+	n.Deliver(func(now time.Time) { n.coordinator.TargetsListed(now, readAt, list, err) })
 }
 
 // Handle implements port.RPCHandler.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -308,6 +308,7 @@
 func (g *Gateway) Report(ctx context.Context) (*coordinator.Report, error) {
 	r := &coordinator.Report{Process: g.o.Process, Gateway: true}
 	err := g.Do(ctx, func(now time.Time) {
+		g.versions.reportedAt = now
 		v := g.view.Load()
 		if v.index != nil {
 			r.Document = v.index.Manifest.Version
--- a/node/gateway/origin.go
+++ b/node/gateway/origin.go
@@ -36,6 +36,9 @@
 // to the control goroutine.
 type versions struct {
 	history origin.History
+	// reportedAt is the time of the last report. What a coordinator answers is at least as
+	// new, however late the answer is applied.
+	reportedAt time.Time
 	// former holds the versions that left lately by the history of the coordinators, and is
 	// nil if that is not long enough.
 	former map[origin.Origin]bool
@@ -51,15 +54,24 @@
 			}
 		}
 	}
+	age := v.TargetsAge
+	if !v.TargetsCurrent {
+		age = max(age, origin.MaxListAge+1) // builds from before do not tell the age
+	}
+	readAt := g.versions.reportedAt.Add(-age)
 	switch {
-	case !v.TargetsCurrent:
 	case v.Targets != nil:
-		g.versions.history.Listed(now, balance.Origins(g.targetList))
-	default:
-		g.versions.history.Confirmed(now)
+		g.versions.history.Listed(now, readAt, balance.Origins(g.targetList))
+	case v.TargetsCurrent:
+		g.versions.history.Confirmed(readAt)
 	}
 }
 
+// beginsResumable reports whether the request begins a stream that callers may resume.
+func (e *exchange) beginsResumable() bool {
+	return e.route.Kind == manifest.Stream && e.route.Resumable && e.requiredVersion() == ""
+}
+
 // findOrigin finds the service and the software version that began the stream which the
 // caller resumes. Without it the stream is not resumed: the caller would get a text that is
 // joined from two versions.
--- a/node/gateway/origin_test.go
+++ b/node/gateway/origin_test.go
@@ -215,6 +215,8 @@
 		l := &coordinator.TargetList{Sequence: sequence, Former: former, Complete: complete, Targets: []balance.Target{
 			{ID: "t", Address: "t", Service: "model", Slots: 4, Version: "v1"},
 		}}
+		_, err := g.Report(context.Background()) // which the view answers
+		must.NoError(t, err)
 		g.Apply(&coordinator.View{TargetsCurrent: true, Targets: l})
 		must.NoError(t, g.Do(context.Background(), func(time.Time) {}))
 	}
@@ -246,3 +248,65 @@
 	resumes("", OriginUnknown)
 	resumes("lost", StorageUnavailable)
 }
+
+// Guards against a stream that goes on at another software version because its gateway takes an
+// old list for a current one: the list was read long before the answer that holds it, or the
+// gateway stood still before it applied that answer.
+func TestStreamIsNotResumedWithOldList(t *testing.T) {
+	t.Parallel()
+	for name, late := range map[string]struct{ age, standstill time.Duration }{
+		"read long before":   {age: origin.MaxListAge},
+		"applied long after": {standstill: origin.MaxListAge},
+		"both":               {age: origin.MaxListAge - time.Second, standstill: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			g := r.startGateway(0)
+			resume := func(age, standstill time.Duration) *Refusal {
+				_, err := g.Report(context.Background())
+				must.NoError(t, err)
+				time.Sleep(standstill)
+				list := &coordinator.TargetList{Sequence: 2, Complete: true, Targets: []balance.Target{
+					{ID: "t", Address: "t", Service: "model", Slots: 4, Version: "v1"},
+				}}
+				g.Apply(&coordinator.View{TargetsCurrent: true, TargetsAge: age, Targets: list})
+				must.NoError(t, g.Do(context.Background(), func(time.Time) {}))
+				refusal, _ := r.serve(g, resumeRequest("again", ""))
+				return refusal
+			}
+			must.Nil(t, resume(0, 0))
+			refusal := resume(late.age, late.standstill)
+			must.NotNil(t, refusal)
+			must.Eq(t, OriginUnknown, refusal.Kind)
+			must.True(t, refusal.NotRun)
+		})
+	}
+}
+
+// Guards against a stream that begins at a software version which another gateway does not know
+// yet: if it is taken up there, the former version seems to be the only one.
+func TestNewVersionBeginsNoResumableStream(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.listTargets(g, 2, "v1")
+	r.listTargets(g, 3, "v1", "v2")
+	for i := range 20 {
+		refusal, _ := r.serve(g, streamRequest(fmt.Sprint(i)))
+		must.Nil(t, refusal)
+		must.Eq(t, "v1", r.versionOf())
+	}
+	// Other requests use the new targets at once, and so does a stream without other targets.
+	used := map[string]bool{}
+	for i := range 40 {
+		q := streamRequest(fmt.Sprint("look", i))
+		q.Path = "/look/1"
+		r.serve(g, q)
+		used[r.versionOf()] = true
+	}
+	must.True(t, used["v2"])
+	r.listTargets(g, 4, "v2")
+	refusal, _ := r.serve(g, streamRequest("last"))
+	must.Nil(t, refusal)
+	must.Eq(t, "v2", r.versionOf())
+}
--- a/node/gateway/queue.go
+++ b/node/gateway/queue.go
@@ -31,7 +31,9 @@
 type waiter struct {
 	request balance.Request
 	waiting waiting.Request
-	result  chan pickResult
+	// beginsResumable restricts the request to targets with a settled software version.
+	beginsResumable bool
+	result          chan pickResult
 	// refusal is the reason for which the request waits.
 	refusal balance.Refusal
 }
@@ -50,7 +52,7 @@
 // the control goroutine.
 func (g *Gateway) pickOrWait(now time.Time, w *waiter) {
 	g.limits.Wanted(now, w.request.Service)
-	target, refusal := g.balancer.Pick(now, w.request)
+	target, refusal := g.pick(now, w)
 	w.refusal = refusal
 	if refusal.Temporary() && g.queue.Add(now, w.waiting, w) {
 		return
@@ -58,6 +60,13 @@
 	g.answerWaiter(now, w, target, refusal)
 }
 
+func (g *Gateway) pick(now time.Time, w *waiter) (balance.Target, balance.Refusal) {
+	if w.beginsResumable {
+		w.request.Unsettled = g.versions.history.Unsettled(now)
+	}
+	return g.balancer.Pick(now, w.request)
+}
+
 // answerWaiter gives a waiter its target, or its refusal with a retry-after time.
 func (g *Gateway) answerWaiter(now time.Time, w *waiter, target balance.Target, refusal balance.Refusal) {
 	result := pickResult{target: target, refusal: refusal}
@@ -72,7 +81,7 @@
 // serveQueue picks targets for the queued waiters in their order.
 func (g *Gateway) serveQueue(now time.Time) {
 	g.queue.Serve(func(w *waiter) bool {
-		target, refusal := g.balancer.Pick(now, w.request)
+		target, refusal := g.pick(now, w)
 		if refusal.Temporary() {
 			return false
 		}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -370,7 +370,8 @@
 		waiting: waiting.Request{
 			Service: e.service.Name, Priority: e.priority, Deadline: e.programDeadline(), GiveUp: e.g.o.Clock.Now().Add(e.queueTimeout()),
 		},
-		result: make(chan pickResult, 1),
+		beginsResumable: e.beginsResumable(),
+		result:          make(chan pickResult, 1),
 	}
 	if err := e.g.Do(ctx, func(now time.Time) { e.g.pickOrWait(now, w) }); err != nil {
 		e.g.cancelWait(w)
