--- a/node/gateway/turn.go
+++ b/node/gateway/turn.go
@@ -133,12 +133,17 @@
 	return out.Bytes()
 }
 
+// eventOverheadBytes is the memory of a kept event in addition to its data: its entry in a list
+// that grows by copying, and the rounding of its allocation. Without it, events of a few bytes
+// would take several times the memory that they reserve.
+const eventOverheadBytes = 96
+
 // addEvent keeps an event of a turn that is stored. It fails if the process lacks memory.
 func (t *turn) addEvent(data []byte, buffers port.Buffers) error {
 	if t == nil || !t.storesHistory {
 		return nil
 	}
-	if err := buffers.Grow(len(data)); err != nil {
+	if err := buffers.Grow(len(data) + eventOverheadBytes); err != nil {
 		return err
 	}
 	t.events = append(t.events, bytes.Clone(data))
