Refuse requests that outlast a planned stop, and answer the others

What callers saw, reported by operators: in a planned stop requests were passed on late in the grace period and cut without an answer at its end, among them requests that may not be repeated.

Cause: nothing compared the deadline of a request with the end of the stop, and the end of the drain closed connections.

Change: a gateway that stops refuses a request whose deadline is after its end as not run, with the new reason "stopping" and the time until the balancer sends it no more connections. 0.8 s before the end of the grace period it ends what is in flight, so that each request gets its final answer. Other gateways are told at SIGTERM to use no more tunnels.

--- a/adapter/tunnel/server.go
+++ b/adapter/tunnel/server.go
@@ -66,15 +66,22 @@
 	}
 }
 
-// Shutdown tells the other gateways to send no more requests on their tunnels, and waits until
-// they have closed them or the context ends.
-func (s *Server) Shutdown(ctx context.Context) error {
+// AnnounceStop tells the other gateways to send no more requests on their tunnels.
+func (s *Server) AnnounceStop() {
 	s.mu.Lock()
-	s.closed = true
+	defer s.mu.Unlock()
 	for t := range s.tunnels {
 		go t.announceStop()
 	}
+}
+
+// Shutdown opens no more tunnels, announces the stop, and waits until the other gateways have
+// closed their tunnels or the context ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.closed = true
 	s.mu.Unlock()
+	s.AnnounceStop()
 	done := make(chan struct{})
 	go func() { s.empty.Wait(); close(done) }()
 	select {
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -26,6 +26,9 @@
 	// shutdownMargin is the part of the grace period that is reserved for ending
 	// the process after the drain.
 	shutdownMargin = 500 * time.Millisecond
+	// answerMargin is the part of the grace period before that in which the requests that are
+	// still in flight get their final answer.
+	answerMargin = 300 * time.Millisecond
 )
 
 // errSignal ends a process after a stop signal. It is not a failure.
@@ -83,7 +86,8 @@
 	if err != nil {
 		return fmt.Errorf("roles: listen for callers: %w", err)
 	}
-	server := platform.NewIngress(g, p.bufferBudget()).Server()
+	ingress := platform.NewIngress(g, p.bufferBudget())
+	server := ingress.Server()
 	ended := make(chan struct{})
 	p.group.Add(func() error {
 		err := server.Serve(listener)
@@ -93,27 +97,38 @@
 		}
 		return err
 	}, func(error) { server.Close(); close(ended) })
-	p.addSignalHandler(func(ctx context.Context) error { return p.drain(ctx, g, server, tunnels) })
+	p.addSignalHandler(func(ctx context.Context) error { return p.drain(ctx, drained{g, ingress, server, tunnels}) })
 	return nil
 }
 
+// drained is what a planned stop of a gateway drains.
+type drained struct {
+	gateway *gateway.Gateway
+	ingress *platform.Ingress
+	server  *http.Server
+	tunnels *tunnel.Server
+}
+
 // drain makes the gateway unready and shuts the servers down within the grace
-// period.
-func (p *process) drain(ctx context.Context, g *gateway.Gateway, server *http.Server, tunnels *tunnel.Server) error {
+// period. Other gateways are told at once to send no more requests through tunnels.
+func (p *process) drain(ctx context.Context, d drained) error {
 	started := p.clock.Now()
-	p.log.Info("drain started; the gateway is no longer ready")
-	g.Drain()
+	total := time.Duration(p.settings.GraceSeconds * float64(time.Second))
+	ends := started.Add(total - shutdownMargin - answerMargin)
+	p.log.Info("drain started; the gateway is no longer ready", "requests_end_after_ms", ends.Sub(started).Milliseconds())
+	d.gateway.Drain(started.Add(unreadyDelay), ends)
+	d.tunnels.AnnounceStop()
+	defer time.AfterFunc(ends.Sub(started), d.ingress.EndRequests).Stop()
 	select {
 	case <-time.After(unreadyDelay):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	grace := time.Duration(p.settings.GraceSeconds*float64(time.Second)) - unreadyDelay - shutdownMargin
-	ctx, cancel := context.WithTimeout(ctx, grace)
+	ctx, cancel := context.WithTimeout(ctx, total-unreadyDelay-shutdownMargin)
 	defer cancel()
 	tunnelsEnded := make(chan error, 1)
-	go func() { tunnelsEnded <- tunnels.Shutdown(ctx) }()
-	err := server.Shutdown(ctx)
+	go func() { tunnelsEnded <- d.tunnels.Shutdown(ctx) }()
+	err := d.server.Shutdown(ctx)
 	p.log.Info("drain finished", "took_ms", p.clock.Now().Sub(started).Milliseconds(), "cut", err != nil, "tunnels_cut", <-tunnelsEnded != nil)
 	return nil
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -117,6 +117,8 @@
 	stores   *quorum.Set
 	suspects map[quorum.StoreID]bool
 	stopping bool
+	// stop is the course of a planned stop while stopping is set.
+	stop plannedStop
 	// quarantined holds the requests that must not run any more.
 	quarantined map[quarantine.Fingerprint]bool
 }
@@ -286,9 +288,20 @@
 	return v.complete() && !v.stopping
 }
 
-// Drain makes the gateway not ready. It still serves the requests that arrive.
-func (g *Gateway) Drain() {
-	g.Deliver(func(time.Time) { g.publish(func(v *view) { v.stopping = true }) })
+// plannedStop is the course of a planned stop.
+type plannedStop struct {
+	// noNewConnections is the time from which no new connections arrive, and ends the time at
+	// which the requests in flight are ended.
+	noNewConnections, ends time.Time
+}
+
+// Drain makes the gateway not ready. It still serves the requests that arrive and whose
+// deadline is not after ends. It refuses the others, which callers retry on a new connection;
+// after noNewConnections that leads to another VM.
+func (g *Gateway) Drain(noNewConnections, ends time.Time) {
+	g.Deliver(func(time.Time) {
+		g.publish(func(v *view) { v.stopping, v.stop = true, plannedStop{noNewConnections, ends} })
+	})
 }
 
 // Stopping reports whether Drain was called.
--- a/node/gateway/links_test.go
+++ b/node/gateway/links_test.go
@@ -143,7 +143,7 @@
 	r.cutOff(true)
 	r.serveUntil(g, true)
 	must.Eq(t, reach.RefusedCutOff, open("1"))
-	g.Drain()
+	g.Drain(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	must.Eq(t, reach.RefusedStopping, open("1"))
 	report, err := g.Report(t.Context())
 	must.NoError(t, err)
--- a/node/gateway/refusal.go
+++ b/node/gateway/refusal.go
@@ -48,6 +48,8 @@
 	// AtLimit: all targets of the service limit their requests, and more may not be sent to
 	// them now.
 	AtLimit Kind = "all_targets_at_limit"
+	// Stopping: this VM stops before the deadline of the request.
+	Stopping Kind = "stopping"
 	// Overloaded: the control goroutine is overloaded.
 	Overloaded Kind = "overloaded"
 	// MemoryExhausted: the buffers of all requests of this VM use their budget.
@@ -86,6 +88,7 @@
 	NoTunnel:           "this VM reaches no target, and no other gateway has room for the request; retry",
 	AllFull:            "all targets of the service are full; retry",
 	AtLimit:            "all targets of the service limit their requests, and more may not be sent to them now; retry",
+	Stopping:           "this VM stops before the deadline of the request; send it to another VM, or with less time",
 	Overloaded:         "this VM is overloaded; retry",
 	MemoryExhausted:    "the requests of this VM use all of its memory for buffers; retry, or send a smaller request",
 	InternalError:      "a fault of this VM; retry, and report the panic in its log",
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -248,6 +248,9 @@
 		return notRun(SuspectRequest, 0, nil)
 	}
 	e.setDeadline()
+	if e.view.stopping && e.deadline.After(e.view.stop.ends) {
+		return notRun(Stopping, max(minRetryAfter, e.view.stop.noNewConnections.Sub(e.started)), nil)
+	}
 	return e.takeAllowance(ctx)
 }
 
