Replace a lost storage VM while an earlier successor still copies

Cause: a copy needs so many complete sources that one of them has each record. No single member was known to hold everything, so with two lost members both successors waited for a second source for ever.

Change: after a change of the set, complete members of a region compare their keys and copy what they lack. Such a member holds every record acknowledged before the epoch, says so, and suffices as a source; the coordinators then replace the next lost member beside a running copy. Nothing new is stored on disks.

TestStoreIsReplacedDuringSlowCopy fails with the earlier copy.

--- a/core/coordinator/coordinator_test.go
+++ b/core/coordinator/coordinator_test.go
@@ -196,6 +196,27 @@
 	r.expectMembers("s0/2", "s1/2", "s2/1")
 }
 
+// Guards against a lost store that is not replaced while the successor of an earlier one still
+// copies, although a member holds every record.
+func TestStoreIsReplacedBesideSlowCopy(t *testing.T) {
+	r := newRig(t, 6)
+	for i, zone := range []string{"a", "b", "c"} {
+		r.stores = append(r.stores, storeStatus(fmt.Sprintf("s%d", i), "1", zone))
+	}
+	r.run(3 * time.Second)
+	r.copying["s0/2"] = true
+	r.stores[0] = storeStatus("s0", "2", "a")
+	r.run(3 * time.Second)
+	// The lost member held every record, and the remaining one does not.
+	r.whole["s1/1"] = true
+	r.stores[1] = storeStatus("s1", "2", "b")
+	r.run(3 * time.Second)
+	r.expectMembers("s0/2", "s1/1", "s2/1")
+	r.whole["s2/1"] = true
+	r.run(3 * time.Second)
+	r.expectMembers("s0/2", "s1/2", "s2/1")
+}
+
 // storeRig returns a rig with a set of 2*tolerance+1 stores and some spare ones.
 func storeRig(t *testing.T, tolerance, spares int) *rig {
 	r := newTolerantRig(t, 7, tolerance)
--- a/core/coordinator/messages.go
+++ b/core/coordinator/messages.go
@@ -147,6 +147,9 @@
 	// VM has copied the records of the other members.
 	Epoch    domain.Epoch
 	Complete bool
+	// Whole is the newest epoch for which the VM holds every record that was acknowledged
+	// before it, or 0.
+	Whole domain.Epoch `cbor:",omitempty"`
 	// New reports whether the disk was empty within the last SuccessorWindow: the VM was
 	// added, or it lost its disk.
 	New bool `cbor:",omitempty"`
--- a/core/coordinator/repair.go
+++ b/core/coordinator/repair.go
@@ -147,7 +147,7 @@
 	if len(members) > c.setSize() {
 		members = spreadAcrossDataCentres(members, c.setSize())
 	}
-	return &quorum.Set{Epoch: 1, Members: members}
+	return &quorum.Set{Epoch: quorum.FirstEpoch, Members: members}
 }
 
 func member(s *storeReport) quorum.Member {
@@ -252,9 +252,15 @@
 // othersComplete reports whether enough members except old are live, use this set and have
 // copied the records of the others, so that its replacement can copy every acknowledged
 // record, and whether no other member is still copying. Another replacement before that
-// could lose the only copy of a record.
+// could lose the only copy of a record. A member that holds every record acknowledged before
+// this set suffices, even while another one copies.
 func (c *Coordinator) othersComplete(now time.Time, set *quorum.Set, old quorum.StoreID) bool {
 	complete := 0
+	for _, m := range set.Members {
+		if s := c.currentReport(now, m.ID); m.ID != old && s != nil && s.isComplete(set) && s.Whole == set.Epoch {
+			return true
+		}
+	}
 	for _, m := range set.Members {
 		s := c.currentReport(now, m.ID)
 		switch {
--- a/core/coordinator/rig_test.go
+++ b/core/coordinator/rig_test.go
@@ -46,6 +46,8 @@
 	stores      []StoreStatus
 	// copying holds the stores that report that they are not complete.
 	copying map[quorum.StoreID]bool
+	// whole holds the stores that report that they hold every record acknowledged before the set.
+	whole map[quorum.StoreID]bool
 	// silent holds the stores that do not report.
 	silent    map[quorum.StoreID]bool
 	tolerance int
@@ -56,7 +58,7 @@
 // newTolerantRig returns a rig whose coordinators are configured for the loss of
 // tolerance VMs.
 func newTolerantRig(t must.T, seed uint64, tolerance int) *rig {
-	r := &rig{t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, partitioned: map[string]bool{}, copying: map[quorum.StoreID]bool{}, silent: map[quorum.StoreID]bool{}, tolerance: tolerance}
+	r := &rig{t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, partitioned: map[string]bool{}, copying: map[quorum.StoreID]bool{}, whole: map[quorum.StoreID]bool{}, silent: map[quorum.StoreID]bool{}, tolerance: tolerance}
 	var voters []domain.VM
 	for i := range 3 {
 		voters = append(voters, NewVM(address(i), "first"))
@@ -164,6 +166,9 @@
 		}
 		if set := v.c.state.Stores; set != nil {
 			s.Epoch, s.Complete = set.Epoch, !r.copying[s.ID]
+			if r.whole[s.ID] {
+				s.Whole = set.Epoch
+			}
 		}
 		v.c.Report(r.now, &Report{Process: string(s.ID), Store: &s})
 	}
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -22,6 +22,9 @@
 	return address
 }
 
+// FirstEpoch is the epoch of the first set.
+const FirstEpoch domain.Epoch = 1
+
 // Member is a storage VM in a set.
 type Member struct {
 	ID         StoreID
@@ -65,6 +68,32 @@
 	return others - holders + 1
 }
 
+// Contacts counts the other members of a set with which a member has compared its records
+// after they had adopted the set.
+type Contacts struct {
+	// Complete is the number of members that hold every record acknowledged before they joined.
+	// Incomplete is that of members of an earlier set that do not: no write has counted them.
+	Complete, Incomplete int
+	// Whole reports whether one of them holds every record acknowledged before this epoch.
+	Whole bool
+}
+
+// HoldsAll reports whether a member holds every record acknowledged before the epoch of the set,
+// once it has copied what it lacked of the contacts. complete reports whether the member is
+// itself complete, and whole is the newest epoch for which it held all records before.
+//
+// A record of an earlier epoch is on a majority of the members that were complete then. The
+// member has it if it has compared its records with enough of them, or if it was in every such
+// majority itself: it held all records of the epochs before the last one, and in the last one no
+// more members were complete than a majority has.
+func (s *Set) HoldsAll(c Contacts, complete bool, whole domain.Epoch) bool {
+	if c.Whole || !complete {
+		return c.Whole || c.Complete >= s.CopySources()
+	}
+	wasInAll := whole+1 == s.Epoch && len(s.Members)-c.Incomplete <= s.Majority()
+	return whole == s.Epoch || wasInAll || c.Complete+1 >= s.CopySources()
+}
+
 // MembersByDistance returns the members ordered by their distance from a data centre:
 // the same data centre, the same region, then the rest. Members at equal distance keep
 // the order of the set.
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -71,3 +71,32 @@
 	}
 	must.Eq(t, []StoreID{"own", "same", "far"}, ids)
 }
+
+// Guards against a member that is taken to hold every acknowledged record and lacks one, so that
+// the successors of lost members copy from it alone: for every majority of complete members that
+// may hold a record of the epoch before, it must be in the majority itself or have compared its
+// records with a holder. Member 0 was lost, member 1 compares, the last one has just joined.
+func TestHoldsAllCoversEveryMajority(t *testing.T) {
+	for n := 3; n <= 5; n++ {
+		s := setOf(n)
+		s.Epoch = 5
+		for incomplete := range 1 << (n - 2) { // of members 2 to n-1
+			for asked := range 1 << (n - 2) {
+				contacts := Contacts{Complete: popcount(asked &^ incomplete), Incomplete: popcount(asked & incomplete)}
+				for _, whole := range []domain.Epoch{0, 4} {
+					if !s.HoldsAll(contacts, true, whole) {
+						continue
+					}
+					complete := 3 | (1<<(n-2)-1)&^incomplete<<2
+					for holders := range 1 << n {
+						if holders&^complete != 0 || popcount(holders) != s.Majority() {
+							continue
+						}
+						compared := 2 | asked<<2
+						must.NotEq(t, 0, holders&compared, must.Sprintf("n=%d incomplete=%b asked=%b holders=%b whole=%d", n, incomplete, asked, holders, whole))
+					}
+				}
+			}
+		}
+	}
+}
--- a/core/turnstore/copy.go
+++ b/core/turnstore/copy.go
@@ -99,5 +99,6 @@
 		return nil
 	}
 	s.copiedEpoch = m.Joined
+	s.wholeEpoch = set.Epoch
 	return &Copied{Joined: m.Joined}
 }
--- a/core/turnstore/messages.go
+++ b/core/turnstore/messages.go
@@ -118,6 +118,9 @@
 	// Complete reports whether this store holds every record that it must hold, so
 	// that its replies about absent records are authoritative.
 	Complete bool
+	// Whole is the newest epoch for which the store holds every record that was acknowledged
+	// before it, or 0. A member that copies may copy from such a store alone.
+	Whole domain.Epoch `cbor:",omitempty"`
 	// NewerSet is the store's set when the request has an older epoch.
 	NewerSet *quorum.Set
 	// WantsSet requests the set of the request's epoch.
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -57,8 +57,11 @@
 	set         *quorum.Set
 	copiedEpoch domain.Epoch
 	turns       map[TurnKey]*storedTurn
-	programs    map[tokens.Program]*storedProgram
-	order       []orderEntry
+	// wholeEpoch is MemberStatus.Whole. It is not on the disk; a restarted store compares its
+	// records with the other members again.
+	wholeEpoch domain.Epoch
+	programs   map[tokens.Program]*storedProgram
+	order      []orderEntry
 	// lastSequence is the sequence number of the newest entry of order.
 	lastSequence int
 	// liveBytes is the size of all stored turns, with their overhead.
@@ -119,6 +122,23 @@
 	return &Adopted{Set: set}
 }
 
+// Whole returns the newest epoch for which the store holds every record that was acknowledged
+// before it, or 0. No record was acknowledged before the first epoch.
+func (s *Store) Whole() domain.Epoch {
+	if s.Complete() {
+		return max(s.wholeEpoch, quorum.FirstEpoch)
+	}
+	return 0
+}
+
+// MarkWhole records that the store holds every record that was acknowledged before the epoch
+// of the set.
+func (s *Store) MarkWhole(set *quorum.Set) {
+	if s.set != nil && s.set.Epoch == set.Epoch {
+		s.wholeEpoch = set.Epoch
+	}
+}
+
 // NeedsCopy reports whether the store is a member that has not yet copied the records
 // of the other members.
 func (s *Store) NeedsCopy() bool {
@@ -142,7 +162,7 @@
 
 // memberStatus compares the epoch of a request with the epoch of the store.
 func (s *Store) memberStatus(epoch domain.Epoch) MemberStatus {
-	out := MemberStatus{Complete: s.Complete()}
+	out := MemberStatus{Complete: s.Complete(), Whole: s.Whole()}
 	if s.set == nil {
 		out.WantsSet = true
 		return out
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mangoknot/mangoknot/adapter/systemclock"
 	"github.com/mangoknot/mangoknot/core/coordinator"
+	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/targetlimit"
@@ -221,6 +222,40 @@
 	must.Eq(t, 1, countRefused(r, fresh, 4))
 }
 
+// Guards against turns that cannot be continued after two losses one after the other, because the
+// successor of the first lost store copies over a slow link and the second one then finds no two
+// complete members to copy from.
+func TestStoreIsReplacedDuringSlowCopy(t *testing.T) {
+	r := newRig(t)
+	refusal, _ := r.serve(r.startGateway(2), turnRequest("1", "")) // on stores 2 and 0
+	must.Nil(t, refusal)
+	report := func(store int) *coordinator.StoreStatus {
+		out, err := r.network.stores[storeAddress(store)].Report(t.Context())
+		must.NoError(t, err)
+		return out.Store
+	}
+	replace := func(lost, successor int, dataCentre domain.DataCentre, region domain.Region) {
+		r.network.setCut(storeAddress(lost), true)
+		r.set = r.set.Replace(quorum.StoreID(storeAddress(lost)+"/disk"), r.startStore(successor, dataCentre, region))
+		for _, m := range r.set.Members {
+			r.network.stores[m.ID.Address()].Apply(&coordinator.View{Stores: r.set})
+		}
+	}
+	for _, i := range []int{0, 1, 8} { // the copy of store 7 does not end
+		r.network.setCut(storeAddress(7)+" "+storeAddress(i), true)
+	}
+	replace(2, 7, "c", "south")
+	for _, store := range []int{0, 1} {
+		must.True(t, eventually(func() bool { return report(store).Whole == 2 }), must.Sprintf("store %d holds all records", store))
+	}
+	replace(0, 8, "a", "north")
+	must.True(t, eventually(func() bool { return report(8).Complete }))
+	must.False(t, report(7).Complete)
+	refusal, _ = r.serve(r.startGateway(0), turnRequest("2", "1"))
+	must.Nil(t, refusal)
+	must.Eq(t, "[1]x\n[2]", r.targets.bodies()[1])
+}
+
 func countRefused(r *rig, g *Gateway, turns int) int {
 	refused := 0
 	for i := range turns {
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -1,6 +1,7 @@
 // Package storage runs a storage VM: the control goroutine of core/turnstore and
 // core/origin, and its disk. When the VM joins the storage set, the package copies the records of
-// the other members.
+// the other members. When the set changes otherwise, it compares them with those of the members
+// nearby.
 package storage
 
 import (
@@ -25,8 +26,10 @@
 	Stream = "turns"
 	// idleWake is the longest time between two sweeps of expired records.
 	idleWake = 2 * time.Second
-	// copyRetryDelay is the pause before a failed copy is retried.
-	copyRetryDelay = 100 * time.Millisecond
+	// copyRetryDelay is the pause before a failed copy is retried, and compareRetryDelay that
+	// before a failed comparison.
+	copyRetryDelay    = 100 * time.Millisecond
+	compareRetryDelay = time.Second
 	// concurrentFetches is the number of concurrent calls that copy turns.
 	concurrentFetches = 3
 	// pullTimeout bounds each call of a copy.
@@ -65,6 +68,7 @@
 	origins      *origin.Registry
 	started      time.Time
 	copying      bool
+	compareDue   time.Time
 	writtenBytes int
 	// pendingAppends is the number of appends that are not synced yet.
 	pendingAppends int
@@ -85,12 +89,7 @@
 }
 
 func (n *Node) settle(now time.Time) time.Time {
-	if n.store.NeedsCopy() && !n.copying && n.failed == nil {
-		n.copying = true
-		set := n.store.Set()
-		n.o.Log.Info("joined the storage set; copying from the other members", "epoch", set.Epoch)
-		go n.copy(set)
-	}
+	n.startCopy(now)
 	n.store.Sweep(now)
 	n.origins.Sweep(now)
 	if n.failed == nil {
@@ -260,7 +259,8 @@
 		status := &coordinator.StoreStatus{
 			ID: n.store.ID(), Name: n.o.Name, DataCentre: n.o.DataCentre, Region: n.o.Region, Complete: n.store.Complete(),
 			// The id of a disk holds the process that created it.
-			New: string(n.store.ID()) == n.o.Process && now.Sub(n.started) < coordinator.SuccessorWindow,
+			Whole: n.store.Whole(),
+			New:   string(n.store.ID()) == n.o.Process && now.Sub(n.started) < coordinator.SuccessorWindow,
 		}
 		if set := n.store.Set(); set != nil {
 			status.Epoch, r.Stores = set.Epoch, set.Epoch
@@ -296,48 +296,14 @@
 	n.persist([]domain.Record{record})
 }
 
-// copy pulls the records of the other members, nearest first, until enough of them have
-// transferred all their records.
-func (n *Node) copy(set *quorum.Set) {
-	started := n.o.Clock.Now()
-	sources := 0
-	for _, m := range set.MembersByDistance(n.o.DataCentre, n.o.Region) {
-		if m.ID == n.store.ID() {
-			continue
-		}
-		if err := n.pullAll(set, m); err != nil {
-			n.o.Log.Info("the copy from a storage VM failed; it is retried", "from", m.ID, "error", err.Error())
-			continue
-		}
-		if sources++; sources == set.CopySources() {
-			break
-		}
-	}
-	complete := false
-	if sources >= set.CopySources() {
-		complete = n.finishCopy(set)
-	} else {
-		select {
-		case <-time.After(copyRetryDelay):
-		case <-n.Context().Done():
-		}
-	}
-	n.Deliver(func(now time.Time) {
-		n.copying = false
-		n.o.Metrics.Count("copy ended")
-		turns, programs, bytes := n.store.Counts()
-		n.o.Log.Info("the copy from the other members ended", "epoch", set.Epoch, "complete", complete, "sources", sources,
-			"turns", turns, "programs", programs, "bytes", bytes, "took_ms", now.Sub(started).Milliseconds())
-	})
-}
-
-// pullAll copies all records of one member that this member lacks.
-func (n *Node) pullAll(set *quorum.Set, from quorum.Member) error {
+// pullAll copies all records of one member that this member lacks, and returns the member's
+// last status.
+func (n *Node) pullAll(set *quorum.Set, from quorum.Member) (turnstore.MemberStatus, error) {
 	position := 0
 	for {
 		reply, err := n.pull(set, from, position)
 		if err != nil {
-			return err
+			return turnstore.MemberStatus{}, err
 		}
 		var missing []turnstore.TurnKey
 		err = n.applyDurably(func(now time.Time) []domain.Record {
@@ -348,7 +314,7 @@
 			err = n.fetchAll(from, missing)
 		}
 		if err != nil || reply.Done {
-			return err
+			return reply.Status, err
 		}
 		position = reply.Last
 	}
@@ -427,20 +393,8 @@
 	if newer := reply.Status.NewerSet; newer != nil {
 		n.Deliver(func(time.Time) { n.adoptSet(newer) })
 	}
-	if !reply.Status.Accepted || !reply.Status.Complete {
-		return nil, fmt.Errorf("storage: %s uses epoch %d or has not finished its own copy", from.ID, reply.Status.Epoch)
+	if !reply.Status.Accepted {
+		return nil, fmt.Errorf("storage: %s uses epoch %d", from.ID, reply.Status.Epoch)
 	}
 	return reply, nil
 }
-
-func (n *Node) finishCopy(set *quorum.Set) bool {
-	finished := false
-	err := n.applyDurably(func(time.Time) []domain.Record {
-		record := n.store.FinishCopy(set)
-		if finished = record != nil; !finished {
-			return nil
-		}
-		return []domain.Record{record}
-	})
-	return err == nil && finished
-}
