--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -135,13 +135,13 @@
 
 func (g *Gateway) queryMember(ctx context.Context, m quorum.Member, query memberQuery, answers chan<- storeAnswer) {
 	answer := storeAnswer{member: m, err: loop.ErrPanicked}
-	loop.Contain(g.reportPanic, func() { answer.reply, answer.err = g.converse(ctx, m, query) })
+	loop.Contain(g.reportPanic, func() { answer.reply, answer.err = g.callMember(ctx, m, query) })
 	answers <- answer
 }
 
-// converse sends the request of a query to a member, and the requests that follow, and returns
+// callMember sends the request of a query to a member, and the requests that follow, and returns
 // the last reply.
-func (g *Gateway) converse(ctx context.Context, m quorum.Member, query memberQuery) (domain.Message, error) {
+func (g *Gateway) callMember(ctx context.Context, m quorum.Member, query memberQuery) (domain.Message, error) {
 	reply, err := g.o.Calls.Call(ctx, m.ID.Address(), query.message(false))
 	if err == nil && statusOf(reply).WantsSet {
 		reply, err = g.o.Calls.Call(ctx, m.ID.Address(), query.message(true))
