Compare records only where that can suffice

Cause: in a region with fewer complete members than a comparison needs, a member whose records were whole before pulled the keys of its neighbours every second for as long as the set stayed.

Change: a member first asks the others for their status, pulls only if what it can compare suffices, and tries at most 20 times for a set.

The tests of node/storage, node/gateway and core/quorum hold with the race detector.

--- a/node/storage/copy.go
+++ b/node/storage/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -22,28 +23,36 @@
 		n.o.Log.Info("joined the storage set; copying from the other members", "epoch", set.Epoch)
 		n.copying = true
 		go n.copy(set)
-	case n.store.Complete() && whole < set.Epoch && !now.Before(n.compareDue) && n.canCompare(set, whole):
-		n.copying, n.compareDue = true, now.Add(compareRetryDelay)
+	case n.store.Complete() && whole < set.Epoch && n.mayCompare(now, set):
+		n.copying = true
 		go n.compare(set, whole)
 	}
 }
 
-// canCompare reports whether a comparison with the members of this region may suffice.
-func (n *Node) canCompare(set *quorum.Set, whole domain.Epoch) bool {
-	near := quorum.Contacts{Complete: -1} // without this member
-	for _, m := range set.Members {
-		if m.Region == n.o.Region {
-			near.Complete++
-		}
+// mayCompare reports whether a comparison is due, and counts it. The number for each set is
+// bounded, because a region may have too few members for it to succeed.
+func (n *Node) mayCompare(now time.Time, set *quorum.Set) bool {
+	if n.comparedEpoch != set.Epoch {
+		n.comparedEpoch, n.comparisons, n.compareDue = set.Epoch, 0, now
+	}
+	if n.comparisons >= maxComparisons || now.Before(n.compareDue) {
+		return false
 	}
-	return whole+1 == set.Epoch || set.HoldsAll(near, true, whole)
+	n.comparisons++
+	n.compareDue = now.Add(compareRetryDelay)
+	return true
+}
+
+// others returns the other members of a set, nearest first.
+func (n *Node) others(set *quorum.Set) []quorum.Member {
+	return slices.DeleteFunc(set.MembersByDistance(n.o.DataCentre, n.o.Region), func(m quorum.Member) bool { return m.ID == n.store.ID() })
 }
 
 // copy pulls the records of the other members, nearest first, until enough of them have
 // transferred all their records.
 func (n *Node) copy(set *quorum.Set) {
 	started := n.o.Clock.Now()
-	contacts := n.contact(set, func(m quorum.Member) (turnstore.MemberStatus, error) { return n.pullAll(set, m) }, false)
+	contacts := n.contact(set, n.others(set), false)
 	complete := false
 	if set.HoldsAll(contacts, false, 0) {
 		complete = n.finishCopy(set)
@@ -65,20 +74,13 @@
 // compare pulls what this member lacks of the records of the members nearby, so that it holds
 // every acknowledged record. While a member that joined still copies over a slow link, the
 // next lost member could otherwise not be replaced: no single member would suffice as a source.
-// Members of other regions are only asked for their status, unless they copy themselves and
-// have little that this member lacks.
 func (n *Node) compare(set *quorum.Set, whole domain.Epoch) {
 	started := n.o.Clock.Now()
-	contacts := n.contact(set, func(m quorum.Member) (turnstore.MemberStatus, error) {
-		reply, err := n.pull(set, m, math.MaxInt)
-		if err != nil {
-			return turnstore.MemberStatus{}, err
-		}
-		if reply.Status.Complete && m.Region != n.o.Region {
-			return turnstore.MemberStatus{}, nil
-		}
-		return n.pullAll(set, m)
-	}, true)
+	var contacts quorum.Contacts
+	useful, possible := n.usefulMembers(set)
+	if set.HoldsAll(possible, true, whole) {
+		contacts = n.contact(set, useful, true)
+	}
 	holdsAll := set.HoldsAll(contacts, true, whole)
 	n.Deliver(func(now time.Time) {
 		n.copying = false
@@ -90,24 +92,43 @@
 	})
 }
 
-// contact asks the other members of a set, nearest first, until the contacts suffice. ask returns
-// the status of a member whose records were compared, and the zero status for another one.
-func (n *Node) contact(set *quorum.Set, ask func(quorum.Member) (turnstore.MemberStatus, error), complete bool) quorum.Contacts {
-	var contacts quorum.Contacts
-	for _, m := range set.MembersByDistance(n.o.DataCentre, n.o.Region) {
-		if m.ID == n.store.ID() {
+// usefulMembers asks the other members for their status only. It returns those of this region,
+// and those that copy themselves and have little that this member lacks, and what contact with
+// them would amount to.
+func (n *Node) usefulMembers(set *quorum.Set) (useful []quorum.Member, possible quorum.Contacts) {
+	for _, m := range n.others(set) {
+		reply, err := n.pull(set, m, math.MaxInt)
+		if err != nil || (reply.Status.Complete && m.Region != n.o.Region) {
 			continue
 		}
-		status, err := ask(m)
-		switch {
-		case err != nil:
+		useful = append(useful, m)
+		count(&possible, set, m, reply.Status)
+	}
+	return useful, possible
+}
+
+// count adds a member to the contacts.
+func count(c *quorum.Contacts, set *quorum.Set, m quorum.Member, status turnstore.MemberStatus) {
+	switch {
+	case status.Complete:
+		c.Complete++
+		c.Whole = c.Whole || status.Whole == set.Epoch
+	case m.Joined < set.Epoch:
+		c.Incomplete++
+	}
+}
+
+// contact pulls the records of members of a set, one after the other, until the contacts
+// suffice.
+func (n *Node) contact(set *quorum.Set, members []quorum.Member, complete bool) quorum.Contacts {
+	var contacts quorum.Contacts
+	for _, m := range members {
+		status, err := n.pullAll(set, m)
+		if err != nil {
 			n.o.Log.Info("the copy from a storage VM failed; it is retried", "from", m.ID, "error", err.Error())
-		case status.Complete:
-			contacts.Complete++
-			contacts.Whole = contacts.Whole || status.Whole == set.Epoch
-		case status.Accepted && m.Joined < set.Epoch:
-			contacts.Incomplete++
+			continue
 		}
+		count(&contacts, set, m, status)
 		if set.HoldsAll(contacts, complete, 0) {
 			break
 		}
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -30,6 +30,8 @@
 	// before a failed comparison.
 	copyRetryDelay    = 100 * time.Millisecond
 	compareRetryDelay = time.Second
+	// maxComparisons bounds the attempts to compare the records for one set.
+	maxComparisons = 20
 	// concurrentFetches is the number of concurrent calls that copy turns.
 	concurrentFetches = 3
 	// pullTimeout bounds each call of a copy.
@@ -64,12 +66,16 @@
 	loop.Actor
 
 	// The fields below belong to the control goroutine.
-	store        *turnstore.Store
-	origins      *origin.Registry
-	started      time.Time
-	copying      bool
-	compareDue   time.Time
-	writtenBytes int
+	store   *turnstore.Store
+	origins *origin.Registry
+	started time.Time
+	copying bool
+	// comparedEpoch is the epoch of the set for which the records were last compared with those
+	// of other members, and comparisons the number of attempts.
+	comparedEpoch domain.Epoch
+	comparisons   int
+	compareDue    time.Time
+	writtenBytes  int
 	// pendingAppends is the number of appends that are not synced yet.
 	pendingAppends int
 	// failed is the error of the last write. The content of the disk is unknown after it, so
