Do not copy from a member that copies itself

Cause: the comparison of records made pullAll accept members that have not finished their own copy. A joining member used that path too, and pulled all of their records, over the link between regions if need be, although they do not count as sources. Before, it left them after the first reply.

Change: only a complete member that compares its records pulls from such members.

--- a/node/storage/copy.go
+++ b/node/storage/copy.go
@@ -119,11 +119,12 @@
 }
 
 // contact pulls the records of members of a set, one after the other, until the contacts
-// suffice.
+// suffice. Only a complete member learns from members that copy themselves; for one that joins
+// they are no source.
 func (n *Node) contact(set *quorum.Set, members []quorum.Member, complete bool) quorum.Contacts {
 	var contacts quorum.Contacts
 	for _, m := range members {
-		status, err := n.pullAll(set, m)
+		status, err := n.pullAll(set, m, complete)
 		if err != nil {
 			n.o.Log.Info("the copy from a storage VM failed; it is retried", "from", m.ID, "error", err.Error())
 			continue
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -302,15 +302,21 @@
 	n.persist([]domain.Record{record})
 }
 
+// errSourceCopies is returned for a member that has not finished its own copy.
+var errSourceCopies = errors.New("storage: the member has not finished its own copy; another one is used")
+
 // pullAll copies all records of one member that this member lacks, and returns the member's
-// last status.
-func (n *Node) pullAll(set *quorum.Set, from quorum.Member) (turnstore.MemberStatus, error) {
+// last status. Without fromIncomplete it copies only from a complete member.
+func (n *Node) pullAll(set *quorum.Set, from quorum.Member, fromIncomplete bool) (turnstore.MemberStatus, error) {
 	position := 0
 	for {
 		reply, err := n.pull(set, from, position)
 		if err != nil {
 			return turnstore.MemberStatus{}, err
 		}
+		if !reply.Status.Complete && !fromIncomplete {
+			return reply.Status, errSourceCopies
+		}
 		var missing []turnstore.TurnKey
 		err = n.applyDurably(func(now time.Time) []domain.Record {
 			missing = n.store.Missing(reply)
