--- a/adapter/disk/file.go
+++ b/adapter/disk/file.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 
 	"github.com/mangoknot/mangoknot/core/domain"
 )
@@ -181,19 +182,26 @@
 
 // writeSynced writes the data and syncs the file.
 func (s *fileStore) writeSynced(f file, data []byte) error {
+	if err := s.write(f, data); err != nil {
+		return err
+	}
+	return s.sync(f)
+}
+
+func (s *fileStore) write(f file, data []byte) error {
 	if _, err := f.Write(data); err != nil {
-		return s.writeError(err)
+		return fmt.Errorf("disk: write %s (check the free space): %w", s.name, err)
 	}
+	return nil
+}
+
+func (s *fileStore) sync(f file) error {
 	if err := f.Sync(); err != nil {
 		return fmt.Errorf("disk: sync %s (check the device): %w", s.name, err)
 	}
 	return nil
 }
 
-func (s *fileStore) writeError(err error) error {
-	return fmt.Errorf("disk: write %s (check the free space): %w", s.name, err)
-}
-
 // replace keeps the old file until the new one is complete and durable.
 func (s *fileStore) replace(records []domain.Record) error {
 	f, err := s.files.Open(s.name+newSuffix, true)
@@ -218,19 +226,20 @@
 // writeAll writes the header and all records to a new file and syncs it. It writes one frame
 // after the other, so that a full disk is noticed early and memory holds one frame at a time.
 func (s *fileStore) writeAll(f file, records []domain.Record) error {
-	content := fileHeader()
-	for len(records) > 0 {
-		n := min(len(records), replaceFrameRecords)
+	if err := s.write(f, fileHeader()); err != nil {
+		return err
+	}
+	var frame []byte
+	for part := range slices.Chunk(records, replaceFrameRecords) {
 		var err error
-		if content, err = s.encode(content, records[:n]); err != nil {
+		if frame, err = s.encode(frame[:0], part); err != nil {
 			return err
 		}
-		if _, err := f.Write(content); err != nil {
-			return s.writeError(err)
+		if err := s.write(f, frame); err != nil {
+			return err
 		}
-		content, records = content[:0], records[n:]
 	}
-	return s.writeSynced(f, content)
+	return s.sync(f)
 }
 
 // install renames the new file to the name of the stream. The folder is synced after the
--- a/core/coordinator/coordinator.go
+++ b/core/coordinator/coordinator.go
@@ -174,6 +174,9 @@
 // whole log is durable again.
 func (c *Coordinator) PersistFailed(now time.Time, err error) { c.raft.PersistFailed(now, err) }
 
+// DiskFailed reports whether the last write failed and the log is not durable again yet.
+func (c *Coordinator) DiskFailed() bool { return c.raft.Status().Failed != nil }
+
 // Tick handles the timers that are due. On the leader, it also repairs the voters and
 // the storage set.
 func (c *Coordinator) Tick(now time.Time) {
--- a/core/coordinator/coordinator_test.go
+++ b/core/coordinator/coordinator_test.go
@@ -176,9 +176,9 @@
 	}
 }
 
-// Guards against a second replacement while a joining store is still copying, which could
-// remove the only copy of a record.
-func TestStoresAreReplacedOneByOne(t *testing.T) {
+// rigWithCopyingStore returns a rig with three stores, the first of which lost its disk and
+// copies from the others.
+func rigWithCopyingStore(t *testing.T) *rig {
 	r := newRig(t, 6)
 	for i, zone := range []string{"a", "b", "c"} {
 		r.stores = append(r.stores, storeStatus(fmt.Sprintf("s%d", i), "1", zone))
@@ -187,6 +187,13 @@
 	r.copying["s0/2"] = true
 	r.stores[0] = storeStatus("s0", "2", "a")
 	r.run(3 * time.Second)
+	return r
+}
+
+// Guards against a second replacement while a joining store is still copying, which could
+// remove the only copy of a record.
+func TestStoresAreReplacedOneByOne(t *testing.T) {
+	r := rigWithCopyingStore(t)
 	r.expectMembers("s0/2", "s1/1", "s2/1")
 	r.stores[1] = storeStatus("s1", "2", "b")
 	r.run(3 * time.Second)
@@ -199,14 +206,7 @@
 // Guards against a lost store that is not replaced while the successor of an earlier one still
 // copies, although a member holds every record.
 func TestStoreIsReplacedBesideSlowCopy(t *testing.T) {
-	r := newRig(t, 6)
-	for i, zone := range []string{"a", "b", "c"} {
-		r.stores = append(r.stores, storeStatus(fmt.Sprintf("s%d", i), "1", zone))
-	}
-	r.run(3 * time.Second)
-	r.copying["s0/2"] = true
-	r.stores[0] = storeStatus("s0", "2", "a")
-	r.run(3 * time.Second)
+	r := rigWithCopyingStore(t)
 	// The lost member held every record, and the remaining one does not.
 	r.whole["s1/1"] = true
 	r.stores[1] = storeStatus("s1", "2", "b")
--- a/core/coordinator/repair.go
+++ b/core/coordinator/repair.go
@@ -255,24 +255,21 @@
 // could lose the only copy of a record. A member that holds every record acknowledged before
 // this set suffices, even while another one copies.
 func (c *Coordinator) othersComplete(now time.Time, set *quorum.Set, old quorum.StoreID) bool {
-	complete := 0
-	for _, m := range set.Members {
-		if s := c.currentReport(now, m.ID); m.ID != old && s != nil && s.isComplete(set) && s.Whole == set.Epoch {
-			return true
-		}
-	}
+	complete, copying := 0, false
 	for _, m := range set.Members {
 		s := c.currentReport(now, m.ID)
 		switch {
 		case m.ID == old || s == nil:
 			// A silent member counts as lost together with old.
 		case !s.isComplete(set):
-			return false
+			copying = true
+		case s.Whole == set.Epoch:
+			return true
 		default:
 			complete++
 		}
 	}
-	return complete >= set.CopySources()
+	return !copying && complete >= set.CopySources()
 }
 
 // Retire starts the retirement of a storage VM. The ticket is 0 when the VM is already
--- a/node/coordination/node.go
+++ b/node/coordination/node.go
@@ -69,8 +69,6 @@
 	// The fields below belong to the control goroutine.
 	coordinator  *coordinator.Coordinator
 	pendingSends []sendsAfterSync
-	// diskFailed reports that the last write of the log failed.
-	diskFailed bool
 	// applied is the newest applied state. appliedDue is the time at which it is written
 	// again after a failure, and zero otherwise.
 	applied    *coordinator.State
@@ -160,8 +158,7 @@
 
 func (n *Node) persisted(now time.Time, token raft.PersistToken, err error) {
 	if err != nil {
-		if !n.diskFailed {
-			n.diskFailed = true
+		if !n.coordinator.DiskFailed() {
 			n.o.Metrics.Count("the disk failed")
 			n.o.Log.Error(err, "the disk rejects writes; this voter is silent until its log is written again")
 		}
@@ -169,8 +166,7 @@
 		n.pendingSends = nil
 		return
 	}
-	if n.diskFailed {
-		n.diskFailed = false
+	if n.coordinator.DiskFailed() {
 		n.o.Log.Info("the log is durable again; this voter takes part again")
 	}
 	n.coordinator.Persisted(now, token)
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -264,9 +264,9 @@
 		}
 		status := &coordinator.StoreStatus{
 			ID: n.store.ID(), Name: n.o.Name, DataCentre: n.o.DataCentre, Region: n.o.Region, Complete: n.store.Complete(),
-			// The id of a disk holds the process that created it.
 			Whole: n.store.Whole(),
-			New:   string(n.store.ID()) == n.o.Process && now.Sub(n.started) < coordinator.SuccessorWindow,
+			// The id of a disk holds the process that created it.
+			New: string(n.store.ID()) == n.o.Process && now.Sub(n.started) < coordinator.SuccessorWindow,
 		}
 		if set := n.store.Set(); set != nil {
 			status.Epoch, r.Stores = set.Epoch, set.Epoch
