Log the status of the last answer and what a continuation brought

Cause: the lines of requests could not tell whether a stream ended with an answer that is no continuation, with events that do not follow, or with a cut answer. All three read request served with the cause of the break.

Change: the fields status, continuations, continued_after and continued_with of a request's line.

--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -33,6 +33,10 @@
 	if !slices.Contains(e.tried, target.ID) {
 		e.tried = append(e.tried, target.ID)
 	}
+	if e.replyStarted {
+		e.continuations++
+		e.continuedAfter, e.continuedWith = e.lastID, ""
+	}
 	callerCtx := ctx
 	if e.route.Kind == manifest.Stream {
 		var stop func()
@@ -56,7 +60,7 @@
 		return e.handleNoAnswer(callerCtx, target, withStall(ctx, err))
 	}
 	defer answer.Close()
-	e.via = answer.Head().Via
+	e.via, e.status = answer.Head().Via, answer.Head().Status
 	e.g.heardTarget()
 	e.observe(target, answer.Head())
 	e.recordRun(target)
@@ -358,6 +362,9 @@
 		}
 	}
 	if event.ID != "" {
+		if e.continuations > 0 && e.continuedWith == "" {
+			e.continuedWith = event.ID
+		}
 		e.lastID = event.ID
 	}
 	if err := e.reply.Event(event); err != nil {
--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -26,6 +26,12 @@
 	if e.Resume != "" {
 		fields = append(fields, "resumed_stream", e.ResumedStream, "after_event", e.Resume, "required_version", e.requiredVersion())
 	}
+	if e.status != 0 {
+		fields = append(fields, "status", e.status)
+	}
+	if e.continuations > 0 {
+		fields = append(fields, "continuations", e.continuations, "continued_after", e.continuedAfter, "continued_with", e.continuedWith)
+	}
 	if e.Program != "" {
 		fields = append(fields, "program", e.Program)
 	}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -122,8 +122,15 @@
 	events       int
 	replyStarted bool
 	lastID       string
-	outcome      string
-	fingerprint  quarantine.Fingerprint
+	// status is the status of the last answer of a target, or 0.
+	status int
+	// continuations is the number of attempts to go on with a stream that had begun.
+	// continuedAfter is the last event before the latest of them, and continuedWith the first
+	// one that it brought; both are ids.
+	continuations                 int
+	continuedAfter, continuedWith string
+	outcome                       string
+	fingerprint                   quarantine.Fingerprint
 	// allowanceTaken reports whether the request was counted against its
 	// account's allowance.
 	allowanceTaken bool
