Show streams whose continuation is not one, as known failures

Change: tests of a gateway whose target answers the continuation of a broken stream with an error status, begins again, repeats an event, or sends events without ids. The recorded reply notices an answer that is written after another one.

--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -118,6 +118,9 @@
 	events []string
 	err    error
 	next   int
+	// after is the id of the event before the first one; unnumbered leaves out the ids.
+	after      int
+	unnumbered bool
 	// limit is the rate that the target names, or nil.
 	limit *float64
 }
@@ -137,7 +140,11 @@
 	if s.next < len(s.events) {
 		s.next++
 		data := s.events[s.next-1]
-		return port.StreamEvent{ID: fmt.Sprint(s.next), Data: []byte(data), Raw: []byte(data)}, nil
+		event := port.StreamEvent{ID: fmt.Sprint(s.after + s.next), Data: []byte(data), Raw: []byte(data)}
+		if s.unnumbered {
+			event.ID = ""
+		}
+		return event, nil
 	}
 	if s.err != nil {
 		return port.StreamEvent{}, s.err
@@ -159,16 +166,24 @@
 	events  []string
 	ended   bool
 	aborted bool
+	// begun reports whether a part of the answer was written, and joined whether a whole answer
+	// was written after it.
+	begun, joined bool
 	// wholeErr is returned when a whole answer is written, after its head was
 	// written.
 	wholeErr error
 }
 
 func (r *recordedReply) Send(h port.AnswerHead, _ []byte) error {
+	r.joined, r.begun = r.begun, true
 	r.status, r.ended = h.Status, r.wholeErr == nil
 	return r.wholeErr
 }
-func (r *recordedReply) Begin(h port.AnswerHead) error { r.status = h.Status; return nil }
+func (r *recordedReply) Begin(h port.AnswerHead) error {
+	r.joined, r.begun = r.begun, true
+	r.status = h.Status
+	return nil
+}
 func (r *recordedReply) Event(e port.StreamEvent) error {
 	r.events = append(r.events, string(e.Data))
 	return nil
