Do not pass on an error inside a stream that has begun

Cause: a gateway handled each answer by its own status. An answer to the continuation of a broken stream that was no success went the way of a whole answer: it was written into the reply that had begun, and the request ended as served. Nothing kept the state of the reply that the decision needs, and the front end accepted a second start of an answer.

Change: core/stream holds what the caller has received and decides whether an answer belongs to it. An error status fails the attempt; the rest is requested again within the limits that hold for a broken connection, from the same target only if the status is a failure of the server. A front end refuses to start an answer twice.

--- /dev/null
+++ b/core/stream/stream.go
@@ -0,0 +1,69 @@
+// Package stream decides which answers of targets, and which of their events, belong to the
+// stream of a caller. A stream may consist of several answers: after one breaks off, the next
+// one has to go on after the last event that the caller has.
+package stream
+
+// Progress is what a caller has received of a stream. It is not safe for concurrent use.
+type Progress struct {
+	begun bool
+	last  string
+	// unnumbered reports whether the caller has an event without an id.
+	unnumbered bool
+	latest     Continuation
+}
+
+// Continuation describes the latest attempt to go on with a stream that had begun.
+type Continuation struct {
+	// Count is the number of such attempts.
+	Count int
+	// After is the id of the last event before the attempt. With is that of the first event
+	// that it brought, or "".
+	After, With string
+}
+
+// New returns the progress of a stream of which the caller has the events up to the one with
+// the id after; "" means none.
+func New(after string) *Progress { return &Progress{last: after} }
+
+// Begun reports whether a part of the answer was passed on to the caller.
+func (p *Progress) Begun() bool { return p.begun }
+
+// Begin records that a part of the answer is passed on to the caller.
+func (p *Progress) Begin() { p.begun = true }
+
+// Last returns the id of the last event that the caller has, or "".
+func (p *Progress) Last() string { return p.last }
+
+// CanContinue reports whether a target can be asked for the rest. Without an id for each event
+// it would send some of them again.
+func (p *Progress) CanContinue() bool { return !p.unnumbered }
+
+// Latest returns the latest continuation.
+func (p *Progress) Latest() Continuation { return p.latest }
+
+// NextAttempt records that the stream is requested, or its rest if it has begun.
+func (p *Progress) NextAttempt() {
+	if p.begun {
+		p.latest = Continuation{Count: p.latest.Count + 1, After: p.last}
+	}
+}
+
+// CheckAnswer returns a *StatusError if the stream has begun and the answer is not a success.
+// Its body is no part of the stream then.
+func (p *Progress) CheckAnswer(status int, success bool) error {
+	if p.begun && !success {
+		return &StatusError{Status: status}
+	}
+	return nil
+}
+
+// Add records an event that is passed on to the caller.
+func (p *Progress) Add(id string) {
+	if id == "" {
+		return
+	}
+	if p.latest.Count > 0 && p.latest.With == "" {
+		p.latest.With = id
+	}
+	p.last = id
+}
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -10,11 +10,12 @@
 	"github.com/mangoknot/mangoknot/core/balance"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/manifest"
+	"github.com/mangoknot/mangoknot/core/stream"
 	"github.com/mangoknot/mangoknot/port"
 )
 
 // maxReconnects bounds how often a stream is resumed at the same target after
-// its connection failed. The attempt limit of a route counts distinct targets
+// its connection failed or the target answered with an error. The attempt limit of a route counts distinct targets
 // and does not bound this.
 const maxReconnects = 2
 
@@ -33,10 +34,7 @@
 	if !slices.Contains(e.tried, target.ID) {
 		e.tried = append(e.tried, target.ID)
 	}
-	if e.replyStarted {
-		e.continuations++
-		e.continuedAfter, e.continuedWith = e.lastID, ""
-	}
+	e.progress.NextAttempt()
 	callerCtx := ctx
 	if e.route.Kind == manifest.Stream {
 		var stop func()
@@ -49,7 +47,7 @@
 		defer stop()
 	}
 	answer, err := e.g.o.Targets.Exchange(ctx, port.TargetRequest{
-		Target: target, Account: e.account, Body: e.body, TimeLeft: e.timeLeft(), Resume: e.resumePoint(),
+		Target: target, Account: e.account, Body: e.body, TimeLeft: e.timeLeft(), Resume: e.progress.Last(),
 		Tunnels: e.tunnels, OnTunnelError: e.g.tunnelFailed, Buffers: e.Buffers, Wire: e.Wire,
 	})
 	if err != nil {
@@ -64,11 +62,7 @@
 	e.g.heardTarget()
 	e.observe(target, answer.Head())
 	e.recordRun(target)
-	if e.route.Kind == manifest.Stream && answer.Head().Success {
-		err = withStall(ctx, e.passStream(ctx, answer))
-	} else {
-		err = e.passWhole(answer)
-	}
+	err = withStall(ctx, e.pass(ctx, answer))
 	e.release(target, outcomeOf(callerCtx, err), answer.Head().Load)
 	if err == nil {
 		e.outcome = outcomeServed
@@ -135,8 +129,9 @@
 }
 
 func outcomeOf(ctx context.Context, err error) balance.Outcome {
+	var status *stream.StatusError
 	switch {
-	case err == nil:
+	case err == nil || errors.As(err, &status):
 		return balance.Served
 	case ctx.Err() != nil || isOwnFailure(err) || tunnelFailure(err) != nil:
 		return balance.Abandoned
@@ -247,17 +242,17 @@
 	e.countLimit(err)
 	if e.mayRepeat(ctx, err) {
 		if len(e.runTargets) < e.route.MaxAttempts {
-			e.countRetry("target_failed")
+			e.countRetry(retryReason(err, "target_failed"))
 			return true, nil
 		}
-		if e.route.Kind == manifest.Stream && e.reconnects < maxReconnects {
+		if e.mayReconnect(err) {
 			e.reconnects++
 			e.reconnectTarget = &target
-			e.countRetry("connection_failed")
+			e.countRetry(retryReason(err, "connection_failed"))
 			return true, nil
 		}
 	}
-	if e.replyStarted {
+	if e.progress.Begun() {
 		e.reply.Abort()
 		return false, nil
 	}
@@ -273,35 +268,57 @@
 	if ctx.Err() != nil || isOwnFailure(err) {
 		return false
 	}
-	if e.replyStarted {
+	if e.progress.Begun() {
 		return e.route.Kind == manifest.Stream && e.route.Resumable && e.requiredVersion() != ""
 	}
 	return e.route.Retryable()
 }
 
+// mayReconnect reports whether the rest of a stream may be requested from the same target.
+func (e *exchange) mayReconnect(err error) bool {
+	var status *stream.StatusError
+	if errors.As(err, &status) && status.Final() {
+		return false
+	}
+	return e.route.Kind == manifest.Stream && e.reconnects < maxReconnects
+}
+
+// retryReason returns the label of a retry after an answer that is no continuation, or else
+// the given one.
+func retryReason(err error, reason string) string {
+	var status *stream.StatusError
+	if errors.As(err, &status) {
+		return "continuation_error"
+	}
+	return reason
+}
+
 func (e *exchange) countRetry(reason string) { e.g.o.Metrics.Retried(reason) }
 
 func (e *exchange) elapsed() time.Duration { return e.g.o.Clock.Now().Sub(e.started) }
 
-// resumePoint returns the id of the last event that the caller has received, or
-// "".
-func (e *exchange) resumePoint() string {
-	if e.lastID != "" {
-		return e.lastID
-	}
-	return e.Resume
-}
-
 // errReply marks a failure to write the answer to the caller.
 var errReply = errors.New("the answer could not be written to the caller")
 
+// pass forwards an answer, unless the caller has a part of a stream to which it does not belong.
+func (e *exchange) pass(ctx context.Context, answer port.Answer) error {
+	head := answer.Head()
+	if err := e.progress.CheckAnswer(head.Status, head.Success); err != nil {
+		return err
+	}
+	if e.route.Kind == manifest.Stream && head.Success {
+		return e.passStream(ctx, answer)
+	}
+	return e.passWhole(answer)
+}
+
 func (e *exchange) passWhole(answer port.Answer) error {
 	body, err := answer.Body(maxAnswerBytes)
 	if err != nil {
 		return err
 	}
 	// A refusal must not follow, even if only a part of the answer is written.
-	e.replyStarted, e.firstAt = true, e.elapsed()
+	e.beginReply()
 	if err := e.reply.Send(answer.Head(), body); err != nil {
 		return errors.Join(errReply, err)
 	}
@@ -324,10 +341,8 @@
 			return err
 		}
 	}
-	if !e.replyStarted {
-		if err := e.startReply(answer); err != nil {
-			return err
-		}
+	if err := e.startReply(answer); err != nil {
+		return err
 	}
 	if err := e.storeTurn(ctx); err != nil {
 		return err
@@ -338,8 +353,18 @@
 	return nil
 }
 
+// beginReply records that a part of the answer goes to the caller.
+func (e *exchange) beginReply() {
+	e.progress.Begin()
+	e.firstAt = e.elapsed()
+}
+
+// startReply passes on the head of a stream that has not begun.
 func (e *exchange) startReply(answer port.Answer) error {
-	e.replyStarted, e.firstAt = true, e.elapsed()
+	if e.progress.Begun() {
+		return nil
+	}
+	e.beginReply()
 	e.recordOrigin()
 	if err := e.reply.Begin(answer.Head()); err != nil {
 		return errors.Join(errReply, err)
@@ -348,10 +373,8 @@
 }
 
 func (e *exchange) passEvent(answer port.Answer, event port.StreamEvent) error {
-	if !e.replyStarted {
-		if err := e.startReply(answer); err != nil {
-			return err
-		}
+	if err := e.startReply(answer); err != nil {
+		return err
 	}
 	e.g.heardTarget()
 	if event.Data != nil {
@@ -361,12 +384,7 @@
 			return err
 		}
 	}
-	if event.ID != "" {
-		if e.continuations > 0 && e.continuedWith == "" {
-			e.continuedWith = event.ID
-		}
-		e.lastID = event.ID
-	}
+	e.progress.Add(event.ID)
 	if err := e.reply.Event(event); err != nil {
 		return errors.Join(errReply, err)
 	}
--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -29,8 +29,8 @@
 	if e.status != 0 {
 		fields = append(fields, "status", e.status)
 	}
-	if e.continuations > 0 {
-		fields = append(fields, "continuations", e.continuations, "continued_after", e.continuedAfter, "continued_with", e.continuedWith)
+	if c := e.progress.Latest(); c.Count > 0 {
+		fields = append(fields, "continuations", c.Count, "continued_after", c.After, "continued_with", c.With)
 	}
 	if e.Program != "" {
 		fields = append(fields, "program", e.Program)
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/mangoknot/mangoknot/core/manifest"
 	"github.com/mangoknot/mangoknot/core/origin"
 	"github.com/mangoknot/mangoknot/core/quarantine"
+	"github.com/mangoknot/mangoknot/core/stream"
 	"github.com/mangoknot/mangoknot/core/tokens"
 	"github.com/mangoknot/mangoknot/core/waiting"
 	"github.com/mangoknot/mangoknot/node/loop"
@@ -116,21 +117,16 @@
 	tunnels []string
 	via     string
 	// inFlight reports whether the balancer counts the request at the target.
-	inFlight     bool
-	sentAt       time.Duration
-	firstAt      time.Duration
-	events       int
-	replyStarted bool
-	lastID       string
+	inFlight bool
+	sentAt   time.Duration
+	firstAt  time.Duration
+	events   int
+	// progress is what the caller has received of the answer.
+	progress *stream.Progress
 	// status is the status of the last answer of a target, or 0.
-	status int
-	// continuations is the number of attempts to go on with a stream that had begun.
-	// continuedAfter is the last event before the latest of them, and continuedWith the first
-	// one that it brought; both are ids.
-	continuations                 int
-	continuedAfter, continuedWith string
-	outcome                       string
-	fingerprint                   quarantine.Fingerprint
+	status      int
+	outcome     string
+	fingerprint quarantine.Fingerprint
 	// allowanceTaken reports whether the request was counted against its
 	// account's allowance.
 	allowanceTaken bool
@@ -144,14 +140,14 @@
 	if req.Buffers == nil {
 		req.Buffers = port.UnlimitedBuffers{}
 	}
-	e := &exchange{Request: req, g: g, reply: reply, view: g.view.Load(), started: g.o.Clock.Now()}
+	e := &exchange{Request: req, g: g, reply: reply, view: g.view.Load(), started: g.o.Clock.Now(), progress: stream.New(req.Resume)}
 	var refusal *Refusal
 	if !loop.Contain(g.reportPanic, func() { refusal = e.serve(ctx) }) {
 		refusal = e.failed()
 	}
 	e.returnAllowance(refusal)
 	e.log(refusal)
-	if refusal != nil && e.replyStarted {
+	if refusal != nil && e.progress.Begun() {
 		// A refusal after the first event of a stream would end it like a whole one.
 		e.reply.Abort()
 		return nil
@@ -169,7 +165,7 @@
 		e.finishTurn()
 	}
 	switch {
-	case e.replyStarted:
+	case e.progress.Begun():
 		e.outcome = outcomeBrokenOff
 		e.reply.Abort()
 		return nil
--- a/port/exchange.go
+++ b/port/exchange.go
@@ -179,8 +179,12 @@
 	CloseTunnels()
 }
 
+// ErrReplyStarted means that the caller has already received the head of an answer. Another
+// one would be a part of its body.
+var ErrReplyStarted = errors.New("the answer to the caller has begun; abort it, or pass on its events")
+
 // Reply sends the answer of a request to its caller. Exactly one call of Send or
-// Begin starts it.
+// Begin starts it; a second one fails with ErrReplyStarted.
 type Reply interface {
 	// Send sends a complete answer.
 	Send(h AnswerHead, body []byte) error
