Break off streams whose events do not follow what the caller has

Cause: a gateway passed on each event of a continuation. It used the ids only to name the last one, and the id that a resuming caller sent was not compared with anything.

Change: an event must have a higher number than the last one that the caller has, in the first answer, over continuations, and after the event that the caller named. Ids that are not numbers must differ from the last. A target that sends others is avoided, and is not asked for the rest again.

Evidence: before: continuation_test.go:88: expected equality via cmp.Equal function (begins again, repeats the last event), continuation_test.go:102: expected to not be nil; is nil.

A gap in the ids cannot be told, because they need not be consecutive.

--- a/core/stream/errors.go
+++ b/core/stream/errors.go
@@ -1,6 +1,9 @@
 package stream
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // StatusError means that a target answered the continuation of a stream with an error status.
 type StatusError struct {
@@ -11,9 +14,30 @@
 	return fmt.Sprintf("the target answered the continuation of the stream with the status %d; ask another target, or break the stream off", e.Status)
 }
 
-// Final reports whether the same target would answer in the same way again.
-func (e *StatusError) Final() bool { return e.Status < statusServerError }
+// SequenceError means that an event does not come after the last one that the caller has: the
+// target began the stream again, or repeats a part of it.
+type SequenceError struct {
+	// Last and Next are the ids of the last event and of the one after it.
+	Last, Next string
+}
+
+func (e *SequenceError) Error() string {
+	return fmt.Sprintf("the target sent the event %q after %q, and ids of events increase; ask another target, or break the stream off", e.Next, e.Last)
+}
 
 // statusServerError is the lowest status of a failure of the server. Those below blame the
 // request.
 const statusServerError = 500
+
+// MayAskAgain reports whether the target of an attempt that failed with err may be asked for
+// the rest of the stream again. It may not if it would answer in the same way.
+func MayAskAgain(err error) bool {
+	var status *StatusError
+	var sequence *SequenceError
+	switch {
+	case errors.As(err, &status):
+		return status.Status >= statusServerError
+	default:
+		return !errors.As(err, &sequence)
+	}
+}
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -3,6 +3,8 @@
 // one has to go on after the last event that the caller has.
 package stream
 
+import "strconv"
+
 // Progress is what a caller has received of a stream. It is not safe for concurrent use.
 type Progress struct {
 	begun bool
@@ -57,13 +59,29 @@
 	return nil
 }
 
-// Add records an event that is passed on to the caller.
-func (p *Progress) Add(id string) {
+// Add records an event that is to be passed on to the caller. It returns a *SequenceError if
+// the event does not come after the last one that the caller has.
+func (p *Progress) Add(id string) error {
 	if id == "" {
-		return
+		return nil
 	}
 	if p.latest.Count > 0 && p.latest.With == "" {
 		p.latest.With = id
 	}
+	if !follows(p.last, id) {
+		return &SequenceError{Last: p.last, Next: id}
+	}
 	p.last = id
+	return nil
+}
+
+// follows reports whether an event may come after the one with the id last. Ids increase, and
+// need not be consecutive. Of ids that are not numbers only a repetition can be told.
+func follows(last, next string) bool {
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	nextNumber, nextErr := strconv.ParseUint(next, 10, 64)
+	if lastErr != nil || nextErr != nil {
+		return next != last
+	}
+	return nextNumber > lastNumber
 }
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -276,21 +276,22 @@
 
 // mayReconnect reports whether the rest of a stream may be requested from the same target.
 func (e *exchange) mayReconnect(err error) bool {
-	var status *stream.StatusError
-	if errors.As(err, &status) && status.Final() {
-		return false
-	}
-	return e.route.Kind == manifest.Stream && e.reconnects < maxReconnects
+	return e.route.Kind == manifest.Stream && e.reconnects < maxReconnects && stream.MayAskAgain(err)
 }
 
-// retryReason returns the label of a retry after an answer that is no continuation, or else
-// the given one.
+// retryReason returns the label of a retry after an answer that does not belong to the stream,
+// or else the given one.
 func retryReason(err error, reason string) string {
 	var status *stream.StatusError
-	if errors.As(err, &status) {
+	var sequence *stream.SequenceError
+	switch {
+	case errors.As(err, &status):
 		return "continuation_error"
+	case errors.As(err, &sequence):
+		return "event_out_of_order"
+	default:
+		return reason
 	}
-	return reason
 }
 
 func (e *exchange) countRetry(reason string) { e.g.o.Metrics.Retried(reason) }
@@ -373,6 +374,9 @@
 }
 
 func (e *exchange) passEvent(answer port.Answer, event port.StreamEvent) error {
+	if err := e.progress.Add(event.ID); err != nil {
+		return err
+	}
 	if err := e.startReply(answer); err != nil {
 		return err
 	}
@@ -384,7 +388,6 @@
 			return err
 		}
 	}
-	e.progress.Add(event.ID)
 	if err := e.reply.Event(event); err != nil {
 		return errors.Join(errReply, err)
 	}
