Do not send a stream again from its start after events without ids

Callers of a worker whose events have no ids got the events before a break twice (ORDER).

Cause: the continuation of a broken stream named the last id, and none when no event had one, which asks for the whole stream.

Change: once an event with data but without an id was passed on, a break ends the stream. Comments do not count.

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -60,9 +60,11 @@
 }
 
 // Add records an event that is to be passed on to the caller. It returns a *SequenceError if
-// the event does not come after the last one that the caller has.
-func (p *Progress) Add(id string) error {
+// the event does not come after the last one that the caller has. hasData reports whether it is
+// more than a comment.
+func (p *Progress) Add(id string, hasData bool) error {
 	if id == "" {
+		p.unnumbered = p.unnumbered || hasData
 		return nil
 	}
 	if p.latest.Count > 0 && p.latest.With == "" {
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -31,7 +31,7 @@
 		{"a", "b", true}, {"a", "a", false}, {"a", "1", true},
 	} {
 		p := New(c.last)
-		err := p.Add(c.next)
+		err := p.Add(c.next, true)
 		must.Eq(t, c.want, err == nil, must.Sprint(c.last, c.next, err))
 		if !c.want {
 			must.False(t, MayAskAgain(err))
@@ -39,3 +39,15 @@
 		}
 	}
 }
+
+// Guards against a stream that is sent again although the caller has a part without an id, and
+// against one that is broken off for a comment.
+func TestOnlyNumberedStreamsContinue(t *testing.T) {
+	p := New("")
+	must.NoError(t, p.Add("", false))
+	must.NoError(t, p.Add("1", true))
+	must.True(t, p.CanContinue())
+	must.NoError(t, p.Add("", true))
+	must.NoError(t, p.Add("2", true))
+	must.False(t, p.CanContinue())
+}
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -269,7 +269,7 @@
 		return false
 	}
 	if e.progress.Begun() {
-		return e.route.Kind == manifest.Stream && e.route.Resumable && e.requiredVersion() != ""
+		return e.route.Kind == manifest.Stream && e.route.Resumable && e.requiredVersion() != "" && e.progress.CanContinue()
 	}
 	return e.route.Retryable()
 }
@@ -374,7 +374,7 @@
 }
 
 func (e *exchange) passEvent(answer port.Answer, event port.StreamEvent) error {
-	if err := e.progress.Add(event.ID); err != nil {
+	if err := e.progress.Add(event.ID, event.Data != nil); err != nil {
 		return err
 	}
 	if err := e.startReply(answer); err != nil {
