Keep the limit on attempts when the rest of a stream is refused

Workers of a route that permits one target ran the rest of a stream that another one had begun (BUDGET).

Cause: the rest is requested from the same target when the limit is reached, but a refusal as not run led to the choice of another target, for which the limit was not asked again.

Change: a refusal at the limit counts as a failure of that target: the rest is requested there within the limit on reconnections, and then broken off. A target whose address another process has no longer counts, as one that cannot be reached.

Before: continuation_test.go:139: expected equality via cmp.Equal function (the second target ran the rest).

--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -118,6 +118,12 @@
 	}
 }
 
+// forgetRun records that the process of a target has ended. If it ran an earlier attempt, that
+// run no longer counts against the limit.
+func (e *exchange) forgetRun(target balance.Target) {
+	e.runTargets = slices.DeleteFunc(e.runTargets, func(id domain.Target) bool { return id == target.ID })
+}
+
 // attemptTimeout returns the time-out of one attempt and whether there is one.
 // It applies to requests that may go to another target, because an answer can
 // be lost while its connection stays open.
@@ -198,6 +204,7 @@
 	e.lastErr = err
 	switch {
 	case errors.Is(err, port.ErrMisdirected):
+		e.forgetRun(target)
 		e.release(target, balance.Replaced, nil)
 		e.countRetry("misdirected")
 		return true, nil
@@ -210,14 +217,16 @@
 		var unreachable *port.UnreachableError
 		if errors.As(err, &unreachable) {
 			outcome = balance.Failed
-			// If the target ran an earlier attempt, the process of that run has
-			// ended, so the run no longer counts against the limit.
-			e.runTargets = slices.DeleteFunc(e.runTargets, func(id domain.Target) bool { return id == target.ID })
+			e.forgetRun(target)
 			direct := e.isDirect()
 			e.g.Deliver(func(now time.Time) { e.g.targetUnreachable(now, target.ID, direct) })
 		}
 		e.release(target, outcome, nil)
-		e.countRetry("not_run")
+		if e.runs > 0 && len(e.runTargets) >= e.route.MaxAttempts {
+			// Only a target that has run a part may run the rest.
+			return e.handleFailedRun(ctx, target, err)
+		}
+		e.countRetry(retryNotRun)
 		return ctx.Err() == nil, e.contextRefusalOrNil(ctx, err)
 	}
 	e.recordRun(target)
@@ -279,6 +288,9 @@
 	return e.route.Kind == manifest.Stream && e.reconnects < maxReconnects && stream.MayAskAgain(err)
 }
 
+// retryNotRun is the label of a retry after a target refused the request.
+const retryNotRun = "not_run"
+
 // retryReason returns the label of a retry after an answer that does not belong to the stream,
 // or else the given one.
 func retryReason(err error, reason string) string {
@@ -289,6 +301,8 @@
 		return "continuation_error"
 	case errors.As(err, &sequence):
 		return "event_out_of_order"
+	case errors.Is(err, port.ErrNotRun):
+		return retryNotRun
 	default:
 		return reason
 	}
--- a/node/gateway/continuation_test.go
+++ b/node/gateway/continuation_test.go
@@ -118,3 +118,26 @@
 	must.True(t, reply.aborted)
 	must.Len(t, 1, r.targets.requests)
 }
+
+// Guards against a broken stream that goes to a second target, although its route permits one,
+// because the first target refuses to run the rest.
+func TestRefusedContinuationKeepsTheLimitOnAttempts(t *testing.T) {
+	for name, err := range map[string]error{"not run": port.ErrNotRun, "rejected": &port.RejectedError{Err: port.ErrNotRun}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			g := r.startGateway(0)
+			r.targets.answer = func(n int, _ port.TargetRequest) (port.Answer, error) {
+				if n == 1 {
+					return brokenStream(2), nil
+				}
+				return nil, err
+			}
+			refusal, reply := r.serve(g, streamRequest("1"))
+			must.Nil(t, refusal)
+			must.True(t, reply.aborted)
+			for _, q := range r.targets.requests {
+				must.Eq(t, r.targets.requests[0].Target.ID, q.Target.ID)
+			}
+		})
+	}
+}
