Do not take a document for the rest of a stream

Cause: a continuation was any signed answer with a status of success.

Change: the head of an answer has its media type. An answer of another type than the one that began the stream does not continue it; without a type on either side nothing is concluded.

Evidence: TestDocumentIsNoContinuationOfStream failed before: continuation_test.go: expected condition to be false; is true.

--- a/core/stream/errors.go
+++ b/core/stream/errors.go
@@ -14,6 +14,17 @@
 	return fmt.Sprintf("the target answered the continuation of the stream with the status %d; ask another target, or break the stream off", e.Status)
 }
 
+// MediaTypeError means that a target answered the continuation of a stream with a body of
+// another type.
+type MediaTypeError struct {
+	// Begun is the type of the answer that began the stream, Continued that of the other one.
+	Begun, Continued string
+}
+
+func (e *MediaTypeError) Error() string {
+	return fmt.Sprintf("the target answered the continuation of a stream of the type %s with the type %s; ask another target, or break the stream off", e.Begun, e.Continued)
+}
+
 // SequenceError means that an event does not come after the last one that the caller has: the
 // target began the stream again, or repeats a part of it.
 type SequenceError struct {
@@ -33,11 +44,12 @@
 // the rest of the stream again. It may not if it would answer in the same way.
 func MayAskAgain(err error) bool {
 	var status *StatusError
+	var mediaType *MediaTypeError
 	var sequence *SequenceError
 	switch {
 	case errors.As(err, &status):
 		return status.Status >= statusServerError
 	default:
-		return !errors.As(err, &sequence)
+		return !errors.As(err, &mediaType) && !errors.As(err, &sequence)
 	}
 }
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -8,7 +8,9 @@
 // Progress is what a caller has received of a stream. It is not safe for concurrent use.
 type Progress struct {
 	begun bool
-	last  string
+	// mediaType is that of the answer that began, or "" if it names none.
+	mediaType string
+	last      string
 	// unnumbered reports whether the caller has an event without an id.
 	unnumbered bool
 	latest     Continuation
@@ -30,8 +32,8 @@
 // Begun reports whether a part of the answer was passed on to the caller.
 func (p *Progress) Begun() bool { return p.begun }
 
-// Begin records that a part of the answer is passed on to the caller.
-func (p *Progress) Begin() { p.begun = true }
+// Begin records that an answer is passed on to the caller from its head on.
+func (p *Progress) Begin(h Head) { p.begun, p.mediaType = true, h.MediaType }
 
 // Last returns the id of the last event that the caller has, or "".
 func (p *Progress) Last() string { return p.last }
@@ -50,13 +52,28 @@
 	}
 }
 
-// CheckAnswer returns a *StatusError if the stream has begun and the answer is not a success.
-// Its body is no part of the stream then.
-func (p *Progress) CheckAnswer(status int, success bool) error {
-	if p.begun && !success {
-		return &StatusError{Status: status}
+// Head is what an answer says of itself.
+type Head struct {
+	Status int
+	// Success reports whether Status means success.
+	Success bool
+	// MediaType is the type of the body, or "" if the target names none.
+	MediaType string
+}
+
+// CheckAnswer returns a *StatusError or a *MediaTypeError if the stream has begun and the
+// answer, an error or a document, is no part of it.
+func (p *Progress) CheckAnswer(h Head) error {
+	switch {
+	case !p.begun:
+		return nil
+	case !h.Success:
+		return &StatusError{Status: h.Status}
+	case p.mediaType != "" && h.MediaType != "" && p.mediaType != h.MediaType:
+		return &MediaTypeError{Begun: p.mediaType, Continued: h.MediaType}
+	default:
+		return nil
 	}
-	return nil
 }
 
 // Add records an event that is to be passed on to the caller. It returns a *SequenceError if
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -9,11 +9,11 @@
 // Guards against an error status that is taken for a part of a stream that has begun.
 func TestErrorStatusIsNoContinuation(t *testing.T) {
 	p := New("")
-	must.NoError(t, p.CheckAnswer(500, false)) // nothing was passed on: it is the answer
-	p.Begin()
-	must.NoError(t, p.CheckAnswer(200, true))
+	must.NoError(t, p.CheckAnswer(Head{Status: 500})) // nothing was passed on: it is the answer
+	p.Begin(Head{Status: 200, Success: true})
+	must.NoError(t, p.CheckAnswer(Head{Status: 200, Success: true}))
 	for status, again := range map[int]bool{404: false, 499: false, 500: true, 503: true} {
-		err := p.CheckAnswer(status, false)
+		err := p.CheckAnswer(Head{Status: status})
 		must.Error(t, err)
 		must.Eq(t, again, MayAskAgain(err), must.Sprint(status))
 	}
@@ -51,3 +51,17 @@
 	must.NoError(t, p.Add("2", true))
 	must.False(t, p.CanContinue())
 }
+
+// Guards against a document with a status of success that is taken for a part of a stream.
+func TestOtherMediaTypeIsNoContinuation(t *testing.T) {
+	for _, c := range []struct {
+		begun, continued string
+		want             bool
+	}{{"a/b", "a/b", true}, {"a/b", "", true}, {"", "a/b", true}, {"a/b", "a/c", false}} {
+		p := New("")
+		p.Begin(Head{Success: true, MediaType: c.begun})
+		err := p.CheckAnswer(Head{Success: true, MediaType: c.continued})
+		must.Eq(t, c.want, err == nil, must.Sprint(c))
+		must.Eq(t, c.want, MayAskAgain(err))
+	}
+}
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -295,9 +295,10 @@
 // or else the given one.
 func retryReason(err error, reason string) string {
 	var status *stream.StatusError
+	var mediaType *stream.MediaTypeError
 	var sequence *stream.SequenceError
 	switch {
-	case errors.As(err, &status):
+	case errors.As(err, &status) || errors.As(err, &mediaType):
 		return "continuation_error"
 	case errors.As(err, &sequence):
 		return "event_out_of_order"
@@ -317,11 +318,10 @@
 
 // pass forwards an answer, unless the caller has a part of a stream to which it does not belong.
 func (e *exchange) pass(ctx context.Context, answer port.Answer) error {
-	head := answer.Head()
-	if err := e.progress.CheckAnswer(head.Status, head.Success); err != nil {
+	if err := e.progress.CheckAnswer(streamHead(answer)); err != nil {
 		return err
 	}
-	if e.route.Kind == manifest.Stream && head.Success {
+	if e.route.Kind == manifest.Stream && answer.Head().Success {
 		return e.passStream(ctx, answer)
 	}
 	return e.passWhole(answer)
@@ -333,7 +333,7 @@
 		return err
 	}
 	// A refusal must not follow, even if only a part of the answer is written.
-	e.beginReply()
+	e.beginReply(answer)
 	if err := e.reply.Send(answer.Head(), body); err != nil {
 		return errors.Join(errReply, err)
 	}
@@ -369,17 +369,22 @@
 }
 
 // beginReply records that a part of the answer goes to the caller.
-func (e *exchange) beginReply() {
-	e.progress.Begin()
+func (e *exchange) beginReply(answer port.Answer) {
+	e.progress.Begin(streamHead(answer))
 	e.firstAt = e.elapsed()
 }
 
+func streamHead(answer port.Answer) stream.Head {
+	h := answer.Head()
+	return stream.Head{Status: h.Status, Success: h.Success, MediaType: h.MediaType}
+}
+
 // startReply passes on the head of a stream that has not begun.
 func (e *exchange) startReply(answer port.Answer) error {
 	if e.progress.Begun() {
 		return nil
 	}
-	e.beginReply()
+	e.beginReply(answer)
 	e.recordOrigin()
 	if err := e.reply.Begin(answer.Head()); err != nil {
 		return errors.Join(errReply, err)
--- a/node/gateway/continuation_test.go
+++ b/node/gateway/continuation_test.go
@@ -180,3 +180,21 @@
 	must.Nil(t, refusal)
 	must.Eq(t, "in;e1\ne2\ne3\nnext", r.targets.bodies()[3])
 }
+
+// Guards against a document with a status of success that answers the continuation of a broken
+// stream and is passed on as its rest.
+func TestDocumentIsNoContinuationOfStream(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.answerInTurn(
+		func() *scriptedAnswer {
+			a := brokenStream(2)
+			a.mediaType = "text/event-stream"
+			return a
+		},
+		func() *scriptedAnswer { return &scriptedAnswer{status: 200, mediaType: "application/json"} })
+	refusal, reply := r.serve(g, streamRequest("1"))
+	must.Nil(t, refusal)
+	must.False(t, reply.ended)
+	must.True(t, reply.aborted)
+}
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -122,12 +122,13 @@
 	// after is the id of the event before the first one; unnumbered leaves out the ids.
 	after      int
 	unnumbered bool
+	mediaType  string
 	// limit is the rate that the target names, or nil.
 	limit *float64
 }
 
 func (s *scriptedAnswer) Head() port.AnswerHead {
-	return port.AnswerHead{Status: s.status, Success: s.status == 200, RateLimit: s.limit}
+	return port.AnswerHead{Status: s.status, Success: s.status == 200, RateLimit: s.limit, MediaType: s.mediaType}
 }
 
 func (s *scriptedAnswer) Body(int64) ([]byte, error) {
--- a/port/exchange.go
+++ b/port/exchange.go
@@ -131,6 +131,8 @@
 	Status int
 	// Success reports whether Status means success.
 	Success bool
+	// MediaType is the type of the body without parameters, or "" if the target names none.
+	MediaType string
 	// Load is the load that the target reported with the answer, or nil.
 	Load *balance.Load
 	// RateLimit is the number of requests a second that the target takes from all gateways
