Do not take a reset for the end of an answer

Callers got a 200 with a short body, framed as whole, or a stream that ended as complete: a worker answered without a length while it still received the request, and reset the connection in the middle of its answer.

The kernel returns the error of a reset once. If the write of the request receives it, reads return the bytes that had arrived and then an orderly end. An answer without a length is whole at an orderly end. A gateway that serves a tunnel passed the same end on as the end of the target.

Connections of tcp.Dial now check the state of the socket at an end: after a reset or a time-out it is CLOSE, after an end by the peer it is not. This holds for workers, for both sides of a tunnel and for internal calls. An answer with a length or in chunks does not need the end of the connection and is read as before.

--- a/adapter/tcp/dialer.go
+++ b/adapter/tcp/dialer.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -25,10 +27,53 @@
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
 
-// Dial connects to an IPv4 address and port within the timeout.
+// Dial connects to an IPv4 address and port within the timeout. Reads return io.EOF only if
+// the peer ended the connection.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{Timeout: timeout, Control: setUserTimeout, KeepAliveConfig: keepAlive}
-	return d.DialContext(ctx, "tcp4", address)
+	c, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, tcp: c.(*net.TCPConn)}, nil
+}
+
+// conn is a connection whose reads tell a reset from an end. The kernel returns the error of
+// a reset only once: if a write receives it, reads report an end.
+type conn struct {
+	net.Conn
+	tcp *net.TCPConn
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.checkEnd()
+	}
+	return n, err
+}
+
+// checkEnd returns io.EOF if the peer ended the connection. A connection that was reset or
+// timed out is in the state CLOSE.
+func (c *conn) checkEnd() error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err := errors.Join(err, infoErr); err != nil {
+		return err
+	}
+	if info.State == unix.BPF_TCP_CLOSE {
+		return fmt.Errorf("tcp: read from %s: %w", c.RemoteAddr(), unix.ECONNRESET)
+	}
+	return io.EOF
 }
 
 // Watch makes an accepted connection detect an unresponsive peer, as those of Dial do.
