Test tunnels that break after each byte

The bytes of a tunnel that is cut anywhere, by a close or a reset, are neither the end of the target nor, after the tunnel is open, a request that was not sent.

--- a/adapter/tunnel/tunnel_test.go
+++ b/adapter/tunnel/tunnel_test.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -155,6 +156,44 @@
 	}
 }
 
+// Guards against an answer without a length that looks whole, or a request that counts as not
+// sent, although the connection between the gateways broke anywhere in the answer.
+func TestTunnelCutAnywhereIsNoEnd(t *testing.T) {
+	var reply bytes.Buffer
+	must.NoError(t, writeMessage(&reply, newCodec(t), &reach.Opened{}))
+	opened := reply.Len()
+	for _, data := range []string{"first", "second"} {
+		head := make([]byte, frameHeadBytes)
+		putFrameHead(head, frameData, len(data))
+		reply.WriteString(string(head) + data)
+	}
+	reply.Write([]byte{byte(frameStopping), 0, 0, byte(frameEnd), 0, 0})
+	for _, reset := range []bool{false, true} {
+		for n := range reply.Len() + 1 {
+			peer := startTarget(t, func(c net.Conn) {
+				if _, err := readMessage(c, newCodec(t)); err != nil {
+					return
+				}
+				c.Write(reply.Bytes()[:n]) //nolint:errcheck // the reader fails
+				if reset {
+					c.(*net.TCPConn).SetLinger(0) //nolint:errcheck // the test fails
+				}
+			})
+			c, err := dial(t, "target", peer)
+			if err == nil {
+				_, err = io.ReadAll(c)
+			}
+			if n == reply.Len() {
+				must.NoError(t, err)
+				continue
+			}
+			var broken *port.TunnelError
+			must.True(t, errors.As(err, &broken), must.Sprintf("%d of %d bytes: %v", n, reply.Len(), err))
+			must.Eq(t, n < opened, errors.Is(err, port.ErrNotRun), must.Sprintf("%d bytes", n))
+		}
+	}
+}
+
 // Guards against a request that goes on at its target after its gateway has left, and
 // against tunnels that are counted for ever.
 func TestTargetNoticesThatGatewayLeft(t *testing.T) {
