Require the order of events to be known where a stream goes on

Cause: an event without an id was accepted after any other, and of ids that are no numbers only a repetition of the last one was noticed.

Change: after a number only a higher number follows. A stream that has events with other ids, or none, is not continued. Events without data are not counted, so that a comment that repeats an id does not break a stream.

--- a/core/stream/stream.go
+++ b/core/stream/progress.go
@@ -11,9 +11,9 @@
 	// mediaType is that of the answer that began, or "" if it names none.
 	mediaType string
 	last      string
-	// unnumbered reports whether the caller has an event without an id.
-	unnumbered bool
-	latest     Continuation
+	// unordered reports whether the caller has an event whose id is no number, or none.
+	unordered bool
+	latest    Continuation
 }
 
 // Continuation describes the latest attempt to go on with a stream that had begun.
@@ -38,12 +38,12 @@
 // Last returns the id of the last event that the caller has, or "".
 func (p *Progress) Last() string { return p.last }
 
-// CanContinue reports whether a target can be asked for the rest. Without an id for each event
-// it would send some of them again.
-func (p *Progress) CanContinue() bool { return !p.unnumbered }
+// CanContinue reports whether a target can be asked for the rest. Without a number for each event
+// it cannot be told whether the target begins again.
+func (p *Progress) CanContinue() bool { return !p.unordered }
 
-// Latest returns the latest continuation.
-func (p *Progress) Latest() Continuation { return p.latest }
+// LatestContinuation returns the latest continuation.
+func (p *Progress) LatestContinuation() Continuation { return p.latest }
 
 // NextAttempt records that the stream is requested, or its rest if it has begun.
 func (p *Progress) NextAttempt() {
@@ -76,31 +76,43 @@
 	}
 }
 
-// Add records an event that is to be passed on to the caller. It returns a *SequenceError if
-// the event does not come after the last one that the caller has. hasData reports whether it is
-// more than a comment.
-func (p *Progress) Add(id string, hasData bool) error {
-	if id == "" {
-		p.unnumbered = p.unnumbered || hasData
-		return nil
-	}
+// Add records an event with data that is to be passed on to the caller. It returns a
+// *SequenceError if the event does not come after the last one that the caller has, or if that
+// cannot be told.
+func (p *Progress) Add(id string) error {
 	if p.latest.Count > 0 && p.latest.With == "" {
 		p.latest.With = id
 	}
 	if !follows(p.last, id) {
 		return &SequenceError{Last: p.last, Next: id}
 	}
+	if !isNumber(id) {
+		p.unordered = true
+	}
 	p.last = id
 	return nil
 }
 
-// follows reports whether an event may come after the one with the id last. Ids increase, and
-// need not be consecutive. Of ids that are not numbers only a repetition can be told.
+// follows reports whether an event may come after the one with the id last. Numbers increase, and
+// need not be consecutive. Of other ids only a repetition can be told.
 func follows(last, next string) bool {
-	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
-	nextNumber, nextErr := strconv.ParseUint(next, 10, 64)
-	if lastErr != nil || nextErr != nil {
-		return next != last
+	switch {
+	case last == "":
+		return true
+	case isNumber(last):
+		return isNumber(next) && number(next) > number(last)
+	default:
+		return next != "" && next != last
 	}
-	return nextNumber > lastNumber
+}
+
+func isNumber(id string) bool {
+	_, err := strconv.ParseUint(id, 10, 64)
+	return err == nil
+}
+
+// number returns the value of an id that is a number.
+func number(id string) uint64 {
+	n, _ := strconv.ParseUint(id, 10, 64)
+	return n
 }
--- a/core/stream/stream_test.go
+++ b/core/stream/progress_test.go
@@ -19,19 +19,21 @@
 	}
 }
 
-// Guards against events that come twice, or go back, in one answer, over several, or after the
-// event that the caller named.
+// Guards against events that come twice, go back, or whose order is unknown, in one answer, over
+// several, or after the event that the caller named.
 func TestEventsFollowEachOther(t *testing.T) {
 	for _, c := range []struct {
 		last, next string
 		want       bool
 	}{
-		{"", "0", true}, {"", "7", true}, {"1", "2", true}, {"1", "5", true}, {"9", "10", true},
+		{"", "0", true}, {"", "7", true}, {"", "", true}, {"", "a", true},
+		{"1", "2", true}, {"1", "5", true}, {"9", "10", true},
 		{"1", "1", false}, {"3", "1", false}, {"10", "9", false}, {"2", "02", false},
-		{"a", "b", true}, {"a", "a", false}, {"a", "1", true},
+		{"1", "", false}, {"1", "run-1", false},
+		{"a", "b", true}, {"a", "a", false}, {"a", "", false},
 	} {
 		p := New(c.last)
-		err := p.Add(c.next, true)
+		err := p.Add(c.next)
 		must.Eq(t, c.want, err == nil, must.Sprint(c.last, c.next, err))
 		if !c.want {
 			must.False(t, MayAskAgain(err))
@@ -40,16 +42,16 @@
 	}
 }
 
-// Guards against a stream that is sent again although the caller has a part without an id, and
-// against one that is broken off for a comment.
+// Guards against a stream that is sent again although it could not be told whether its target
+// begins again.
 func TestOnlyNumberedStreamsContinue(t *testing.T) {
-	p := New("")
-	must.NoError(t, p.Add("", false))
-	must.NoError(t, p.Add("1", true))
-	must.True(t, p.CanContinue())
-	must.NoError(t, p.Add("", true))
-	must.NoError(t, p.Add("2", true))
-	must.False(t, p.CanContinue())
+	for _, id := range []string{"", "a-1"} {
+		p := New("")
+		must.True(t, p.CanContinue())
+		must.NoError(t, p.Add(id))
+		must.NoError(t, p.Add("a-2"))
+		must.False(t, p.CanContinue())
+	}
 }
 
 // Guards against a document with a status of success that is taken for a part of a stream.
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -393,8 +393,10 @@
 }
 
 func (e *exchange) passEvent(answer port.Answer, event port.StreamEvent) error {
-	if err := e.progress.Add(event.ID, event.Data != nil); err != nil {
-		return err
+	if event.Data != nil {
+		if err := e.progress.Add(event.ID); err != nil {
+			return err
+		}
 	}
 	if err := e.startReply(answer); err != nil {
 		return err
--- a/node/gateway/continuation_test.go
+++ b/node/gateway/continuation_test.go
@@ -198,3 +198,29 @@
 	must.False(t, reply.ended)
 	must.True(t, reply.aborted)
 }
+
+// Guards against a continuation whose events have no ids, which may be any, and against a stored
+// turn that holds them.
+func TestContinuationWithoutIDsIsNotPassedOn(t *testing.T) {
+	for _, events := range [][]string{{"e1", "e2", "e3", "e4"}, {`{"error":"the run is lost"}`}} {
+		r := newRig(t)
+		g := r.startGateway(0)
+		unnumbered := func() *scriptedAnswer { return &scriptedAnswer{status: 200, events: events, unnumbered: true} }
+		r.answerInTurn(func() *scriptedAnswer { return brokenStream(3) }, unnumbered)
+		q := streamRequest("1")
+		q.Path = "/keep/1"
+		_, reply := r.serve(g, q)
+		must.Eq(t, []string{"e1", "e2", "e3"}, reply.events)
+		must.False(t, reply.ended)
+		next := streamRequest("2")
+		next.Path, next.Previous = "/keep/1", "1"
+		refusal, _ := r.serve(g, next)
+		must.NotNil(t, refusal)
+		must.Eq(t, NoSuchTurn, refusal.Kind)
+		r.beginStream(g, "s")
+		r.answerInTurn(unnumbered)
+		_, reply = r.serve(g, resumeRequest("s-again", "s"))
+		must.SliceEmpty(t, reply.events)
+		must.False(t, reply.ended)
+	}
+}
--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -29,7 +29,7 @@
 	if e.status != 0 {
 		fields = append(fields, "status", e.status)
 	}
-	if c := e.progress.Latest(); c.Count > 0 {
+	if c := e.progress.LatestContinuation(); c.Count > 0 {
 		fields = append(fields, "continuations", c.Count, "continued_after", c.After, "continued_with", c.With)
 	}
 	if e.Program != "" {
