Keep the suspicion of a request after an error on its continuation

A request that crashes targets could run on more of them than permitted (BUDGET): after a crash, an error on the continuation of its stream cleared it.

Cause: such an error counted as an answer that serves the request.

Change: the attempt says nothing of the target or the request.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -111,7 +111,8 @@
 	Failed
 	// Replaced means that another process uses the target's address.
 	Replaced
-	// Abandoned means that the caller cancelled the request or its deadline expired.
+	// Abandoned means that the outcome says nothing of the target: the caller cancelled the request,
+	// its deadline expired, or the target answered the rest of a stream with an error.
 	Abandoned
 )
 
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -137,9 +137,9 @@
 func outcomeOf(ctx context.Context, err error) balance.Outcome {
 	var status *stream.StatusError
 	switch {
-	case err == nil || errors.As(err, &status):
+	case err == nil:
 		return balance.Served
-	case ctx.Err() != nil || isOwnFailure(err) || tunnelFailure(err) != nil:
+	case ctx.Err() != nil || isOwnFailure(err) || tunnelFailure(err) != nil || errors.As(err, &status):
 		return balance.Abandoned
 	default:
 		return balance.Failed
--- a/node/gateway/continuation_test.go
+++ b/node/gateway/continuation_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -224,3 +226,19 @@
 		must.False(t, reply.ended)
 	}
 }
+
+// Guards against a crash of a target that is forgotten because the continuation was answered
+// with an error status: the request was not served.
+func TestErrorOfContinuationKeepsCrashOfRequest(t *testing.T) {
+	r := newRig(t)
+	g := r.startGateway(0)
+	r.answerInTurn(func() *scriptedAnswer { return brokenStream(1) }, func() *scriptedAnswer { return &scriptedAnswer{status: 404} })
+	_, _ = r.serve(g, streamRequest("1"))
+	crashed := r.targets.requests[0].Target.ID
+	crashes := 0
+	must.NoError(t, g.Do(context.Background(), func(now time.Time) {
+		g.watch.TargetUnreachable(now, crashed)
+		crashes = len(g.watch.Crashes(now))
+	}))
+	must.Eq(t, 1, crashes)
+}
