Let the front end say whether a status blames the target

- core/stream compared statuses of HTTP; the head of an answer says whether the target failed.
- the lines of requests say whether the last answer ends with its connection.
An early end of such an answer cannot be seen in the logs otherwise.
- a request that was not run has a handler of its own, and the limit on repetitions at one target is named for what it bounds.

--- a/core/stream/errors.go
+++ b/core/stream/errors.go
@@ -8,6 +8,8 @@
 // StatusError means that a target answered the continuation of a stream with an error status.
 type StatusError struct {
 	Status int
+	// TargetFailed reports whether the same target may answer otherwise when it is asked again.
+	TargetFailed bool
 }
 
 func (e *StatusError) Error() string {
@@ -36,10 +38,6 @@
 	return fmt.Sprintf("the target sent the event %q after %q, and ids of events increase; ask another target, or break the stream off", e.Next, e.Last)
 }
 
-// statusServerError is the lowest status of a failure of the server. Those below blame the
-// request.
-const statusServerError = 500
-
 // MayAskAgain reports whether the target of an attempt that failed with err may be asked for
 // the rest of the stream again. It may not if it would answer in the same way.
 func MayAskAgain(err error) bool {
@@ -48,7 +46,7 @@
 	var sequence *SequenceError
 	switch {
 	case errors.As(err, &status):
-		return status.Status >= statusServerError
+		return status.TargetFailed
 	default:
 		return !errors.As(err, &mediaType) && !errors.As(err, &sequence)
 	}
--- a/core/stream/progress.go
+++ b/core/stream/progress.go
@@ -57,6 +57,8 @@
 	Status int
 	// Success reports whether Status means success.
 	Success bool
+	// TargetFailed reports whether Status blames the target rather than the request.
+	TargetFailed bool
 	// MediaType is the type of the body, or "" if the target names none.
 	MediaType string
 }
@@ -68,7 +70,7 @@
 	case !p.begun:
 		return nil
 	case !h.Success:
-		return &StatusError{Status: h.Status}
+		return &StatusError{Status: h.Status, TargetFailed: h.TargetFailed}
 	case p.mediaType != "" && h.MediaType != "" && p.mediaType != h.MediaType:
 		return &MediaTypeError{Begun: p.mediaType, Continued: h.MediaType}
 	default:
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -14,10 +14,10 @@
 	"github.com/mangoknot/mangoknot/port"
 )
 
-// maxReconnects bounds how often a stream is resumed at the same target after
-// its connection failed or the target answered with an error. The attempt limit of a route counts distinct targets
-// and does not bound this.
-const maxReconnects = 2
+// maxRepeatsAtTarget bounds how often the rest of a stream is requested from the same target
+// after its connection failed, or the target answered with an error or refused it. The attempt
+// limit of a route counts distinct targets and does not bound this.
+const maxRepeatsAtTarget = 2
 
 // attemptTimeoutFactor is the time-out of one attempt of an idempotent request,
 // as a multiple of the route's objective. Almost all answers arrive within the
@@ -58,7 +58,7 @@
 		return e.handleNoAnswer(callerCtx, target, withStall(ctx, err))
 	}
 	defer answer.Close()
-	e.via, e.status = answer.Head().Via, answer.Head().Status
+	e.via, e.status, e.endsWithConnection = answer.Head().Via, answer.Head().Status, answer.Head().EndsWithConnection
 	e.g.heardTarget()
 	e.observe(target, answer.Head())
 	e.recordRun(target)
@@ -213,27 +213,32 @@
 		e.countRetry("no_tunnel")
 		return false, e.noTargetRefusal(NoTunnel, e.spread(fullRetryAfter))
 	case errors.Is(err, port.ErrNotRun):
-		outcome := balance.Rejected
-		var unreachable *port.UnreachableError
-		if errors.As(err, &unreachable) {
-			outcome = balance.Failed
-			e.forgetRun(target)
-			direct := e.isDirect()
-			e.g.Deliver(func(now time.Time) { e.g.targetUnreachable(now, target.ID, direct) })
-		}
-		e.release(target, outcome, nil)
-		if e.runs > 0 && len(e.runTargets) >= e.route.MaxAttempts {
-			// Only a target that has run a part may run the rest.
-			return e.handleFailedRun(ctx, target, err)
-		}
-		e.countRetry(retryNotRun)
-		return ctx.Err() == nil, e.contextRefusalOrNil(ctx, err)
+		return e.handleNotRun(ctx, target, err)
 	}
 	e.recordRun(target)
 	e.release(target, outcomeOf(ctx, err), nil)
 	return e.handleFailedRun(ctx, target, err)
 }
 
+// handleNotRun handles an attempt that the target did not run.
+func (e *exchange) handleNotRun(ctx context.Context, target balance.Target, err error) (bool, *Refusal) {
+	outcome := balance.Rejected
+	var unreachable *port.UnreachableError
+	if errors.As(err, &unreachable) {
+		outcome = balance.Failed
+		e.forgetRun(target)
+		direct := e.isDirect()
+		e.g.Deliver(func(now time.Time) { e.g.targetUnreachable(now, target.ID, direct) })
+	}
+	e.release(target, outcome, nil)
+	if e.runs > 0 && len(e.runTargets) >= e.route.MaxAttempts {
+		// Only a target that has run a part may run the rest.
+		return e.handleFailedRun(ctx, target, err)
+	}
+	e.countRetry(retryNotRun)
+	return ctx.Err() == nil, e.contextRefusalOrNil(ctx, err)
+}
+
 func (e *exchange) contextRefusalOrNil(ctx context.Context, err error) *Refusal {
 	if ctx.Err() == nil {
 		return nil
@@ -254,8 +259,8 @@
 			e.countRetry(retryReason(err, "target_failed"))
 			return true, nil
 		}
-		if e.mayReconnect(err) {
-			e.reconnects++
+		if e.mayAskAgain(err) {
+			e.repeatsAtTarget++
 			e.reconnectTarget = &target
 			e.countRetry(retryReason(err, "connection_failed"))
 			return true, nil
@@ -283,9 +288,9 @@
 	return e.route.Retryable()
 }
 
-// mayReconnect reports whether the rest of a stream may be requested from the same target.
-func (e *exchange) mayReconnect(err error) bool {
-	return e.route.Kind == manifest.Stream && e.reconnects < maxReconnects && stream.MayAskAgain(err)
+// mayAskAgain reports whether the rest of a stream may be requested from the same target.
+func (e *exchange) mayAskAgain(err error) bool {
+	return e.route.Kind == manifest.Stream && e.repeatsAtTarget < maxRepeatsAtTarget && stream.MayAskAgain(err)
 }
 
 // retryNotRun is the label of a retry after a target refused the request.
@@ -376,7 +381,7 @@
 
 func streamHead(answer port.Answer) stream.Head {
 	h := answer.Head()
-	return stream.Head{Status: h.Status, Success: h.Success, MediaType: h.MediaType}
+	return stream.Head{Status: h.Status, Success: h.Success, TargetFailed: h.TargetFailed, MediaType: h.MediaType}
 }
 
 // startReply passes on the head of a stream that has not begun.
--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -29,6 +29,9 @@
 	if e.status != 0 {
 		fields = append(fields, "status", e.status)
 	}
+	if e.endsWithConnection {
+		fields = append(fields, "ends_with_connection", true)
+	}
 	if c := e.progress.LatestContinuation(); c.Count > 0 {
 		fields = append(fields, "continuations", c.Count, "continued_after", c.After, "continued_with", c.With)
 	}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -105,7 +105,7 @@
 	// reconnectTarget is the target of the next attempt if a stream is resumed
 	// at the same target, or nil.
 	reconnectTarget *balance.Target
-	reconnects      int
+	repeatsAtTarget int
 	// stall ends the current attempt when its stream stalls. It is nil for other requests.
 	stall *time.Timer
 
@@ -123,10 +123,12 @@
 	events   int
 	// progress is what the caller has received of the answer.
 	progress *stream.Progress
-	// status is the status of the last answer of a target, or 0.
-	status      int
-	outcome     string
-	fingerprint quarantine.Fingerprint
+	// status is the status of the last answer of a target, or 0. endsWithConnection reports
+	// whether that answer has no length.
+	status             int
+	endsWithConnection bool
+	outcome            string
+	fingerprint        quarantine.Fingerprint
 	// allowanceTaken reports whether the request was counted against its
 	// account's allowance.
 	allowanceTaken bool
--- a/port/exchange.go
+++ b/port/exchange.go
@@ -131,6 +131,9 @@
 	Status int
 	// Success reports whether Status means success.
 	Success bool
+	// TargetFailed reports whether Status blames the target rather than the request, so that the
+	// same target may answer otherwise when it is asked again.
+	TargetFailed bool
 	// MediaType is the type of the body without parameters, or "" if the target names none.
 	MediaType string
 	// Load is the load that the target reported with the answer, or nil.
@@ -140,6 +143,9 @@
 	RateLimit *float64
 	// Leaving reports whether the target says that it leaves.
 	Leaving bool
+	// EndsWithConnection reports whether nothing but the end of the connection marks the end of
+	// the answer.
+	EndsWithConnection bool
 	// Via names the gateway and the tunnel through which the target was reached, or is "".
 	Via string
 	// Wire holds the encoded parts of the answer that the front end forwards to
