Reset the connection of a caller of HTTP/1.0 when its answer breaks off

Cause: such an answer ends with its connection, and a gateway that breaks off closes the connection.

Change: the connection is reset.

Evidence: before: head_test.go:517: expected non-nil error; got nil (HTTP/1.0: both events and the end of a complete answer).

--- a/adapter/tcp/dialer.go
+++ b/adapter/tcp/dialer.go
@@ -76,6 +76,14 @@
 	return io.EOF
 }
 
+// Reset closes a connection with a reset, so that the peer does not take it for an end.
+func Reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection has ended
+	}
+	c.Close()
+}
+
 // Watch makes an accepted connection detect an unresponsive peer, as those of Dial do.
 func Watch(c net.Conn) error {
 	accepted, ok := c.(*net.TCPConn)
