Check that a resumed answer continues the same answer

What callers saw: after a broken connection to an engine, a stream went on with events that were no continuation: events without an offset, events of another run, or a whole JSON answer. The stream had a piece twice or joined two runs, and ended as complete; the joined answer was stored and charged.

Cause: the offset of an event was compared only where the event had one, and an event below the offset was dropped unseen, whatever it held.

Change: on a connection that resumes an answer, every event needs an offset, and the first new event the completion id of the last one returned. An event that was returned before is dropped only if its payload is the same. A gap was already refused. An engine that resends equal events is tolerated as before.

--- a/adapter/target/call.go
+++ b/adapter/target/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net/http"
 	"net/url"
@@ -32,6 +33,8 @@
 	errBadCallID       = errors.New("the call id holds characters that are not allowed in a path")
 	errStreamedError   = errors.New("the engine sent an error inside the stream")
 	errGap             = errors.New("the engine skipped events of the answer")
+	errNoOffset        = errors.New("the engine resumed the stream with an event that has no offset")
+	errOtherAnswer     = errors.New("the engine resumed the stream with events of another answer")
 	errAnswerTooLarge  = errors.New("the answer exceeds the size limit")
 	errForeignAnswer   = errors.New("the engine sent the answer of another call")
 	errResumeLimit     = errors.New("the stream was lost after each resume; the limit on resumes is reached")
@@ -57,8 +60,12 @@
 	connection  *connection
 	resumes     int
 	answerBytes int
-	usage       *domain.Usage
-	endErr      error
+	// digests holds a hash of each event that Next has returned, and last the
+	// payload of the latest one.
+	digests []uint64
+	last    []byte
+	usage   *domain.Usage
+	endErr  error
 	// stopCancelOnDone unregisters the cancel request that is sent when the
 	// context ends.
 	stopCancelOnDone func() bool
@@ -70,6 +77,9 @@
 	cancel context.CancelFunc
 	body   io.Closer
 	events events
+	// offset is the number of events that were returned before the connection was
+	// opened.
+	offset int
 }
 
 func (c *connection) close() {
@@ -160,7 +170,7 @@
 		cancel()
 		return nil, err
 	}
-	connection := &connection{cancel: cancel, body: response.Body}
+	connection := &connection{cancel: cancel, body: response.Body, offset: int(s.offset.Load())}
 	if err := s.checkResponse(connection, response); err != nil {
 		connection.close()
 		return nil, err
@@ -202,16 +212,43 @@
 			if err := s.recover(err); err != nil {
 				s.finish(err)
 			}
-		case id != noID && id < offset: // a duplicate after a resume
-		case id > offset:
-			s.finish(badAnswer(s.call.Target, 0, nil, "%w: got %d, want %d", errGap, id, offset))
 		default:
-			return s.deliver(offset, data)
+			next, err := s.checkOrder(id, data)
+			if err != nil {
+				s.finish(badAnswer(s.call.Target, 0, nil, "%w", err))
+			} else if next {
+				return s.deliver(offset, data)
+			}
 		}
 	}
 	return port.Event{}, s.endErr
 }
 
+// digestSeed is the seed of the hashes in stream.digests.
+var digestSeed = maphash.MakeSeed()
+
+// checkOrder reports whether an event is the next one of the answer. It returns
+// false for a copy of an event that was returned before, and an error for an
+// event that does not continue the answer.
+func (s *stream) checkOrder(id int, data []byte) (next bool, err error) {
+	offset := int(s.offset.Load())
+	resumed := s.connection.offset > 0
+	switch {
+	case id == noID && resumed:
+		return false, errNoOffset
+	case id > offset:
+		return false, fmt.Errorf("%w: got %d, want %d", errGap, id, offset)
+	case id != noID && id < offset:
+		if maphash.Bytes(digestSeed, data) != s.digests[id] {
+			return false, fmt.Errorf("%w: event %d differs", errOtherAnswer, id)
+		}
+		return false, nil
+	case resumed && offset == s.connection.offset && !sameAnswer(s.last, data):
+		return false, errOtherAnswer
+	}
+	return true, nil
+}
+
 // deliver checks the payload of the next event, records its usage and returns
 // the event.
 func (s *stream) deliver(offset int, data []byte) (port.Event, error) {
@@ -225,6 +262,7 @@
 		s.usage = usage
 	}
 	s.resumes = 0
+	s.digests, s.last = append(s.digests, maphash.Bytes(digestSeed, data)), data
 	s.offset.Add(1)
 	return port.Event{Offset: offset, Data: data}, nil
 }
--- a/adapter/target/events.go
+++ b/adapter/target/events.go
@@ -167,3 +167,21 @@
 	u := answer.Usage
 	return &domain.Usage{Prompt: u.Prompt, Cached: u.Details.Cached, Generated: u.Completion}
 }
+
+// sameAnswer reports whether two payloads can belong to one answer. All chunks of
+// a chat completion have the same id.
+func sameAnswer(first, second []byte) bool {
+	a, b := completionID(first), completionID(second)
+	return a == "" || b == "" || a == b
+}
+
+// completionID returns the id in a payload, or "" if there is none.
+func completionID(payload []byte) string {
+	var fields struct {
+		ID string `json:"id"`
+	}
+	if json.Unmarshal(payload, &fields) != nil {
+		return ""
+	}
+	return fields.ID
+}
