--- a/adapter/target/call.go
+++ b/adapter/target/call.go
@@ -333,12 +333,19 @@
 	return port.FailureCrashedEarly
 }
 
-// resume requests the rest of the answer on a new connection.
+// resume requests the rest of the answer on a new connection. An answer that is
+// no stream of events means that the engine has lost the call, whatever its
+// status: the engine did not refuse the call itself, which may have run.
 func (s *stream) resume() (*connection, error) {
-	return s.connect(s.client.unpooled, func(ctx context.Context) (*http.Request, error) {
+	connection, err := s.connect(s.client.unpooled, func(ctx context.Context) (*http.Request, error) {
 		address := s.base + s.controlPath() + "/stream?offset=" + strconv.FormatInt(s.offset.Load(), 10)
 		return http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	})
+	var failure *port.Failure
+	if errors.As(err, &failure) && failure.Kind == port.FailureBadAnswer && errorCode(err) != codeCallUnknown {
+		return nil, s.callFailure(s.crashKind(), fmt.Errorf("%w: %w", errLost, failure.Err))
+	}
+	return connection, err
 }
 
 func (s *stream) controlPath() string { return "/control/calls/" + string(s.call.Call) }
--- a/adapter/target/resume_test.go
+++ b/adapter/target/resume_test.go
@@ -64,7 +64,7 @@
 }
 
 // Guards against an answer that is no continuation and becomes part of a resumed stream,
-// or ends it as complete.
+// ends it as complete, or lets a call that ran be reported as refused.
 func TestResumeAcceptsOnlyTheContinuation(t *testing.T) {
 	const done = "data: [DONE]\n\n"
 	rest := chunk("a", 3) + chunk("a", 4)
@@ -78,6 +78,9 @@
 	}{
 		"continuation":         {200, contentEvents, rest + done, 5, true},
 		"only the end":         {200, contentEvents, done, 3, true},
+		"status 500":           {500, contentJSON, `{"error":{"message":"m"}}`, 3, false},
+		"status 404":           {404, "text/plain", "not found", 3, false},
+		"another content type": {200, "text/html", "<p>busy</p>", 3, false},
 		"complete JSON answer": {200, contentJSON, `{"id":"a","choices":[{"message":{"content":"01234"},"finish_reason":"stop"}]}`, 3, false},
 		"empty JSON answer":    {200, contentJSON, "", 3, false},
 		"empty answer":         {200, contentEvents, "", 3, false},
@@ -103,7 +106,22 @@
 				must.ErrorIs(t, err, io.EOF)
 				return
 			}
-			must.True(t, failureOf(t, err).MayHaveRun())
+			failure := failureOf(t, err)
+			must.True(t, failure.MayHaveRun())
+			must.Eq(t, 0, failure.Status, must.Sprint("the call itself was not answered with an error status"))
 		})
 	}
 }
+
+// Guards against a call that reached the engine and is reported as refused, because its
+// answer was lost before the head and the engine refuses to continue it.
+func TestRefusedResumeBeforeFirstEvent(t *testing.T) {
+	lost := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for _, status := range []int{404, 500} {
+		client := newFakeEngine(t, lost, write(status, contentJSON, `{}`))
+		_, err := client.Call(context.Background(), port.TargetCall{Target: "engine", Program: program, Call: "1", Body: chatBody("x", true)})
+		failure := failureOf(t, err)
+		must.True(t, failure.MayHaveRun())
+		must.Eq(t, 0, failure.Status)
+	}
+}
