Recognise errors inside an engine's stream in any form

What callers saw: an engine that sent an error as an event, written { "error": ... } or {"object":"error", ...}, had it passed on to the caller as a part of the answer.

Cause: only payloads that start with {"error" were taken for errors.

Change: the payload is decoded when it contains "error", and its fields error and object decide.

--- a/adapter/target/call.go
+++ b/adapter/target/call.go
@@ -255,7 +255,7 @@
 	if s.answerBytes += len(data); s.answerBytes > s.client.settings.MaxAnswer {
 		return port.Event{}, s.finish(badAnswer(s.call.Target, 0, nil, "%w", errAnswerTooLarge))
 	}
-	if bytes.HasPrefix(data, []byte(`{"error"`)) {
+	if isError(data) {
 		return port.Event{}, s.finish(badAnswer(s.call.Target, 0, data, "%w", errStreamedError))
 	}
 	if usage := usageOf(data); usage != nil {
--- a/adapter/target/events.go
+++ b/adapter/target/events.go
@@ -168,6 +168,22 @@
 	return &domain.Usage{Prompt: u.Prompt, Cached: u.Details.Cached, Generated: u.Completion}
 }
 
+// isError reports whether a payload is an error instead of a part of the answer:
+// an object with a field error, or one whose field object is "error".
+func isError(payload []byte) bool {
+	if !bytes.Contains(payload, []byte(`"error"`)) {
+		return false
+	}
+	var fields struct {
+		Error  json.RawMessage `json:"error"`
+		Object string          `json:"object"`
+	}
+	if json.Unmarshal(payload, &fields) != nil {
+		return false
+	}
+	return len(fields.Error) > 0 && string(fields.Error) != "null" || fields.Object == "error"
+}
+
 // sameAnswer reports whether two payloads can belong to one answer. All chunks of
 // a chat completion have the same id.
 func sameAnswer(first, second []byte) bool {
