Do not end a failed stream as a complete HTTP response

What callers saw: a stream that failed after it had begun got an error event without [DONE], and then the regular end of the HTTP response. A client that does not read error events, or a proxy, took the answer for whole.

Cause: the handler returned after the error event, so net/http ended the chunked body.

Change: the connection is closed after the error event, without the last chunk. The error event is as before.

--- a/adapter/httpapi/chat.go
+++ b/adapter/httpapi/chat.go
@@ -206,8 +206,9 @@
 }
 
 // reportChatFailure reports a failed call to the caller. If the response has not
-// started, it writes an HTTP error status. Otherwise it ends the stream with an
-// error event and without [DONE], so that a client can detect the failure.
+// started, it writes an HTTP error status. Otherwise it sends an error event and
+// closes the connection without [DONE] and without the end of the HTTP framing, so
+// that clients that do not read error events detect the failure too.
 func (a *API) reportChatFailure(w http.ResponseWriter, identity port.Identity, exchange *chatExchange, err error) {
 	if !exchange.started {
 		a.refuse(w, identity, err)
@@ -219,12 +220,11 @@
 		refusal = domain.Unknown(domain.ReasonTargetFailed, "the stream ended before the answer was complete; send the request again")
 	}
 	a.node.Refused(identity.Account, refusal)
-	data, err := json.Marshal(errorBodyOf(refusal))
-	if err != nil {
-		return
+	if data, err := json.Marshal(errorBodyOf(refusal)); err == nil {
+		_, _ = w.Write(sseFrame(data))
+		_ = http.NewResponseController(w).Flush()
 	}
-	_, _ = w.Write(sseFrame(data))
-	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
 }
 
 func sseFrame(payload []byte) []byte {
