Refuse an engine's answer that is not streamed

What callers saw: an engine that answered a request for a stream with one JSON object had its text lost. A caller without streaming got status 200 with empty content, a streaming caller an event that is no chunk, and the history stored an empty answer, charged in full.

Cause: only the deltas of an event are read, and a complete answer has a message instead.

Evidence, TestBrokenAnswerIsNotComplete before: not-streamed-false: string: {"id":"a","object":"chat.completion",...,"message":{"role":"assistant","content":""}, "finish_reason":"stop"}],"usage":{"prompt_tokens":10,"completion_tokens":2}} not-streamed-true: expected string to not contain substring [DONE]

Change: a message in an event is an error with an unknown outcome that names the engine; nothing is stored or charged.

--- a/adapter/httpapi/message.go
+++ b/adapter/httpapi/message.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/port"
 )
 
@@ -134,10 +135,16 @@
 		Refusal   string     `json:"refusal"`
 		ToolCalls []toolCall `json:"tool_calls"`
 	} `json:"delta"`
-	FinishReason *string `json:"finish_reason"`
+	// Message is set in an answer that is not streamed.
+	Message      json.RawMessage `json:"message"`
+	FinishReason *string         `json:"finish_reason"`
 }
 
 func (m *answerMessage) add(choice chunkChoice) error {
+	if len(choice.Message) > 0 {
+		// Requests to engines always ask for a stream.
+		return domain.Unknown(domain.ReasonTargetFailed, "the engine did not stream its answer; ask the operator to check the engine")
+	}
 	m.content.WriteString(choice.Delta.Content)
 	m.refusal.WriteString(choice.Delta.Refusal)
 	for _, delta := range choice.Delta.ToolCalls {
