Refuse an engine's answer without its usage

What callers saw: the connection broke after the finish reason, the engine resumed with the end marker only, and the answer without its usage event ended as complete. It was charged nothing.

Cause: an absent usage was taken as zero tokens.

Evidence, TestBrokenAnswerIsNotComplete before: no-usage-true: expected string to not contain substring [DONE] no-usage-false: expected string to contain substring "outcome":"unknown"

Change: every request to an engine asks for the usage, so an answer without it is incomplete, like one without a finish reason: it is not stored, and its outcome is unknown.

--- a/internal/daemon/broken_test.go
+++ b/internal/daemon/broken_test.go
@@ -108,6 +108,7 @@
 		"whole answer":        {begun, answerWith(200, jsonType, whole, false)},
 		"end too early":       {begun, answerWith(200, sse, done, false)},
 		"no finish reason":    {begun, answerWith(200, sse, two+done, false)},
+		"no usage":            {answerWith(200, sse, one+two+stop, true), answerWith(200, sse, done, false)},
 		"no end":              {begun, answerWith(200, sse, two+stop+usage, false)},
 		"not streamed":        {answerWith(200, jsonType, whole, false), http.NotFound},
 		"refused before head": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, answerWith(404, jsonType, `{}`, false)},
--- a/node/chat.go
+++ b/node/chat.go
@@ -49,7 +49,10 @@
 	if result.fail != "" {
 		return result
 	}
-	usage, _ := stream.Usage()
+	usage, ok := stream.Usage()
+	if !ok {
+		return incompleteAnswer()
+	}
 	return r.store(ctx, start, usage, result.timing)
 }
 
@@ -82,7 +85,7 @@
 func (r *chatRunner) store(ctx context.Context, start *program.StartCall, usage domain.Usage, t timing) attemptResult {
 	data, after, err := r.exchange.Turn(port.Conversation{Digest: start.Conversation.Digest, Messages: int(start.Conversation.Messages)})
 	if err != nil {
-		return attemptResult{fail: program.FailTimedOut, answerStarted: true, callerErr: domain.Unknown(domain.ReasonTargetFailed, "the engine's answer is incomplete; send the request again")}
+		return incompleteAnswer()
 	}
 	ref, err := r.node.storeTurn(ctx, start.Program, data)
 	if err != nil {
@@ -96,6 +99,12 @@
 	}}
 }
 
+// incompleteAnswer is the result of an answer that ended without its finish reason
+// or its usage, which every request to an engine asks for.
+func incompleteAnswer() attemptResult {
+	return attemptResult{fail: program.FailTimedOut, answerStarted: true, callerErr: domain.Unknown(domain.ReasonTargetFailed, "the engine's answer is incomplete; send the request again")}
+}
+
 // failureResult converts a target's failure to the result of the attempt.
 func failureResult(ctx context.Context, err error, answerStarted bool) attemptResult {
 	result := attemptResult{fail: failKindOf(ctx, err), answerStarted: answerStarted}
