Refuse a plain service's answer that ends with its connection

What callers saw: a plain service that closed its connection in the middle of a body without Content-Length and without chunks had the part passed on as a whole 200, stored as the call's answer.

Cause: net/http takes the end of the connection for the end of such a body.

Evidence, TestCutPlainAnswerIsNotWhole before, which cuts answers after each byte: no_length,_reset_false: expected condition to be true; is false; <nil> A length first or last among the headers, chunks, and a reset instead of a close failed on no byte; neither did answers of engines in four framings (TestCutEngineAnswerIsNotWhole), because their streams have an end marker.

Change: an answer that only the end of the connection delimits is a bad answer with an unknown outcome. Services have to send a length or chunks; HTTP/1.0 services without a length are no longer usable.

--- a/adapter/target/plain.go
+++ b/adapter/target/plain.go
@@ -45,6 +45,7 @@
 var (
 	errBodyTooLarge = errors.New("the request body exceeds the limit; send a smaller one")
 	errBadPath      = errors.New("the path or query is malformed; the path starts with a slash and is escaped")
+	errNoLength     = errors.New("the answer has neither a length nor chunks, so a cut one cannot be told from a whole one")
 	errBadLimits    = errors.New("the timeout and the size limits must be above 0; check the route")
 )
 
@@ -63,6 +64,13 @@
 		c.log.Info(logPrefix+"plain call failed", "target", call.Target, "call", call.Call, "kind", failure.Kind.String())
 		return nil, failure
 	}
+	if endsWithConnection(r.Method, response) {
+		cancel()
+		_ = response.Body.Close()
+		failure := badAnswer(call.Target, 0, nil, "%w", errNoLength)
+		c.log.Info(logPrefix+"plain call failed", "target", call.Target, "call", call.Call, "kind", failure.Kind.String(), "cause", errNoLength.Error())
+		return nil, failure
+	}
 	return &port.PlainAnswer{
 		Status: response.StatusCode,
 		Header: port.Header(filterHeader(response.Header, plainAnswerHeaders)),
@@ -70,6 +78,12 @@
 	}, nil
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end
+// of the answer's body.
+func endsWithConnection(method string, response *http.Response) bool {
+	return method != http.MethodHead && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // plainFailure corrects the kind of a failure that was caused by reading the
 // request body.
 func plainFailure(body io.ReadCloser, f *port.Failure) *port.Failure {
