Count only whole events and bodies in the load tool

What its users saw: an answer whose connection broke inside an event was recorded as one that ended normally but lacks a part, and not sent again; one cut after a complete JSON value, or after [DONE] without its line end, counted as served.

Cause: bufio.ScanLines returns the rest of a cut line as a line, and a JSON decoder stops before the end of the body.

Evidence, TestCutAnswerIsLost before, which cuts after each byte: not_streamed: - "answer_lost", + "served" streamed: - "answer_lost", + "answer_not_whole"

Change: an event counts at the empty line after it, a line only with its line ending, and a body after its end was read. A stream that an error event ends was recognised before (TestStreamMustBeComplete).

--- a/internal/load/chat.go
+++ b/internal/load/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -61,7 +62,7 @@
 // readBody reads an answer that is not streamed.
 func (a *answer) readBody(body io.Reader, record *Record) error {
 	var c chatChunk
-	if err := json.NewDecoder(body).Decode(&c); err != nil {
+	if err := decodeBody(body, &c); err != nil {
 		return err
 	}
 	for _, choice := range c.Choices {
@@ -74,17 +75,31 @@
 	return a.checkComplete(record)
 }
 
+// decodeBody decodes a body after it was read to its end, because a cut body can hold
+// a complete value.
+func decodeBody(body io.Reader, out any) error {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, out)
+}
+
 // maxEventBytes limits the length of one event of a stream.
 const maxEventBytes = 4 << 20
 
 // readStream reads server-sent events until [DONE]. A stream that ends before it
-// returns io.ErrUnexpectedEOF.
+// returns io.ErrUnexpectedEOF. An event is complete at the empty line after it.
 func (a *answer) readStream(body io.Reader, record *Record) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
+	lines.Split(scanWholeLines)
+	data := ""
 	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
+		if value, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			data = value
+		}
+		if len(lines.Bytes()) > 0 || data == "" {
 			continue
 		}
 		if data == "[DONE]" {
@@ -93,6 +108,7 @@
 		if err := a.event([]byte(data), record); err != nil {
 			return err
 		}
+		data = ""
 	}
 	if lines.Err() != nil {
 		return lines.Err()
@@ -100,6 +116,16 @@
 	return io.ErrUnexpectedEOF
 }
 
+// scanWholeLines is bufio.ScanLines without a last line that has no line ending,
+// which is the rest of a cut event.
+func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	advance, token, err = bufio.ScanLines(data, atEOF)
+	if atEOF && advance == len(data) && !bytes.HasSuffix(data, []byte("\n")) {
+		return advance, nil, err
+	}
+	return advance, token, err
+}
+
 // event adds one event of a stream to the answer. It returns a *refusedError if
 // the event is one.
 func (a *answer) event(data []byte, record *Record) error {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -182,3 +183,33 @@
 	_, err := ReadFile("../../examples/programs.json")
 	must.NoError(t, err)
 }
+
+// Guards against a connection that breaks inside an event, or inside the body of an answer
+// that is not streamed, and counts as an answer that ended normally or was served.
+func TestCutAnswerIsLost(t *testing.T) {
+	const (
+		stream = `data: {"choices":[{"delta":{"content":"ab"},"finish_reason":"stop"}],"usage":{"prompt_tokens":3}}` + "\n\ndata: [DONE]\n\n"
+		body   = `{"choices":[{"message":{"content":"ab"},"finish_reason":"stop"}],"usage":{"prompt_tokens":3}}` + "\n"
+	)
+	for name, c := range map[string]struct {
+		whole string
+		read  func(*answer, io.Reader, *Record) error
+	}{
+		"streamed":     {stream, (*answer).readStream},
+		"not streamed": {body, (*answer).readBody},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for end := range len(c.whole) + 1 {
+				var a answer
+				record := Record{Sent: time.Now()}
+				cut := io.MultiReader(strings.NewReader(c.whole[:end]), iotest.ErrReader(io.ErrUnexpectedEOF))
+				want := CodeAnswerLost
+				if end == len(c.whole) {
+					cut, want = strings.NewReader(c.whole), CodeServed
+				}
+				setCode(c.read(&a, cut, &record), &record)
+				must.Eq(t, want, record.Code, must.Sprint(end, c.whole[:end]))
+			}
+		})
+	}
+}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -300,6 +300,6 @@
 // read sends a request about the program and decodes the JSON answer into out.
 func (e *execution) read(ctx context.Context, method, path string, out any) error {
 	r := request{account: e.account, program: e.name, step: -1, method: method, path: path + (&url.URL{Path: e.name}).EscapedPath()}
-	r.decode = func(body io.Reader, _ *Record) error { return json.NewDecoder(body).Decode(out) }
+	r.decode = func(body io.Reader, _ *Record) error { return decodeBody(body, out) }
 	return e.runner.Client.call(ctx, r)
 }
