Close a stream whose handler panics instead of writing into it

What callers saw: a panic after a stream had begun wrote its refusal as plain JSON behind the events, outside of their framing, and the response ended as complete.

Cause: recoverPanics wrote a refusal whether or not the response had started.

Evidence, TestPanicInsideStream before: + {"error":{"message":"internal error on the VM; send the request again ...","outcome":"unknown"}}

Change: the front end records whether the response has started, and closes the connection of one that has. Before that the refusal is as before. The test also shows that a panicking handler fails only its request.

--- a/adapter/httpapi/malformed_test.go
+++ b/adapter/httpapi/malformed_test.go
@@ -258,6 +258,40 @@
 	must.Eq(t, domain.ReasonCallerGone, refusal.Reason)
 }
 
+// panickingNode panics after it has passed one event on.
+type panickingNode struct{ *fakeNode }
+
+func (panickingNode) Chat(_ context.Context, _ port.CallSpec, exchange port.ChatExchange) error {
+	if err := exchange.Event([]byte(helloChunk)); err != nil {
+		return err
+	}
+	panic("planted")
+}
+
+// Guards against a panic that writes its refusal into a stream that has begun, ends the
+// stream as complete, or ends the process.
+func TestPanicInsideStream(t *testing.T) {
+	server := httptest.NewServer(New(panickingNode{newFakeNode(t)}, smallLimits(), logr.Discard()).Handler(nil))
+	defer server.Close()
+	for _, stream := range []bool{true, false, true} {
+		r, err := http.NewRequest(http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(`{"model":"m","stream":%t,"messages":[{}]}`, stream)))
+		must.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+validKey)
+		response, err := http.DefaultClient.Do(r)
+		must.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		must.NoError(t, response.Body.Close())
+		if !stream {
+			must.NoError(t, err)
+			must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+			must.StrContains(t, string(body), `"outcome":"unknown"`)
+			continue
+		}
+		must.Eq(t, string(sseFrame([]byte(helloChunk))), string(body))
+		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
+
 // FuzzRequests guards against panics and untyped errors on arbitrary input. Each
 // request either reaches the node or gets a typed refusal.
 func FuzzRequests(f *testing.F) {
--- a/adapter/httpapi/server.go
+++ b/adapter/httpapi/server.go
@@ -97,9 +97,11 @@
 }
 
 // recoverPanics logs a panic of a handler and responds with a refusal. Its
-// outcome is unknown, because a target may already have run the call.
+// outcome is unknown, because a target may already have run the call. If the
+// response has started, it closes the connection instead.
 func (a *API) recoverPanics(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(response http.ResponseWriter, r *http.Request) {
+		w := &startedWriter{ResponseWriter: response}
 		defer func() {
 			value := recover()
 			if value == nil {
@@ -109,12 +111,34 @@
 				panic(value)
 			}
 			a.log.Error(nil, "HTTP handler panicked", "value", value, "stack", string(debug.Stack()))
+			if w.started {
+				panic(http.ErrAbortHandler)
+			}
 			writeRefusal(w, domain.Unknown(domain.ReasonOverloaded, "internal error on the VM; send the request again with the same Idempotency-Key"))
 		}()
 		next.ServeHTTP(w, r)
 	})
 }
 
+// startedWriter records whether a response has started.
+type startedWriter struct {
+	http.ResponseWriter
+	started bool
+}
+
+func (w *startedWriter) WriteHeader(status int) {
+	w.started = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *startedWriter) Write(p []byte) (int, error) {
+	w.started = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap gives http.ResponseController access to the connection.
+func (w *startedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // authenticatedHandler handles a request of an authenticated caller. A returned
 // error is written to the caller as a refusal.
 type authenticatedHandler func(w http.ResponseWriter, r *http.Request, identity port.Identity) error
