Do not report a call with a stored answer as not run

What callers saw: a caller that sent a request again with its Idempotency-Key, at any VM, got the outcome "not run" when no replica could be read, although the call had run and was charged.

Cause: the refusal of reading a program's history was returned unchanged, and a history read runs nothing.

Evidence, TestUnreadableStoredAnswerHasRun before: - s"unknown", + s"not_run"

Change: when the answer of an earlier call cannot be read, the outcome is unknown. Reason and delay are as before, so the caller asks again with the same key.

--- a/node/call.go
+++ b/node/call.go
@@ -226,6 +226,11 @@
 func (c *call) complete(ctx context.Context, r runner, m *program.CallCommitted) error {
 	if m.Stored != nil {
 		stored, err := c.node.fetch(ctx, port.HistoryRef{Program: c.begin.Program, Length: int64(m.Stored.Length), SHA256: m.Stored.SHA256})
+		if refusal, ok := domain.AsRefusal(err); ok {
+			// The earlier call ran. Only its answer cannot be read now.
+			refusal.Outcome = domain.OutcomeUnknown
+			return refusal
+		}
 		if err != nil {
 			return err
 		}
