Do not take a failure of an engine for a refusal

A call that may run once could run twice, and callers of other calls were told "not run" although the engine may have run them.

Cause: each error status of an engine counted as refused, which is retried for run-once calls too and has the outcome not_run. A status 500, 502 or 504 promises nothing.

Change: such an answer is reported as errored. Run-once calls end with the outcome unknown, others are sent again within the limit on attempts and end with the outcome unknown too. 429 and 503 are refusals as before. An owner from before ends the call with the outcome unknown.

The random tests of programs have the new kind.

--- a/core/program/finish.go
+++ b/core/program/finish.go
@@ -144,6 +144,8 @@
 			return crashRefusal(domain.OutcomeUnknown), false
 		}
 		return domain.Unknown(domain.ReasonTargetFailed, "the target crashed; send the call again").After(time.Second), canRetry
+	case FailErrored:
+		return domain.Unknown(domain.ReasonTargetFailed, "the target failed and may have run the call; send the call again").After(time.Second), canRetry
 	case FailTimedOut:
 		return domain.Unknown(domain.ReasonToolTimeout, "the target did not answer in time; send the call again or raise the route's timeout"), false
 	case FailCancelled:
--- a/core/program/messages.go
+++ b/core/program/messages.go
@@ -93,6 +93,10 @@
 const (
 	// FailCrashed means that the target crashed while it ran the call.
 	FailCrashed FailKind = "crashed"
+	// FailErrored means that the target answered with a failure of its own, after which it may
+	// have run the call. Owners from before do not know this kind: they do not retry the call,
+	// and its outcome is unknown.
+	FailErrored FailKind = "errored"
 	// FailTimedOut means that the target did not answer in time.
 	FailTimedOut FailKind = "timed_out"
 	// FailRefused means that the target refused the call without running it.
--- a/core/program/program_test.go
+++ b/core/program/program_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+// Guards against a call that its target may have run and that is refused as not run, or run
+// once more although it may run once only, because the target answered with a failure.
+func TestErroredCallMayHaveRun(t *testing.T) {
+	for _, runOnce := range []bool{false, true} {
+		r := newRig(t, settings(nil))
+		b := begin("c", "p")
+		b.RunOnce = runOnce
+		r.step(b)
+		attempt := uint32(0)
+		for r.place("t1", true) {
+			attempt++
+			r.step(failure(b, attempt, FailErrored, "t1", 0))
+		}
+		must.Eq(t, runOnce, attempt == 1)
+		must.Eq(t, domain.OutcomeUnknown, r.refused().Outcome)
+	}
+}
+
 // Guards against the commit of a replaced attempt, and against a key that stays
 // in use when the owner stops between two attempts.
 func TestReplacedAttempt(t *testing.T) {
--- a/core/program/rig_test.go
+++ b/core/program/rig_test.go
@@ -333,7 +333,7 @@
 // fail reports a failure. It does not report a call as not sent after it was
 // sent.
 func (w *world) fail(t *rapid.T, b *BeginCall) {
-	kind := rapid.SampledFrom([]FailKind{FailCrashed, FailCrashed, FailTimedOut, FailCallerGone, FailCancelled}).Draw(t, "kind")
+	kind := rapid.SampledFrom([]FailKind{FailCrashed, FailCrashed, FailErrored, FailTimedOut, FailCallerGone, FailCancelled}).Draw(t, "kind")
 	switch n := w.attempts[b.Call]; {
 	case kind == FailCallerGone:
 		w.step(&CallEnded{Call: b.Call, Entry: b.Entry, Program: b.Program})
--- a/node/call_test.go
+++ b/node/call_test.go
@@ -34,3 +34,15 @@
 	must.Eq(t, domain.ReasonUnreachable, refusal.Reason)
 	must.Eq(t, domain.OutcomeUnknown, refusal.Outcome)
 }
+
+// Guards against a failure of a target that is reported as a refusal: the target may have run
+// the call.
+func TestFailureOfTargetIsNoRefusal(t *testing.T) {
+	for status, want := range map[int]program.FailKind{
+		0: program.FailTimedOut, 400: program.FailRefused, 429: program.FailRefused, 503: program.FailRefused,
+		500: program.FailErrored, 502: program.FailErrored, 504: program.FailErrored,
+	} {
+		err := &port.Failure{Kind: port.FailureBadAnswer, Status: status, Sent: true}
+		must.Eq(t, want, failKindOf(t.Context(), err), must.Sprint(status))
+	}
+}
--- a/node/chat.go
+++ b/node/chat.go
@@ -109,12 +109,36 @@
 func failureResult(ctx context.Context, err error, answerStarted bool) attemptResult {
 	result := attemptResult{fail: failKindOf(ctx, err), answerStarted: answerStarted}
 	var failure *port.Failure
-	if errors.As(err, &failure) && failure.Kind == port.FailureBadAnswer && failure.Status >= 400 && failure.Status < 500 {
+	if errors.As(err, &failure) && failure.Kind == port.FailureBadAnswer && failure.Status >= statusRequestError && failure.Status < statusServerError {
 		result.callerErr = domain.NotRun(domain.ReasonBadRequest, "the engine refused the request with status %d; check its fields", failure.Status)
 	}
 	return result
 }
 
+// Statuses of targets: the lowest that blames the request, the lowest that blames the target,
+// and the one of a target that is full.
+const (
+	statusRequestError = 400
+	statusServerError  = 500
+	statusUnavailable  = 503
+)
+
+// failKindOfStatus returns the kind of failure of an answer with an error status, or of one
+// that violates the protocol, with status 0. Targets that are full answer 429 or 503; any other
+// failure of the server says nothing of whether it ran the call.
+func failKindOfStatus(status int) program.FailKind {
+	switch {
+	case status == statusUnavailable:
+		return program.FailRefused
+	case status >= statusServerError:
+		return program.FailErrored
+	case status >= statusRequestError:
+		return program.FailRefused
+	default:
+		return program.FailTimedOut
+	}
+}
+
 // failKindOf returns the kind of failure to report to the owner.
 func failKindOf(ctx context.Context, err error) program.FailKind {
 	if ctx.Err() != nil {
@@ -136,10 +160,7 @@
 	case port.FailureRefused:
 		return program.FailRefused
 	case port.FailureBadAnswer:
-		if failure.Status >= 400 {
-			return program.FailRefused
-		}
-		return program.FailTimedOut
+		return failKindOfStatus(failure.Status)
 	case port.FailureCrashedEarly, port.FailureCrashed:
 		return program.FailCrashed
 	default:
