--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -22,6 +22,10 @@
 	gatewayCount    = 6
 	storageCount    = 3
 	recoverTime     = 12 * time.Second
+	// firstAddress is the last part of the first machine's address, and machineAddresses the number of
+	// addresses. Gateways have the first ones.
+	firstAddress     = 10
+	machineAddresses = gatewayCount + storageCount + 1
 	// restartDelay is the platform's delay before it starts a process again.
 	restartDelay = 500 * time.Millisecond
 	// memoryCheckInterval is the time between two looks at the memory of the processes.
@@ -78,7 +82,7 @@
 	return r, r.choosePorts()
 }
 
-// choosePorts chooses ports that are free on all loopback addresses.
+// choosePorts chooses ports that are free on all addresses of the machines.
 func (r *rig) choosePorts() error {
 	var held []net.Listener
 	defer func() {
@@ -86,13 +90,17 @@
 			l.Close()
 		}
 	}()
+	// listen takes a port on all addresses; 0 stands for any.
 	listen := func(port int) (int, error) {
-		l, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port))
-		if err != nil {
-			return 0, err
+		for i := range machineAddresses {
+			l, err := net.Listen("tcp4", net.JoinHostPort(r.prefix+strconv.Itoa(firstAddress+i), strconv.Itoa(port)))
+			if err != nil {
+				return 0, err
+			}
+			held = append(held, l)
+			port = l.Addr().(*net.TCPAddr).Port
 		}
-		held = append(held, l)
-		return l.Addr().(*net.TCPAddr).Port, nil
+		return port, nil
 	}
 	for _, port := range []*int{&r.ports.control, &r.ports.front, &r.ports.ready} {
 		var err error
@@ -103,7 +111,7 @@
 	for range 100 {
 		first, err := listen(0)
 		if err != nil {
-			return err
+			continue
 		}
 		if _, err := listen(first + 1); err == nil {
 			r.ports.peers = first
@@ -120,8 +128,8 @@
 	fmt.Fprintf(r.record, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (r *rig) gatewayIP(i int) string { return r.prefix + strconv.Itoa(10+i) }
-func (r *rig) storageIP(i int) string { return r.prefix + strconv.Itoa(40+i) }
+func (r *rig) gatewayIP(i int) string { return r.prefix + strconv.Itoa(firstAddress+i) }
+func (r *rig) storageIP(i int) string { return r.prefix + strconv.Itoa(firstAddress+gatewayCount+i) }
 
 // startFleet starts the platform's list, the workers and all roles, as at the first start of the system.
 func (r *rig) startFleet(services ...service) {
--- a/review/rig2/lostseat.go
+++ b/review/rig2/lostseat.go
@@ -11,8 +11,8 @@
 	keptTurns = 30
 	// freezeTime is how long a storage machine stands still. wipeAfter is the time after which
 	// another one loses its disk meanwhile, and wipeDown how long that one is down.
-	freezeTime = 7 * time.Second
-	wipeAfter  = 2500 * time.Millisecond
+	freezeTime = 7900 * time.Millisecond
+	wipeAfter  = 3800 * time.Millisecond
 	wipeDown   = time.Second
 )
 
--- a/review/rig2/sameinput.go
+++ b/review/rig2/sameinput.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// racks is the number of racks, each with a third of the workers, which fail one after the other.
-	racks = 3
+	// racks is the number of racks, each with a third of the workers. They fail one after the other, rackFailures
+	// times in all.
+	racks        = 3
+	rackFailures = 4
 	// crashTime is the time after which the workers of a rack are back.
 	crashTime = 3 * time.Second
 	// roundTime is the time between two turns of a program.
@@ -53,12 +55,12 @@
 	}
 	sameBody := func(int) string { return goOn }
 	round(func(i int) string { return fmt.Sprintf("Begin %d", i) })
-	for n := range 2 * racks {
+	for n := range 2 * rackFailures {
 		began := time.Now()
 		if r.trouble && n%2 == 1 {
 			time.AfterFunc(500*time.Millisecond, func() {
 				for j, w := range r.workers {
-					if j%racks == n/2 {
+					if j%racks == n/2%racks {
 						w.crash(crashTime)
 					}
 				}
