Give a lost disk's seat to no other storage VM, and count replies by disk

Callers saw 404 for turns that had been answered whole 20 s before: a storage VM was frozen for 7.9 s and another one lost its disk meanwhile. The frozen VM had all of the turns.

Cause: the coordinators took any VM with a new disk for the successor of any silent member, so the new disk of B got the seat of the frozen A and the lost disk of B kept its own. The check before it was passed by C, which held every record from before the set; those of the set itself were on A and B. Replies did not name the disk, so C took the new disk of B for the lost one, an incomplete member of the epoch before, and declared that it held every record. C and the new disk, under both of its IDs, were then a majority without the turns.

Change: a VM on the host of a member may take the seat of this member only. A member that is silent or retired loses its seat only if the other live members hold every acknowledged record; members that have to leave are tried one after the other. Each reply names its disk and counts for no other member. Replies of earlier builds count unless the set has two members at one address.

Related paths: a retired member left beside a silent one, and kept a lost one from being replaced; the first set could hold two disks of one VM; a write counted one disk twice. The sets of regions share the code.

--- a/core/coordinator/coordinator.go
+++ b/core/coordinator/coordinator.go
@@ -119,6 +119,7 @@
 	lastContact      map[domain.VM]time.Time
 	joinRequests     map[domain.VM]time.Time
 	stores           map[quorum.StoreID]*storeReport
+	waitingSeats     map[waitingSeat]bool
 	fleet            *allowance.Fleet
 	counted          countedTargets
 	limits           *targetlimit.Pool
@@ -157,7 +158,7 @@
 			ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat, ElectAfterRestart: true,
 		}, restored, now),
 		lastContact: map[domain.VM]time.Time{}, joinRequests: map[domain.VM]time.Time{},
-		stores: map[quorum.StoreID]*storeReport{}, gatewayProcesses: map[string]string{},
+		stores: map[quorum.StoreID]*storeReport{}, waitingSeats: map[waitingSeat]bool{}, gatewayProcesses: map[string]string{},
 		fleet: allowance.NewFleet(string(cfg.Self)), listSequence: cfg.Rand.Uint64() | 1,
 		crashCounter: quarantine.NewCrashCounter(), gateways: reach.NewDirectory(cfg.Rand.Uint64()),
 	}
@@ -327,6 +328,7 @@
 	c.limits = c.newLimits()
 	c.gateways = reach.NewDirectory(c.cfg.Rand.Uint64())
 	clear(c.stores)
+	clear(c.waitingSeats)
 	clear(c.gatewayProcesses)
 	c.constraintReported = false
 	for _, vm := range status.Members.Voters {
--- a/core/coordinator/regional.go
+++ b/core/coordinator/regional.go
@@ -167,25 +167,18 @@
 // in two ways: the region may have fewer storage VMs than wanted, so a lost member is replaced
 // before another one is added, and a retired member leaves without a replacement.
 func (c *Coordinator) nextRegionalSet(now time.Time, set *quorum.Set) *quorum.Set {
-	if old, ok := c.memberToReplace(now, set); ok {
-		replacement, found := c.replacementStore(now, set)
-		switch {
-		case found && c.othersComplete(now, set, old):
-			return set.Replace(old, replacement)
-		case !found:
-			return c.withoutRetired(now, set)
+	if len(c.membersToReplace(now, set)) > 0 {
+		next, lacksVM := c.withReplacement(now, set)
+		if lacksVM {
+			next = c.withoutRetired(now, set)
 		}
-		return nil
+		return next
 	}
 	if len(set.Members) >= c.setSize() || c.isCopying(now, set) {
 		return nil
 	}
-	for _, s := range c.liveStores(now) {
-		_, in := set.Member(s.ID)
-		successor := slices.ContainsFunc(set.Members, func(m quorum.Member) bool { return isSameHost(s.ID, m.ID) })
-		if !in && !successor && set.Scope.Contains(s.Region) {
-			return set.Replace("", member(s))
-		}
+	if added, ok := c.replacementStore(now, set, quorum.Member{}); ok {
+		return set.Replace("", added)
 	}
 	return nil
 }
--- a/core/coordinator/repair.go
+++ b/core/coordinator/repair.go
@@ -150,18 +150,50 @@
 
 // replacedMember returns the next global set with another member, or nil.
 func (c *Coordinator) replacedMember(now time.Time, set *quorum.Set) *quorum.Set {
-	replacement, ok := c.replacementStore(now, set)
-	if !ok {
-		return nil
-	}
 	if len(set.Members) < c.setSize() {
-		return set.Replace("", replacement)
+		if added, ok := c.replacementStore(now, set, quorum.Member{}); ok {
+			return set.Replace("", added)
+		}
 	}
-	old, ok := c.memberToReplace(now, set)
-	if !ok || !c.othersComplete(now, set, old) {
-		return nil
+	next, _ := c.withReplacement(now, set)
+	return next
+}
+
+// withReplacement returns the next set, in which a member that is lost or retired is replaced, or
+// nil. The second result reports whether a member has to be replaced for which there is no VM.
+func (c *Coordinator) withReplacement(now time.Time, set *quorum.Set) (next *quorum.Set, lacksVM bool) {
+	for _, old := range c.membersToReplace(now, set) {
+		replacement, found := c.replacementStore(now, set, old)
+		switch {
+		case !found:
+			lacksVM = true
+		case c.mayReplace(now, set, old):
+			return set.Replace(old.ID, replacement), false
+		default:
+			c.logWaitingSeat(set, old, replacement)
+		}
 	}
-	return set.Replace(old, replacement)
+	return nil, lacksVM
+}
+
+// waitingSeat identifies a member of a set that is not replaced yet.
+type waitingSeat struct {
+	scope  quorum.Scope
+	epoch  domain.Epoch
+	member quorum.StoreID
+}
+
+// logWaitingSeat records once for each set that a member keeps its seat, because the other live
+// members may lack a record.
+func (c *Coordinator) logWaitingSeat(set *quorum.Set, old, replacement quorum.Member) {
+	seat := waitingSeat{set.Scope, set.Epoch, old.ID}
+	if c.waitingSeats[seat] {
+		return
+	}
+	c.waitingSeats[seat] = true
+	c.event("a lost or retired member keeps its seat until the other members hold all records", map[string]any{
+		"region": set.Scope, "epoch": set.Epoch, "member": old.ID, "replacement": replacement.ID,
+	})
 }
 
 func (c *Coordinator) firstSet(now time.Time) *quorum.Set {
@@ -217,27 +249,21 @@
 	return out
 }
 
-// replacementStore returns a live storage VM outside of the set. It prefers the successor
-// of the member to replace, then a VM in its data centre, then one in its region.
-func (c *Coordinator) replacementStore(now time.Time, set *quorum.Set) (quorum.Member, bool) {
-	lostID, _ := c.memberToReplace(now, set)
-	lost, _ := set.Member(lostID)
-	var candidates []*storeReport
-	for _, s := range c.liveStores(now) {
-		if _, in := set.Member(s.ID); !in && set.Scope.Contains(s.Region) {
-			candidates = append(candidates, s)
-		}
-	}
+// replacementStore returns a live storage VM outside of the set that may take the seat of the
+// member old. It prefers its successor, then a VM in its data centre, then one in its region. The
+// zero member stands for a seat that is added.
+func (c *Coordinator) replacementStore(now time.Time, set *quorum.Set, old quorum.Member) (quorum.Member, bool) {
+	candidates := slices.DeleteFunc(c.liveStores(now), func(s *storeReport) bool { return !maySucceed(s, set, old) })
 	if len(candidates) == 0 {
 		return quorum.Member{}, false
 	}
 	rank := func(s *storeReport) int {
 		switch {
-		case isSameHost(s.ID, lostID):
+		case isSameHost(s.ID, old.ID):
 			return 0
-		case s.DataCentre == lost.DataCentre:
+		case s.DataCentre == old.DataCentre:
 			return 1
-		case s.Region == lost.Region:
+		case s.Region == old.Region:
 			return 2
 		default:
 			return 3
@@ -246,25 +272,36 @@
 	return member(slices.MinFunc(candidates, func(x, y *storeReport) int { return cmp.Compare(rank(x), rank(y)) })), true
 }
 
+// maySucceed reports whether a storage VM may take the seat of the member old. A VM on the host of
+// a member has lost the disk of this member, so it may take the seat of no other one: the lost disk
+// would keep its seat, and the other member would lose the seat with its records.
+func maySucceed(s *storeReport, set *quorum.Set, old quorum.Member) bool {
+	if !set.Scope.Contains(s.Region) {
+		return false
+	}
+	return !slices.ContainsFunc(set.Members, func(m quorum.Member) bool {
+		return s.ID == m.ID || (m.ID != old.ID && isSameHost(s.ID, m.ID))
+	})
+}
+
 func isSameHost(a, b quorum.StoreID) bool { return hostOf(a.Address()) == hostOf(b.Address()) }
 
-// memberToReplace returns a member that is retired or lost. Right after an election it
-// returns none, because members have not had the time to report.
-func (c *Coordinator) memberToReplace(now time.Time, set *quorum.Set) (quorum.StoreID, bool) {
+// membersToReplace returns the members that are retired, then those that are lost. Right after an
+// election it returns none, because members have not had the time to report.
+func (c *Coordinator) membersToReplace(now time.Time, set *quorum.Set) []quorum.Member {
 	if now.Sub(c.leaderSince) < storeLostAfter {
-		return "", false
-	}
-	for _, m := range set.Members {
-		if c.state.retired(m.Name) {
-			return m.ID, true
-		}
+		return nil
 	}
+	var retired, lost []quorum.Member
 	for _, m := range set.Members {
-		if c.isLost(now, set, m) {
-			return m.ID, true
+		switch {
+		case c.state.retired(m.Name):
+			retired = append(retired, m)
+		case c.isLost(now, set, m):
+			lost = append(lost, m)
 		}
 	}
-	return "", false
+	return append(retired, lost...)
 }
 
 // isLost reports whether a member is to be replaced because it does not report. A VM that
@@ -280,32 +317,47 @@
 		return false
 	}
 	return silence > spareReplacesAfter || slices.ContainsFunc(c.liveStores(now), func(s *storeReport) bool {
-		_, in := set.Member(s.ID)
-		return !in && set.Scope.Contains(s.Region) && (isSameHost(s.ID, m.ID) || s.New)
+		return maySucceed(s, set, m) && (s.New || isSameHost(s.ID, m.ID))
 	})
 }
 
-// othersComplete reports whether enough members except old are live, use this set and have
-// copied the records of the others, so that its replacement can copy every acknowledged
-// record, and whether no other member is still copying. Another replacement before that
-// could lose the only copy of a record. A member that holds every record acknowledged before
-// this set suffices, even while another one copies.
-func (c *Coordinator) othersComplete(now time.Time, set *quorum.Set, old quorum.StoreID) bool {
-	complete, copying := 0, false
+// hasLostDisk reports whether the VM of a member reports with another disk.
+func (c *Coordinator) hasLostDisk(now time.Time, m quorum.Member) bool {
+	return slices.ContainsFunc(c.liveStores(now), func(s *storeReport) bool { return s.ID != m.ID && isSameHost(s.ID, m.ID) })
+}
+
+// mayReplace reports whether the member old may lose its seat. A silent member may come back with
+// the only copy of a record beside that of old, so every acknowledged record must be on the other
+// live members, and no further change may take place while one of them copies:
+//   - enough of them are complete for the copy of the replacement, or
+//   - one of them holds every record from before this set, and is in each write quorum of this set.
+//
+// A member whose disk is lost has no record to keep, so its seat waits for no silent member.
+func (c *Coordinator) mayReplace(now time.Time, set *quorum.Set, old quorum.Member) bool {
+	var complete, incomplete, unsettled int
+	whole := false
 	for _, m := range set.Members {
 		s := c.currentReport(now, set, m.ID)
 		switch {
-		case m.ID == old || s == nil:
-			// A silent member counts as lost together with old.
-		case !s.isComplete(set):
-			copying = true
-		case s.statusIn(set.Scope).Whole == set.Epoch:
-			return true
-		default:
+		case m.ID == old.ID || s == nil:
+		case s.isComplete(set):
 			complete++
+			whole = whole || s.statusIn(set.Scope).Whole == set.Epoch
+		default:
+			unsettled++
+			if s.statusIn(set.Scope).Epoch == set.Epoch {
+				incomplete++
+			}
 		}
 	}
-	return !copying && complete >= set.CopySources()
+	switch {
+	case whole && set.InEveryQuorum(incomplete):
+		return true
+	case unsettled > 0 && !whole:
+		return false
+	default:
+		return complete >= set.CopySources() || (unsettled == 0 && c.hasLostDisk(now, old))
+	}
 }
 
 // Retire starts the retirement of a storage VM. The ticket is 0 when the VM is already
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -9,6 +9,7 @@
 	"github.com/mangoknot/mangoknot/core/balance"
 	"github.com/mangoknot/mangoknot/core/domain"
 	"github.com/mangoknot/mangoknot/core/origin"
+	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/raft"
 	"github.com/mangoknot/mangoknot/core/targetlimit"
 )
@@ -150,10 +151,13 @@
 	c.gatewayProcesses[address] = process
 }
 
+// recordStore records the report of a storage VM. It ends the reports of another disk of the VM,
+// which is lost.
 func (c *Coordinator) recordStore(now time.Time, s StoreStatus) {
 	if _, known := c.stores[s.ID]; !known {
 		c.event("storage VM reports", map[string]any{"store": s.ID, "name": s.Name, "complete": s.Complete, "new": s.New})
 	}
+	maps.DeleteFunc(c.stores, func(id quorum.StoreID, _ *storeReport) bool { return id != s.ID && id.Address() == s.ID.Address() })
 	c.stores[s.ID] = &storeReport{StoreStatus: s, receivedAt: now}
 }
 
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -67,6 +67,12 @@
 	return s.Members[i], true
 }
 
+// SharesAddress reports whether another member has the address of m. The VM then answers for both
+// with one disk, because it has lost the other one.
+func (s *Set) SharesAddress(m Member) bool {
+	return slices.ContainsFunc(s.Members, func(o Member) bool { return o.ID != m.ID && o.ID.Address() == m.ID.Address() })
+}
+
 // CopySources returns the number of other members from which a joining member has to
 // copy. Every acknowledged record is on a write quorum of the previous set. The replaced
 // member may have been one of that quorum, so a smaller number of sources could miss
@@ -99,10 +105,14 @@
 	if c.Whole || !complete {
 		return c.Whole || c.Complete >= s.CopySources()
 	}
-	wasInAll := whole+1 == s.Epoch && len(s.Members)-c.Incomplete <= s.WriteQuorum()
+	wasInAll := whole+1 == s.Epoch && s.InEveryQuorum(c.Incomplete)
 	return whole == s.Epoch || wasInAll || c.Complete+1 >= s.CopySources()
 }
 
+// InEveryQuorum reports whether a complete member is in each write quorum, because no more members
+// are complete than a write quorum has. The others are incomplete: no write counts them.
+func (s *Set) InEveryQuorum(incomplete int) bool { return len(s.Members)-incomplete <= s.WriteQuorum() }
+
 // MembersByDistance returns the members ordered by their distance from a data centre:
 // the same data centre, the same region, then the rest. Members at equal distance keep
 // the order of the set.
--- a/core/turnstore/messages.go
+++ b/core/turnstore/messages.go
@@ -114,6 +114,8 @@
 // MemberStatus is the status of the store within the set of the request. It is part
 // of every reply except FetchReply.
 type MemberStatus struct {
+	// Store is the ID of the disk that replies. It is empty on builds from before this field.
+	Store quorum.StoreID `cbor:",omitempty"`
 	Epoch domain.Epoch
 	// Accepted is false when the request has another epoch than the store, or the
 	// store is not a member. A write then stores no turn and no share.
@@ -130,6 +132,16 @@
 	WantsSet bool
 }
 
+// IsFrom reports whether the reply counts as that of a member of the set. A VM that has lost its
+// disk answers at the address of the member that it was, with another disk. Without the ID of the
+// disk, the reply counts unless the set has two members with this address.
+func (s MemberStatus) IsFrom(set *quorum.Set, m quorum.Member) bool {
+	if s.Store == "" {
+		return !set.SharesAddress(m)
+	}
+	return s.Store == m.ID
+}
+
 // ReadChain requests a turn and all turns that it continues.
 type ReadChain struct {
 	Epoch domain.Epoch
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -164,7 +164,7 @@
 
 // memberStatus compares the epoch of a request with the epoch of the store.
 func (s *Store) memberStatus(epoch domain.Epoch) MemberStatus {
-	out := MemberStatus{Complete: s.Complete(), Whole: s.Whole()}
+	out := MemberStatus{Store: s.id, Complete: s.Complete(), Whole: s.Whole()}
 	if s.set == nil {
 		out.WantsSet = true
 		return out
--- a/core/turnstore/store_test.go
+++ b/core/turnstore/store_test.go
@@ -98,3 +98,21 @@
 		}
 	})
 }
+
+// Guards against a reply of another disk that counts as that of the member at its address, beside
+// builds whose replies do not name their disk: these count unless the set has both disks.
+func TestReplyIsFromItsDisk(t *testing.T) {
+	one := &quorum.Set{Epoch: 1, Members: []quorum.Member{{ID: "a/1"}, {ID: "b/1"}}}
+	both := one.Replace("b/1", quorum.Member{ID: "a/2"})
+	for _, c := range []struct {
+		set    *quorum.Set
+		store  quorum.StoreID
+		member int
+		want   bool
+	}{
+		{one, "a/1", 0, true}, {one, "a/2", 0, false}, {one, "", 0, true},
+		{both, "a/2", 0, false}, {both, "a/2", 1, true}, {both, "", 0, false}, {both, "", 1, false},
+	} {
+		must.Eq(t, c.want, MemberStatus{Store: c.store}.IsFrom(c.set, c.set.Members[c.member]), must.Sprint(c))
+	}
+}
--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -173,15 +173,24 @@
 	}
 }
 
-// checkStatus reports whether the member accepted the request. If the member has
+// errOtherDisk is the cause that is logged for a suspected member whose VM answers with another
+// disk.
+var errOtherDisk = errors.New("its VM has lost the disk")
+
+// checkStatus reports whether a member of the set accepted the request. If the VM has
 // a newer set than the gateway, checkStatus applies it and returns
 // errSetChanged.
-func (g *Gateway) checkStatus(s turnstore.MemberStatus) (bool, error) {
-	if s.NewerSet != nil {
+func (g *Gateway) checkStatus(s turnstore.MemberStatus, set *quorum.Set, m quorum.Member) (bool, error) {
+	switch {
+	case s.NewerSet != nil:
 		g.adoptSet(s.NewerSet)
 		return false, errSetChanged
+	case !s.IsFrom(set, m):
+		g.suspect(m.ID, errOtherDisk)
+		return false, nil
+	default:
+		return s.Accepted, nil
 	}
-	return s.Accepted, nil
 }
 
 // records is the content of one write.
@@ -242,7 +251,7 @@
 		if !ok {
 			return false, nil
 		}
-		counts, err := g.checkStatus(reply.Status)
+		counts, err := g.checkStatus(reply.Status, set, a.member)
 		if err != nil || !counts {
 			return false, err
 		}
@@ -383,7 +392,7 @@
 			found = reply.Turns
 			return true, nil
 		}
-		counts, err := g.checkStatus(reply.Status)
+		counts, err := g.checkStatus(reply.Status, set, a.member)
 		if err != nil || !counts || !reply.Status.Complete {
 			return false, err
 		}
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -284,9 +284,14 @@
 
 // startStore starts an empty storage node and returns it as a member.
 func (r *rig) startStore(i int, dataCentre domain.DataCentre, region domain.Region) quorum.Member {
+	return r.startDisk(i, "disk", dataCentre, region)
+}
+
+// startDisk is startStore for a disk with a name. It takes the place of a node at the same address.
+func (r *rig) startDisk(i int, name string, dataCentre domain.DataCentre, region domain.Region) quorum.Member {
 	address := storeAddress(i)
 	store := turnstore.New()
-	id := quorum.StoreID(address + "/disk")
+	id := quorum.StoreID(address + "/" + name)
 	store.AssignID(id)
 	n := storage.New(storage.Options{
 		Store: store, Name: string(id), DataCentre: dataCentre, Region: region, Process: address,
--- a/node/storage/replica.go
+++ b/node/storage/replica.go
@@ -291,6 +291,9 @@
 	if newer := reply.Status.NewerSet; newer != nil {
 		r.n.Deliver(func(time.Time) { r.adoptSet(newer) })
 	}
+	if !reply.Status.IsFrom(set, from) {
+		return nil, fmt.Errorf("storage: the VM of %s answers with the disk %q; the disk of the member is lost", from.ID, reply.Status.Store)
+	}
 	if !reply.Status.Accepted {
 		return nil, fmt.Errorf("storage: %s uses epoch %d", from.ID, reply.Status.Epoch)
 	}
