Keep a chain of stored turns as long as its last turn

Callers got 503 for each turn that continued a chain some 20 s after its route was replaced by one with a longer retention, until the chain's last turn expired: its first turn was gone.

Cause: each turn was deleted after twice the retention of its own route since its last use. A later turn renewed the last use of the turns before it, and not their retention.

Change: a stored turn has a time of expiry, and a turn extends those before it to its own. Records and messages are unchanged.

--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -59,8 +59,8 @@
 	Splits   []Split
 	// MaxAttempts is the maximum number of targets to which a request is sent.
 	MaxAttempts int
-	// StoresHistory reports whether the system stores the turns of this route, for
-	// Retention after their last use.
+	// StoresHistory reports whether the system stores the turns of this route. Each is kept for
+	// Retention, together with the turns that it continues.
 	StoresHistory bool
 	Retention     time.Duration
 	// Open reports whether the route accepts requests without a key.
--- a/core/turnstore/messages.go
+++ b/core/turnstore/messages.go
@@ -29,7 +29,8 @@
 	Input    []byte
 	// Events holds the data of each event of the response, in order.
 	Events [][]byte
-	// Retention is the time after the last use at which the turn may be deleted.
+	// Retention is the time for which the turn is kept with its chain. A turn before it that has a
+	// shorter retention is kept as long.
 	Retention time.Duration `cbor:"KeepFor"`
 	// Route is the route of the turn, whose region constraint also binds the turns that
 	// continue it. It is empty if no region constraint was in force.
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -31,8 +31,11 @@
 )
 
 type storedTurn struct {
-	turn    *Turn
-	lastUse time.Time
+	turn *Turn
+	// expires is the time at which the turn may be deleted. It is not before that of any stored
+	// turn that continues it: a chain is kept as a whole, also after its route was replaced by one
+	// with a longer retention.
+	expires time.Time
 }
 
 type storedProgram struct {
@@ -233,11 +236,12 @@
 }
 
 func (s *Store) addTurn(now time.Time, t *Turn) bool {
-	s.touch(now, TurnKey{Account: t.Key.Account, ID: t.Previous})
+	expires := now.Add(retentionFactor * t.Retention)
+	s.extend(TurnKey{Account: t.Key.Account, ID: t.Previous}, expires)
 	if _, ok := s.turns[t.Key]; ok {
 		return false
 	}
-	s.turns[t.Key] = &storedTurn{turn: t, lastUse: now}
+	s.turns[t.Key] = &storedTurn{turn: t, expires: expires}
 	s.appendOrder(orderEntry{turn: t.Key, isTurn: true})
 	s.liveBytes += t.Size()
 	return true
@@ -265,18 +269,30 @@
 	s.order = append(s.order, p)
 }
 
-// touch sets the last use of a turn and of all turns before it to now.
-func (s *Store) touch(now time.Time, key TurnKey) {
+// extend keeps a turn and all turns before it until a time.
+func (s *Store) extend(key TurnKey, until time.Time) {
 	for key.ID != "" {
 		stored, ok := s.turns[key]
-		if !ok || stored.lastUse.Equal(now) {
+		if !ok || !stored.expires.Before(until) {
 			return
 		}
-		stored.lastUse = now
+		stored.expires = until
 		key.ID = stored.turn.Previous
 	}
 }
 
+// extendChains keeps each turn as long as the turns that continue it. A copy and a restart may add
+// these first, when the turn could not be extended yet.
+func (s *Store) extendChains() {
+	for _, entry := range slices.Backward(s.order) {
+		if !entry.isTurn {
+			continue
+		}
+		stored := s.turns[entry.turn]
+		s.extend(TurnKey{Account: entry.turn.Account, ID: stored.turn.Previous}, stored.expires)
+	}
+}
+
 func (s *Store) addShare(now time.Time, e tokens.ProgramShare) bool {
 	p := s.programs[e.Program]
 	if p == nil {
@@ -296,7 +312,9 @@
 		records = append(records, record)
 	}
 	reply := &ChainReply{Status: s.memberStatus(r.Epoch)}
-	s.touch(now, r.Key)
+	if stored, ok := s.turns[r.Key]; ok {
+		s.extend(r.Key, now.Add(retentionFactor*stored.turn.Retention))
+	}
 	key := r.Key
 	for key.ID != "" {
 		stored, ok := s.turns[key]
@@ -317,6 +335,7 @@
 		return false
 	}
 	s.nextSweep = now.Add(sweepInterval)
+	s.extendChains()
 	before := len(s.order)
 	kept := s.order[:0:0]
 	for _, p := range s.order {
@@ -331,7 +350,7 @@
 func (s *Store) dropIfExpired(now time.Time, entry orderEntry) bool {
 	if entry.isTurn {
 		stored := s.turns[entry.turn]
-		if now.Sub(stored.lastUse) < retentionFactor*stored.turn.Retention {
+		if now.Before(stored.expires) {
 			return false
 		}
 		s.liveBytes -= stored.turn.Size()
