Let the advance reservation of an ended gateway lapse

Callers got 503 (budget_reserved) for the last turn that their budget held, for as long as its shares were kept, after a gateway that had just answered turns of the program was killed or stopped.

Cause: the end of a turn also reserves the tokens of one more turn, and only the gateway that made this reservation took it back. Nobody else could: a turn that used it left no trace at the storage VMs.

Change: a turn that uses an advance reservation records that beside its way to the target, and its first event waits for the record. Shares name the time for which their gateway may use the reservation; storage VMs report it as lapsed some time later, and other gateways do not count it. The record checks the budget, so a gateway that was frozen in between breaks its turn off before the first event. A planned stop writes all shares at its end. Shares of earlier builds never lapse.

--- a/core/tokens/shareset.go
+++ b/core/tokens/shareset.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/mangoknot/mangoknot/core/domain"
@@ -9,9 +10,13 @@
 
 const (
 	// advanceReservationTTL is the time after which an unused advance reservation
-	// expires. 95% of turns arrive within 190 ms; unused tokens must be released
-	// within a second of the end of a turn.
-	advanceReservationTTL = 350 * time.Millisecond
+	// expires. It begins before the write of the reservation. 95% of turns arrive within
+	// 190 ms of the end of the one before; unused tokens must be released
+	// within a second of it.
+	advanceReservationTTL = 400 * time.Millisecond
+	// advanceLapseMargin is the time after the validity of an advance reservation at which it
+	// lapses at a storage VM. The record that a turn holds it has arrived by then.
+	advanceLapseMargin = 400 * time.Millisecond
 	// headroomTurns is the number of further turns that must fit in the budget beside
 	// an advance reservation, so that it blocks no turn of another gateway.
 	headroomTurns = 2
@@ -47,10 +52,12 @@
 	othersWeight domain.Tokens
 	// advanceConfirmed reports whether the write of the advance reservation has
 	// succeeded. advanceBudget is the budget against which the reservation was
-	// checked, and advanceVersion is the version of the share that first included it.
+	// checked, advanceVersion is the version of the share that first included it, and
+	// advanceExpires the time from which no turn may use it.
 	advanceConfirmed bool
 	advanceBudget    domain.Tokens
 	advanceVersion   uint64
+	advanceExpires   time.Time
 	lastUse          time.Time
 }
 
@@ -105,20 +112,30 @@
 }
 
 // TakeAdvance assigns the advance reservation to a turn if it covers the turn's token
-// limit and was made for the same budget. It returns the number of tokens assigned.
-func (s *ShareSet) TakeAdvance(now time.Time, p Program, budget, maxTokens domain.Tokens) (domain.Tokens, AdvanceState) {
+// limit, was made for the same budget and has not expired. It returns the number of tokens assigned,
+// and the share to be written before the caller receives any of them: until then the
+// reservation may lapse, and another gateway may use its tokens.
+func (s *ShareSet) TakeAdvance(now time.Time, p Program, budget, maxTokens domain.Tokens) (domain.Tokens, Share, AdvanceState) {
 	state := s.states[p]
-	if state == nil || state.share.Advance < maxTokens || state.share.Advance == 0 || state.advanceBudget != budget {
-		return 0, AdvanceNone
+	if state == nil || state.share.Advance < maxTokens || state.share.Advance == 0 || state.advanceBudget != budget || !now.Before(state.advanceExpires) {
+		return 0, Share{}, AdvanceNone
 	}
 	if !state.advanceConfirmed {
-		return 0, AdvancePending
+		return 0, Share{}, AdvancePending
 	}
 	taken := state.share.Advance
-	state.share.Advance = 0
+	state.setAdvance(0)
 	state.share.Reserved += taken
 	state.lastUse = now
-	return taken, AdvanceTaken
+	return taken, s.nextVersion(p, state), AdvanceTaken
+}
+
+// setAdvance sets the advance reservation of the share.
+func (s *shareState) setAdvance(tokens domain.Tokens) {
+	s.share.Advance, s.share.AdvanceValidity = tokens, 0
+	if tokens > 0 {
+		s.share.AdvanceValidity = advanceReservationTTL
+	}
 }
 
 // SetOthersWeight records the weight of the shares of all other writers.
@@ -147,8 +164,9 @@
 	state := s.state(now, p)
 	reserved := state.share.Advance == 0 && maxTokens > 0 && state.hasHeadroom(budget, maxTokens)
 	if reserved {
-		state.share.Advance, state.advanceBudget, state.advanceConfirmed = maxTokens, budget, false
-		state.advanceVersion = state.share.Version + 1
+		state.setAdvance(maxTokens)
+		state.advanceBudget, state.advanceConfirmed = budget, false
+		state.advanceVersion, state.advanceExpires = state.share.Version+1, now.Add(advanceReservationTTL)
 	}
 	return s.nextVersion(p, state), reserved
 }
@@ -160,7 +178,7 @@
 // ConfirmAdvance completes the write of an advance reservation. The reservation is
 // released if the write failed, or if the weight of the other shares no longer leaves
 // the headroom.
-func (s *ShareSet) ConfirmAdvance(now time.Time, p Program, version uint64, ok bool) {
+func (s *ShareSet) ConfirmAdvance(p Program, version uint64, ok bool) {
 	state := s.states[p]
 	if state == nil || state.advanceVersion != version || state.share.Advance == 0 || state.advanceConfirmed {
 		return
@@ -170,14 +188,25 @@
 		return
 	}
 	state.advanceConfirmed = true
-	s.expiries = append(s.expiries, expiry{program: p, version: version, at: now.Add(advanceReservationTTL)})
+	e := expiry{program: p, version: version, at: state.advanceExpires}
+	i, _ := slices.BinarySearchFunc(s.expiries, e, func(a, b expiry) int { return a.at.Compare(b.at) })
+	s.expiries = slices.Insert(s.expiries, i, e)
 }
 
 func (s *ShareSet) releaseAdvance(p Program, state *shareState) {
-	state.share.Advance = 0
+	state.setAdvance(0)
 	s.markUnwritten(p)
 }
 
+// ReleaseAdvances releases all advance reservations, because no further turn arrives.
+func (s *ShareSet) ReleaseAdvances() {
+	for p, state := range s.states {
+		if state.share.Advance > 0 {
+			s.releaseAdvance(p, state)
+		}
+	}
+}
+
 // WriteFailed marks a share whose write failed, so that the next Flush returns it again.
 func (s *ShareSet) WriteFailed(p Program) {
 	if s.states[p] != nil {
--- a/core/tokens/tokens.go
+++ b/core/tokens/tokens.go
@@ -11,6 +11,9 @@
 package tokens
 
 import (
+	"slices"
+	"time"
+
 	"github.com/mangoknot/mangoknot/core/domain"
 )
 
@@ -32,6 +35,10 @@
 	Reserved domain.Tokens
 	// Advance is the advance reservation: tokens for a turn that has not arrived yet.
 	Advance domain.Tokens `cbor:"Ahead"`
+	// AdvanceValidity is the time after the write of the share began in which its gateway may
+	// assign Advance to a turn. The gateway records that before it passes on any token of the turn. It
+	// is 0 without an advance reservation, and on builds that do not record it.
+	AdvanceValidity time.Duration `cbor:",omitempty"`
 }
 
 // Weight returns the number of tokens that the share counts against the budget.
@@ -70,12 +77,55 @@
 	return newer
 }
 
+// Held is what storage VMs hold of a program's budget.
+type Held struct {
+	// Union holds the newest share of each writer.
+	Union Union
+	// lapsed maps writers to the version of their share whose advance reservation has lapsed.
+	lapsed map[string]uint64
+}
+
+// Merge adds the shares that a storage VM holds. Of those of the writers in lapsed, the advance
+// reservation has lapsed.
+func (h *Held) Merge(shares []Share, lapsed []string) {
+	if h.Union == nil {
+		h.Union, h.lapsed = Union{}, map[string]uint64{}
+	}
+	h.Union.Merge(shares...)
+	for _, s := range shares {
+		if slices.Contains(lapsed, s.Writer) {
+			h.lapsed[s.Writer] = max(h.lapsed[s.Writer], s.Version)
+		}
+	}
+}
+
+// Lapsed returns the tokens of the advance reservations that have lapsed.
+func (h Held) Lapsed() domain.Tokens {
+	var sum domain.Tokens
+	for _, s := range h.Union {
+		if h.hasLapsed(s) {
+			sum += s.Advance
+		}
+	}
+	return sum
+}
+
+func (h Held) hasLapsed(s Share) bool {
+	version, ok := h.lapsed[s.Writer]
+	return ok && version == s.Version
+}
+
 // SumOthers sums the shares of all writers except one. It returns their weight and the
-// advance reservations included in it.
-func (u Union) SumOthers(writer string) (weight, advance domain.Tokens) {
-	for _, s := range u {
-		if s.Writer != writer {
-			weight += s.Weight()
+// advance reservations included in it. One that has lapsed counts in neither: its gateway has
+// assigned it to no turn, or a newer version of the share says so.
+func (h Held) SumOthers(writer string) (weight, advance domain.Tokens) {
+	for _, s := range h.Union {
+		if s.Writer == writer {
+			continue
+		}
+		weight += s.Used + s.Reserved
+		if !h.hasLapsed(s) {
+			weight += s.Advance
 			advance += s.Advance
 		}
 	}
@@ -97,10 +147,9 @@
 )
 
 // CheckBudget decides whether a turn may run. Its reservation is included in own, the
-// share as it was written; union holds the shares that a majority of the storage VMs
-// returned.
-func CheckBudget(budget domain.Tokens, own Share, union Union) BudgetDecision {
-	weight, advance := union.SumOthers(own.Writer)
+// share as it was written; held is what a majority of the storage VMs returned.
+func CheckBudget(budget domain.Tokens, own Share, held Held) BudgetDecision {
+	weight, advance := held.SumOthers(own.Writer)
 	switch sum := own.Weight() + weight; {
 	case sum <= budget:
 		return WithinBudget
--- a/core/tokens/tokens_test.go
+++ b/core/tokens/tokens_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,39 +13,58 @@
 	"github.com/mangoknot/mangoknot/core/domain"
 )
 
+// modelStore holds the shares of one program as a storage VM does.
+type modelStore struct {
+	shares Union
+	lapses Lapses
+}
+
+func newModelStore() *modelStore { return &modelStore{Union{}, Lapses{}} }
+
+// write stores a share and returns what the store holds.
+func (s *modelStore) write(now time.Time, share Share) (shares []Share, lapsed []string) {
+	if s.shares.Add(share) {
+		s.lapses.Received(now, share)
+	}
+	return slices.Collect(maps.Values(s.shares)), s.lapses.Lapsed(now)
+}
+
+// modelTurn is a turn of the model. Its share is written to a pair of stores, one after the other.
+type modelTurn struct {
+	set      *ShareSet
+	pair     [2]int
+	own      Share
+	reserved domain.Tokens
+	// advance reports whether the turn holds an advance reservation. frozen reports that its
+	// gateway was frozen before the share was written.
+	advance, frozen bool
+	held            Held
+}
+
 // Guards against a program that receives more tokens than its budget plus one turn. The
 // writes of three gateways reach three stores in random order, and each reservation
 // reads the shares of two stores. Advance reservations are used, released, or lost when
-// their gateway restarts.
+// their gateway restarts, and lapse at the stores, also while their gateway is frozen.
 func TestBudgetAcrossMajorities(t *testing.T) {
+	lapsed := 0
 	rapid.Check(t, func(t *rapid.T) {
 		const budget, maxTokens = 200, 20
 		program := Program{Account: "a", Name: "p"}
 		now := time.Unix(1000, 0)
-		stores := [3]Union{{}, {}, {}}
+		stores := [3]*modelStore{newModelStore(), newModelStore(), newModelStore()}
 		sets := []*ShareSet{NewShareSet("g0"), NewShareSet("g1"), NewShareSet("g2")}
 		var received domain.Tokens
-		write := func(share Share, pair [2]int) Union {
-			union := Union{}
+		write := func(share Share, pair [2]int) (held Held) {
 			for _, i := range pair {
-				stores[i].Merge(share)
-				for _, s := range stores[i] {
-					union.Merge(s)
-				}
+				held.Merge(stores[i].write(now, share))
 			}
-			return union
+			return held
 		}
 		pairs := [][2]int{{0, 1}, {1, 2}, {0, 2}}
+		var frozen []*modelTurn
 		for round := range 15 {
-			type race struct {
-				set      *ShareSet
-				pair     [2]int
-				own      Share
-				reserved domain.Tokens
-				advance  bool
-				union    Union
-			}
-			var races []*race
+			turns := frozen
+			frozen = nil
 			for g, set := range sets {
 				if !rapid.Bool().Draw(t, "takes part") {
 					continue
@@ -52,55 +73,65 @@
 					set = NewShareSet(fmt.Sprint("g", g, "/", round))
 					sets[g] = set
 				}
-				r := &race{set: set, pair: pairs[rapid.IntRange(0, 2).Draw(t, "pair")], union: Union{}}
-				taken, state := set.TakeAdvance(now, program, budget, maxTokens)
+				r := &modelTurn{set: set, pair: pairs[rapid.IntRange(0, 2).Draw(t, "pair")]}
+				taken, share, state := set.TakeAdvance(now, program, budget, maxTokens)
 				if r.advance = state == AdvanceTaken; r.advance {
-					r.reserved = taken
+					r.own, r.reserved = share, taken
+					r.frozen = rapid.IntRange(0, 3).Draw(t, "frozen") == 0
 				} else {
 					r.own, r.reserved = set.Reserve(now, program, maxTokens), maxTokens
 				}
-				races = append(races, r)
+				turns = append(turns, r)
 			}
 			// The writes of one round reach the stores in any order.
-			for _, k := range rapid.Permutation([]int{0, 1, 2, 3, 4, 5}).Draw(t, "order") {
-				if k/2 >= len(races) || races[k/2].advance {
+			var order []int
+			for k := range 2 * len(turns) {
+				order = append(order, k)
+			}
+			if len(order) > 0 {
+				order = rapid.Permutation(order).Draw(t, "order")
+			}
+			for _, k := range order {
+				r := turns[k/2]
+				if r.frozen {
 					continue
 				}
-				r := races[k/2]
-				store := stores[r.pair[k%2]]
-				store.Merge(r.own)
-				for _, s := range store {
-					r.union.Merge(s)
-				}
+				shares, lapses := stores[r.pair[k%2]].write(now, r.own)
+				lapsed += len(lapses)
+				r.held.Merge(shares, lapses)
 			}
-			for _, r := range races {
-				runs := r.advance || CheckBudget(budget, r.own, r.union) == WithinBudget
+			for _, r := range turns {
+				if r.frozen {
+					r.frozen = rapid.Bool().Draw(t, "still frozen")
+					frozen = append(frozen, r)
+					continue
+				}
+				decision := CheckBudget(budget, r.own, r.held)
 				used := domain.Tokens(0)
-				if runs {
+				if decision == WithinBudget || (r.advance && decision != Spent) {
 					used = domain.Tokens(rapid.IntRange(0, maxTokens).Draw(t, "used"))
 					received += used
 				}
-				if !r.advance {
-					others, _ := r.union.SumOthers(r.own.Writer)
-					r.set.SetOthersWeight(program, others)
+				others, _ := r.held.SumOthers(r.own.Writer)
+				r.set.SetOthersWeight(program, others)
+				if !slices.Contains(sets, r.set) {
+					continue // restarted while it was frozen
 				}
 				r.set.Finish(now, program, r.reserved, used)
 				share, advance := r.set.ReserveAdvance(now, program, budget, maxTokens)
 				if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
-					r.set.ConfirmAdvance(now, program, share.Version, false)
+					r.set.ConfirmAdvance(program, share.Version, false)
 					r.set.WriteFailed(program)
 					continue
 				}
-				union := write(share, r.pair)
+				held := write(share, r.pair)
 				if advance {
-					others, _ := union.SumOthers(share.Writer)
+					others, _ := held.SumOthers(share.Writer)
 					r.set.SetOthersWeight(program, others)
-					r.set.ConfirmAdvance(now, program, share.Version, true)
+					r.set.ConfirmAdvance(program, share.Version, true)
 				}
 			}
-			if rapid.Bool().Draw(t, "time passes") {
-				now = now.Add(advanceReservationTTL)
-			}
+			now = now.Add(rapid.SampledFrom([]time.Duration{0, advanceReservationTTL / 2, advanceReservationTTL, advanceReservationTTL + advanceLapseMargin}).Draw(t, "time passes"))
 			for _, set := range sets {
 				set.Expire(now)
 				for _, e := range set.Flush() {
@@ -112,13 +143,14 @@
 			t.Fatalf("the program received %d tokens with a budget of %d", received, budget)
 		}
 	})
+	must.Positive(t, lapsed)
 }
 
 // Guards against a late write of an older version that reverts a change of a share.
 func TestOlderShareIsIgnored(t *testing.T) {
-	union := Union{}
-	union.Merge(Share{Writer: "g", Version: 2, Used: 5}, Share{Writer: "g", Version: 1, Reserved: 20})
-	weight, _ := union.SumOthers("")
+	var held Held
+	held.Merge([]Share{{Writer: "g", Version: 2, Used: 5}, {Writer: "g", Version: 1, Reserved: 20}}, nil)
+	weight, _ := held.SumOthers("")
 	must.Eq(t, 5, weight)
 }
 
@@ -136,9 +168,9 @@
 		{Share{Writer: "h", Used: 61, Reserved: 20}, Spent},
 	}
 	for _, c := range cases {
-		union := Union{}
-		union.Merge(own, c.other)
-		must.Eq(t, c.want, CheckBudget(100, own, union), must.Sprint(c.other))
+		var held Held
+		held.Merge([]Share{own, c.other}, nil)
+		must.Eq(t, c.want, CheckBudget(100, own, held), must.Sprint(c.other))
 	}
 }
 
@@ -152,21 +184,21 @@
 	must.False(t, advance)
 	share, advance := b.ReserveAdvance(now, program, 100, 33)
 	must.True(t, advance)
-	_, state := b.TakeAdvance(now, program, 100, 33)
+	_, _, state := b.TakeAdvance(now, program, 100, 33)
 	must.Eq(t, AdvancePending, state)
 	// The weight of the other shares leaves too little headroom.
 	b.SetOthersWeight(program, 2)
-	b.ConfirmAdvance(now, program, share.Version, true)
-	_, state = b.TakeAdvance(now, program, 100, 33)
+	b.ConfirmAdvance(program, share.Version, true)
+	_, _, state = b.TakeAdvance(now, program, 100, 33)
 	must.Eq(t, AdvanceNone, state)
 	must.Eq(t, 0, b.Flush()[0].Share.Advance)
 	share, _ = b.ReserveAdvance(now, program, 100, 20)
-	b.ConfirmAdvance(now, program, share.Version, true)
-	_, state = b.TakeAdvance(now, program, 90, 20) // another budget
+	b.ConfirmAdvance(program, share.Version, true)
+	_, _, state = b.TakeAdvance(now, program, 90, 20) // another budget
 	must.Eq(t, AdvanceNone, state)
 	must.Eq(t, now.Add(advanceReservationTTL), b.Expire(now))
 	b.Expire(now.Add(advanceReservationTTL))
-	_, state = b.TakeAdvance(now, program, 100, 20)
+	_, _, state = b.TakeAdvance(now, program, 100, 20)
 	must.Eq(t, AdvanceNone, state)
 	must.Eq(t, 0, b.Flush()[0].Share.Weight())
 }
@@ -187,3 +219,70 @@
 	b.Expire(now.Add(6 * idleTTL))
 	must.NotEq(t, first.Writer, b.Reserve(now.Add(6*idleTTL), program, 20).Writer)
 }
+
+// Guards against the advance reservation of a gateway that has ended, which counts for ever (LOST in the
+// second review), and against one that lapses while its gateway may still use it, or once a turn
+// holds it.
+func TestAdvanceReservationLapses(t *testing.T) {
+	program := Program{Account: "a", Name: "p"}
+	decide := func(now time.Time, stores ...*modelStore) BudgetDecision {
+		var held Held
+		own := Share{Writer: "other", Version: 1, Reserved: 80}
+		for _, s := range stores {
+			held.Merge(s.write(now, own))
+		}
+		return CheckBudget(100, own, held)
+	}
+	start := time.Unix(1000, 0)
+	lapses := start.Add(advanceReservationTTL + advanceLapseMargin)
+	set := NewShareSet("g")
+	set.Finish(start, program, 0, 10)
+	share, advance := set.ReserveAdvance(start, program, 100, 20)
+	must.True(t, advance)
+	a, b := newModelStore(), newModelStore()
+	a.write(start, share)
+	b.write(start.Add(time.Second), share) // a copy of another store
+	must.Eq(t, BlockedByAdvance, decide(lapses.Add(-1), a, b))
+	must.Eq(t, WithinBudget, decide(lapses, a, b))
+	must.Eq(t, WithinBudget, decide(lapses, b, a))
+	must.Eq(t, BlockedByAdvance, decide(lapses, b))
+
+	set.ConfirmAdvance(program, share.Version, true)
+	_, _, state := set.TakeAdvance(start.Add(advanceReservationTTL), program, 100, 20)
+	must.Eq(t, AdvanceNone, state)
+	_, taken, state := set.TakeAdvance(start.Add(advanceReservationTTL-1), program, 100, 20)
+	must.Eq(t, AdvanceTaken, state)
+	// The other gateway has used the tokens, so the turn must not run.
+	var held Held
+	held.Merge(a.write(lapses, taken))
+	must.Eq(t, Spent, CheckBudget(100, taken, held))
+	must.Eq(t, Spent, decide(lapses, a, b))
+	must.Eq(t, Spent, decide(lapses, b, a))
+}
+
+// Guards against an advance reservation that lapses although its gateway, of a build from before, does
+// not record that a turn uses it.
+func TestAdvanceReservationOfEarlierBuildIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newModelStore()
+	_, lapsed := s.write(now, Share{Writer: "g", Version: 1, Advance: 20})
+	must.SliceEmpty(t, lapsed)
+	_, lapsed = s.write(now.Add(time.Hour), Share{Writer: "h", Version: 1})
+	must.SliceEmpty(t, lapsed)
+}
+
+// Guards against reservations that a planned stop leaves behind.
+func TestReleaseAdvances(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := NewShareSet("g")
+	for _, name := range []string{"p", "q"} {
+		set.ReserveAdvance(now, Program{Name: name}, 100, 20)
+	}
+	set.ReleaseAdvances()
+	batch := set.Flush()
+	must.Len(t, 2, batch)
+	for _, e := range batch {
+		must.Eq(t, 0, e.Share.Weight())
+		must.Eq(t, 2, e.Share.Version)
+	}
+}
--- a/core/turnstore/messages.go
+++ b/core/turnstore/messages.go
@@ -105,8 +105,10 @@
 	Status MemberStatus `cbor:"Standing"`
 	// Missing is the ID of the newest turn before Write.Turn that the store lacks, or "".
 	Missing string
-	// Shares holds all stored shares of the program Write.SharesOf.
+	// Shares holds all stored shares of the program Write.SharesOf, and Lapsed the writers of
+	// those whose advance reservation has lapsed.
 	Shares []tokens.Share
+	Lapsed []string `cbor:",omitempty"`
 }
 
 // MessageName implements domain.Message.
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -40,6 +40,7 @@
 
 type storedProgram struct {
 	shares  tokens.Union
+	lapses  tokens.Lapses
 	lastUse time.Time
 }
 
@@ -209,7 +210,7 @@
 	}
 	records = append(records, s.addShares(now, w.Shares)...)
 	if w.SharesOf.Name != "" {
-		reply.Shares = s.sharesOf(w.SharesOf)
+		reply.Shares, reply.Lapsed = s.sharesOf(now, w.SharesOf)
 	}
 	return reply, records
 }
@@ -227,12 +228,13 @@
 	return records
 }
 
-func (s *Store) sharesOf(program tokens.Program) []tokens.Share {
+// sharesOf returns the shares of a program, and the writers whose advance reservations have lapsed.
+func (s *Store) sharesOf(now time.Time, program tokens.Program) (shares []tokens.Share, lapsed []string) {
 	stored, ok := s.programs[program]
 	if !ok {
-		return nil
+		return nil, nil
 	}
-	return slices.Collect(maps.Values(stored.shares))
+	return slices.Collect(maps.Values(stored.shares)), stored.lapses.Lapsed(now)
 }
 
 func (s *Store) addTurn(now time.Time, t *Turn) bool {
@@ -296,12 +298,16 @@
 func (s *Store) addShare(now time.Time, e tokens.ProgramShare) bool {
 	p := s.programs[e.Program]
 	if p == nil {
-		p = &storedProgram{shares: tokens.Union{}}
+		p = &storedProgram{shares: tokens.Union{}, lapses: tokens.Lapses{}}
 		s.programs[e.Program] = p
 		s.appendOrder(orderEntry{program: e.Program})
 	}
 	p.lastUse = now
-	return p.shares.Add(e.Share)
+	if !p.shares.Add(e.Share) {
+		return false
+	}
+	p.lapses.Received(now, e.Share)
+	return true
 }
 
 // Read returns a turn and the turns before it, up to the first one that is missing.
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -24,6 +24,8 @@
 	// shutdownMargin is the part of the grace period that is reserved for ending
 	// the process after the drain.
 	shutdownMargin = 500 * time.Millisecond
+	// settleTimeout bounds the last write of the shares of token budgets within shutdownMargin.
+	settleTimeout = 300 * time.Millisecond
 	// answerMargin is the part of the grace period before that in which the requests that are
 	// still in flight get their final answer.
 	answerMargin = 300 * time.Millisecond
@@ -109,6 +111,15 @@
 	tunnels *tunnel.Server
 }
 
+// settleShares writes the shares of token budgets after the last request.
+func (p *process) settleShares(g *gateway.Gateway) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if err := g.SettleShares(ctx); err != nil {
+		p.log.Info("the last shares of token budgets were not stored; their reservations count as used", "error", err.Error())
+	}
+}
+
 // drain makes the gateway unready and shuts the servers down within the grace
 // period. Other gateways are told at once to send no more requests through tunnels.
 func (p *process) drain(ctx context.Context, d drained) error {
@@ -129,6 +140,7 @@
 	tunnelsEnded := make(chan error, 1)
 	go func() { tunnelsEnded <- d.tunnels.Shutdown(ctx) }()
 	err := d.server.Shutdown(ctx)
+	p.settleShares(d.gateway)
 	p.log.Info("drain finished", "took_ms", p.clock.Now().Sub(started).Milliseconds(), "cut", err != nil, "tunnels_cut", <-tunnelsEnded != nil)
 	return nil
 }
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -150,7 +150,7 @@
 // isOwnFailure reports whether an attempt failed for a reason other than its target.
 func isOwnFailure(err error) bool {
 	var limit *port.LimitError
-	return errors.Is(err, errReply) || errors.Is(err, errNotStored) || (errors.As(err, &limit) && limit.Limit == port.LimitMemory)
+	return errors.Is(err, errReply) || errors.Is(err, errNotStored) || errors.Is(err, errNotReserved) || (errors.As(err, &limit) && limit.Limit == port.LimitMemory)
 }
 
 // countLimit counts an answer that exceeds a bound, and logs its target.
@@ -369,11 +369,11 @@
 		if err != nil {
 			return err
 		}
-		if err := e.passEvent(answer, event); err != nil {
+		if err := e.passEvent(ctx, answer, event); err != nil {
 			return err
 		}
 	}
-	if err := e.startReply(answer); err != nil {
+	if err := e.startReply(ctx, answer); err != nil {
 		return err
 	}
 	if err := e.storeTurn(ctx); err != nil {
@@ -396,11 +396,15 @@
 	return stream.Head{Status: h.Status, Success: h.Success, TargetFailed: h.TargetFailed, MediaType: h.MediaType}
 }
 
-// startReply passes on the head of a stream that has not begun.
-func (e *exchange) startReply(answer port.Answer) error {
+// startReply passes on the head of a stream that has not begun, once the turn's tokens are
+// reserved.
+func (e *exchange) startReply(ctx context.Context, answer port.Answer) error {
 	if e.progress.Begun() {
 		return nil
 	}
+	if err := e.awaitReservation(ctx); err != nil {
+		return err
+	}
 	e.beginReply(answer)
 	e.recordOrigin()
 	if err := e.reply.Begin(answer.Head()); err != nil {
@@ -409,13 +413,13 @@
 	return nil
 }
 
-func (e *exchange) passEvent(answer port.Answer, event port.StreamEvent) error {
+func (e *exchange) passEvent(ctx context.Context, answer port.Answer, event port.StreamEvent) error {
 	if event.Data != nil {
 		if err := e.progress.Add(event.ID); err != nil {
 			return err
 		}
 	}
-	if err := e.startReply(answer); err != nil {
+	if err := e.startReply(ctx, answer); err != nil {
 		return err
 	}
 	e.g.heardTarget()
--- a/node/gateway/budget.go
+++ b/node/gateway/budget.go
@@ -9,6 +9,7 @@
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/tokens"
 	"github.com/mangoknot/mangoknot/core/turnstore"
+	"github.com/mangoknot/mangoknot/node/loop"
 )
 
 // reservedRetryAfter is the retry-after time of a turn that is blocked by
@@ -17,8 +18,8 @@
 const reservedRetryAfter = 350 * time.Millisecond
 
 // reserve reserves the turn's token limit in the program's budget. It uses the
-// advance reservation if there is one, and otherwise writes the gateway's
-// share.
+// advance reservation if there is one and writes the gateway's share beside the
+// turn; otherwise it writes the share first.
 func (e *exchange) reserve(ctx context.Context) *Refusal {
 	if !e.turn.budgeted {
 		return nil
@@ -28,14 +29,14 @@
 	case err != nil:
 		return notRun(Overloaded, minRetryAfter, err)
 	case taken:
+		e.recordTaken(ctx, share)
 		return nil
 	}
-	union, err := e.g.write(ctx, quorum.Global, records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: share}}, sharesOf: e.turn.program})
+	decision, err := e.writeReservation(ctx, share)
 	if err != nil {
 		return notRun(StorageUnavailable, e.spread(storageRetryAfter), err)
 	}
-	e.recordOtherShares(union, share.Writer)
-	switch tokens.CheckBudget(e.Budget, share, union) {
+	switch decision {
 	case tokens.Spent:
 		return notRun(BudgetSpent, 0, nil)
 	case tokens.BlockedByAdvance:
@@ -45,9 +46,79 @@
 	}
 }
 
+// writeReservation writes the share that includes the turn's reservation and checks the budget.
+func (e *exchange) writeReservation(ctx context.Context, share tokens.Share) (tokens.BudgetDecision, error) {
+	held, err := e.g.write(ctx, quorum.Global, records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: share}}, sharesOf: e.turn.program})
+	if err != nil {
+		return tokens.Spent, err
+	}
+	e.recordOtherShares(held, share.Writer)
+	decision := tokens.CheckBudget(e.Budget, share, held)
+	if lapsed := held.Lapsed(); lapsed > 0 {
+		e.g.o.Log.Info("an advance reservation of an ended gateway has lapsed; it does not count", "id", e.ID, "program", e.Program,
+			"tokens", lapsed, "budget", e.Budget, "within_budget", decision == tokens.WithinBudget)
+	}
+	return decision, nil
+}
+
+// takenRetryDelay is the pause before a failed write of recordTaken is repeated.
+const takenRetryDelay = 50 * time.Millisecond
+
+// errNotReserved aborts a turn before its first event, because it holds no tokens.
+var errNotReserved = errors.New("the turn holds no tokens of its program's budget")
+
+// errAdvanceLapsed is the cause if another gateway has used the tokens of the advance reservation.
+var errAdvanceLapsed = errors.New("the advance reservation has lapsed, and its tokens are used at another gateway")
+
+// recordTaken records that the turn holds the advance reservation, while its request is under way to
+// a target. Its first event waits for that: if this process ends before, the reservation lapses.
+func (e *exchange) recordTaken(ctx context.Context, share tokens.Share) {
+	recorded := make(chan error, 1)
+	e.turn.advanceRecorded = recorded
+	go func() {
+		err := loop.ErrPanicked
+		loop.Contain(e.g.reportPanic, func() { err = e.writeTaken(ctx, share) })
+		recorded <- err
+	}()
+}
+
+func (e *exchange) writeTaken(ctx context.Context, share tokens.Share) error {
+	for {
+		decision, err := e.writeReservation(ctx, share)
+		switch {
+		case err == nil && decision == tokens.Spent:
+			return errAdvanceLapsed
+		case err == nil:
+			return nil
+		}
+		select {
+		case <-time.After(takenRetryDelay):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// awaitReservation waits until the turn's reservation is recorded.
+func (e *exchange) awaitReservation(ctx context.Context) error {
+	if e.turn == nil || e.turn.advanceRecorded == nil {
+		return nil
+	}
+	select {
+	case err := <-e.turn.advanceRecorded:
+		e.turn.advanceRecorded = nil
+		if err != nil {
+			return errors.Join(errNotReserved, err)
+		}
+		return nil
+	case <-ctx.Done():
+		return errors.Join(errNotReserved, ctx.Err())
+	}
+}
+
 // reservation is the result of tryReserve.
 type reservation struct {
-	// share is the share to be written, unless state is AdvanceTaken.
+	// share is the share to be written.
 	share tokens.Share
 	state tokens.AdvanceState
 	// pending is closed when the pending write of the advance reservation has
@@ -79,7 +150,7 @@
 func (e *exchange) tryReserve(mayWait bool) (got reservation, err error) {
 	t := e.turn
 	err = e.g.Do(e.g.Context(), func(now time.Time) {
-		t.reserved, got.state = e.g.shares.TakeAdvance(now, t.program, e.Budget, e.MaxTokens)
+		t.reserved, got.share, got.state = e.g.shares.TakeAdvance(now, t.program, e.Budget, e.MaxTokens)
 		if mayWait && got.state == tokens.AdvancePending {
 			got.pending = e.g.pendingSettlements[t.program]
 		}
@@ -92,8 +163,8 @@
 
 // recordOtherShares records the tokens that the other gateways hold of the
 // program's budget.
-func (e *exchange) recordOtherShares(union tokens.Union, writer string) {
-	others, _ := union.SumOthers(writer)
+func (e *exchange) recordOtherShares(held tokens.Held, writer string) {
+	others, _ := held.SumOthers(writer)
 	e.g.Deliver(func(time.Time) { e.g.shares.SetOthersWeight(e.turn.program, others) })
 }
 
@@ -151,23 +222,23 @@
 		if advance {
 			r.sharesOf = t.program
 		}
-		union, err := e.g.write(ctx, quorum.Global, r)
-		e.g.Deliver(func(now time.Time) { e.g.settlementWritten(now, t.program, share, union, err, done) })
+		held, err := e.g.write(ctx, quorum.Global, r)
+		e.g.Deliver(func(time.Time) { e.g.settlementWritten(t.program, share, held, err, done) })
 		return err
 	}
 }
 
-// settlementWritten applies the outcome of a write of the share. The union is empty if the
+// settlementWritten applies the outcome of a write of the share. What is held is empty if the
 // write did not request the shares of the program. It runs on the control goroutine.
-func (g *Gateway) settlementWritten(now time.Time, program tokens.Program, share tokens.Share, union tokens.Union, err error, done chan struct{}) {
+func (g *Gateway) settlementWritten(program tokens.Program, share tokens.Share, held tokens.Held, err error, done chan struct{}) {
 	switch {
 	case err != nil:
 		g.shares.WriteFailed(program)
-	case len(union) > 0:
-		others, _ := union.SumOthers(share.Writer)
+	case len(held.Union) > 0:
+		others, _ := held.SumOthers(share.Writer)
 		g.shares.SetOthersWeight(program, others)
 	}
-	g.shares.ConfirmAdvance(now, program, share.Version, err == nil)
+	g.shares.ConfirmAdvance(program, share.Version, err == nil)
 	if g.pendingSettlements[program] == done {
 		delete(g.pendingSettlements, program)
 	}
--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -207,33 +207,32 @@
 // records of the others.
 var errCopying = errors.New("it still copies the records of the other members")
 
-// write stores records on a write quorum of the set of a scope and returns the shares of the
-// program in sharesOf that the members hold.
+// write stores records on a write quorum of the set of a scope and returns what the members
+// hold of the budget of the program in sharesOf.
 //
 // Only members that hold every earlier record count. Before a joining member counts, it has
 // copied from enough others that no majority of the former set is left that does not know the
 // new one. A gateway that still reads with the former set is therefore told of the new one
 // before it can take a stored turn for absent.
-func (g *Gateway) write(ctx context.Context, scope quorum.Scope, r records) (tokens.Union, error) {
+func (g *Gateway) write(ctx context.Context, scope quorum.Scope, r records) (held tokens.Held, err error) {
 	for range maxSetAttempts {
 		set := g.view.Load().set(scope)
 		if set == nil {
-			return nil, errUnknownSet
+			return held, errUnknownSet
 		}
-		union, err := g.writeTo(ctx, set, r)
+		held, err = g.writeTo(ctx, set, r)
 		if !errors.Is(err, errSetChanged) {
 			g.recordOutcome(ctx, scope, err)
 			if err != nil && scope != quorum.Global {
 				err = fmt.Errorf("region %s: %w", scope, err)
 			}
-			return union, err
+			return held, err
 		}
 	}
-	return nil, errSetChanged
+	return held, errSetChanged
 }
 
-func (g *Gateway) writeTo(ctx context.Context, set *quorum.Set, r records) (tokens.Union, error) {
-	union := tokens.Union{}
+func (g *Gateway) writeTo(ctx context.Context, set *quorum.Set, r records) (held tokens.Held, err error) {
 	var counted []memberShares
 	leaving := 0
 	message := func(attachSet bool) domain.Message {
@@ -255,7 +254,7 @@
 		if err != nil || !counts {
 			return false, err
 		}
-		union.Merge(reply.Shares...)
+		held.Merge(reply.Shares, reply.Lapsed)
 		if !reply.Status.Complete {
 			g.suspect(a.member.ID, errCopying)
 			return false, nil
@@ -270,11 +269,11 @@
 		}
 		return set.IsStored(len(counted), leaving), nil
 	}
-	err := g.queryMembers(ctx, memberQuery{set: set, initialMembers: set.FirstWrites(), message: message, next: next, collect: collect})
+	err = g.queryMembers(ctx, memberQuery{set: set, initialMembers: set.FirstWrites(), message: message, next: next, collect: collect})
 	if err == nil && r.sharesOf.Name != "" {
-		g.repairShares(set, r.sharesOf, union, counted)
+		g.repairShares(set, r.sharesOf, held.Union, counted)
 	}
-	return union, err
+	return held, err
 }
 
 // memberShares holds the shares of a program that a member returned.
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -39,6 +39,8 @@
 	stores map[string]*storage.Node
 	cut    map[string]bool // keys are "FROM TO", or "TO" for all callers
 	calls  int
+	// held delays all calls until it is closed, if it is set.
+	held chan struct{}
 	// observe is called with each message that was delivered, if it is set.
 	observe func(from, to string, m domain.Message)
 }
@@ -55,8 +57,15 @@
 	node, ok := c.network.stores[address]
 	cut := c.network.cut[address] || c.network.cut[c.name+" "+address]
 	c.network.calls++
-	observe := c.network.observe
+	observe, held := c.network.observe, c.network.held
 	c.network.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	if !ok || cut {
 		return nil, errCut
 	}
@@ -320,6 +329,8 @@
 			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 4, Resumable: true},
 		{Name: "keep", Host: "h", Prefix: "/keep/", Kind: manifest.Stream, Timeout: time.Second, Objective: 300 * time.Millisecond,
 			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 1, Resumable: true, StoresHistory: true, Retention: time.Minute},
+		{Name: "long", Host: "h", Prefix: "/long/", Kind: manifest.Stream, Timeout: 10 * time.Second, Objective: 2 * time.Second,
+			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 1},
 		{Name: "look", Host: "h", Prefix: "/look/", Kind: manifest.Idempotent, Timeout: time.Second, Objective: 150 * time.Millisecond,
 			Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 2},
 		{Name: "order", Host: "h", Prefix: "/order/", Kind: manifest.RunOnce, Timeout: time.Second, Objective: 150 * time.Millisecond,
--- a/node/gateway/settle.go
+++ b/node/gateway/settle.go
@@ -43,6 +43,20 @@
 	return time.Time{}
 }
 
+// SettleShares writes all shares that have changed, without advance reservations, as the last step
+// of a planned stop. What a gateway has not written counts as reserved after its end.
+func (g *Gateway) SettleShares(ctx context.Context) error {
+	batch, err := loop.Ask(ctx, g, func(time.Time) []tokens.ProgramShare {
+		g.shares.ReleaseAdvances()
+		return g.shares.Flush()
+	})
+	if err != nil || len(batch) == 0 {
+		return err
+	}
+	_, err = g.write(ctx, quorum.Global, records{shares: batch})
+	return err
+}
+
 func (g *Gateway) writeShares(batch []tokens.ProgramShare) {
 	ctx, cancel := context.WithTimeout(g.Context(), storeTimeout)
 	defer cancel()
--- a/node/gateway/turn.go
+++ b/node/gateway/turn.go
@@ -30,8 +30,11 @@
 	// share. fromAdvance reports whether they come from an advance reservation.
 	reserved    domain.Tokens
 	fromAdvance bool
-	input       []byte
-	events      [][]byte
+	// advanceRecorded receives the outcome of recordTaken. It is nil if there is nothing to
+	// wait for.
+	advanceRecorded chan error
+	input           []byte
+	events          [][]byte
 	// placement is where the turn is stored and the turns before it are looked for.
 	placement quorum.Placement
 }
