Take a turn for absent only by a majority of a regional set

Found by the model of core/turnstore once it froze members: in a set of two to four members with a tolerance of two, fewer members than a majority sufficed to take a turn for absent. A member that was frozen while it was replaced wakes with the former set, and a gateway that still has this set would answer 404 for a turn that the next set has stored.

Cause: an absence needed n-w+1 members, which any write quorum w of the same set meets. It does not meet the members that know of the next set.

Change: at least a majority, as in the set over all regions.

TestQuorumsOfSmallSets had the smaller numbers for 2 to 4 members and has the larger ones now: they are stricter. TestReplacedMemberIsNoAbsenceQuorum fails with the earlier code.

--- a/core/quorum/scope.go
+++ b/core/quorum/scope.go
@@ -62,13 +62,18 @@
 }
 
 // AbsenceQuorum returns the number of members that must lack a record before it is taken for
-// absent. While a member is leaving it is larger than that of the set with this member, so that it
-// also includes a member that knows of a record of the set without it.
+// absent. It is a majority at least: a member that was frozen while it was replaced knows of no
+// newer set, and a gateway that knows of none either would take its word. While a member is leaving
+// it is larger than that of the set with this member, so that it also includes a member that knows
+// of a record of the set without it.
 func (s *Set) AbsenceQuorum() int {
 	if s.Tolerance == 0 {
 		return s.Majority()
 	}
-	return max(0, len(s.Members)-s.WriteQuorum()+1)
+	if len(s.Members) == 0 {
+		return 0
+	}
+	return max(s.Majority(), len(s.Members)-s.WriteQuorum()+1)
 }
 
 // WithScopes returns the next set, which lists the regional sets.
--- a/core/quorum/scope_test.go
+++ b/core/quorum/scope_test.go
@@ -18,7 +18,7 @@
 // Guards against a small set that acknowledges a turn on fewer disks than may be lost at once, and
 // against an absence that misses a write quorum.
 func TestQuorumsOfSmallSets(t *testing.T) {
-	for n, want := range map[int]struct{ write, absence int }{0: {1, 0}, 1: {1, 1}, 2: {2, 1}, 3: {3, 1}, 4: {3, 2}, 5: {3, 3}, 7: {4, 4}} {
+	for n, want := range map[int]struct{ write, absence int }{0: {1, 0}, 1: {1, 1}, 2: {2, 2}, 3: {3, 2}, 4: {3, 3}, 5: {3, 3}, 7: {4, 4}} {
 		s := regionalOf(n)
 		must.Eq(t, want.write, s.WriteQuorum(), must.Sprintf("n=%d", n))
 		must.Eq(t, want.absence, s.AbsenceQuorum(), must.Sprintf("n=%d", n))
@@ -27,6 +27,18 @@
 	must.Eq(t, 2, setOf(3).AbsenceQuorum())
 }
 
+// Guards against a frozen member that was replaced, wakes and is enough to take a turn of the next set for
+// absent: of the members of the former set, a record of the next one is known to all holders.
+func TestReplacedMemberIsNoAbsenceQuorum(t *testing.T) {
+	for n := 2; n <= 7; n++ {
+		s := regionalOf(n)
+		next := s.Replace("a/1", Member{ID: "z/1"})
+		// The holders of a record know the next set, and if the joined member is one of them, so do its sources.
+		unaware := n - max(next.WriteQuorum()-1, next.CopySources())
+		must.Less(t, s.AbsenceQuorum(), unaware, must.Sprintf("n=%d", n))
+	}
+}
+
 // Guards against members that leave and take the records below their quorum with them: for each
 // write quorum before the mark, and for each after it, every absence quorum of the set with the
 // mark and of the smaller set includes a holder. After the second step all remaining members hold
