Let a copy use members that have left the storage set

One disk is lost, as many as are tolerated, but the copy needed two current members and only one was left: turns got 503 for ever, although the frozen VM is back with all of them.

Change: a set lists the members that left last, with the epochs of their seats. A copy that lacks sources asks them as well, and ends if for each earlier epoch fewer members than a write quorum were not asked (quorum.HoldsAllBefore). They adopt the new set before they answer. Builds from before ignore the list, and a set that they change begins it anew.

--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -38,6 +38,8 @@
 	// Leaving reports that the member is to be removed without a replacement. It serves reads and
 	// copies, and writes do not count it.
 	Leaving bool `cbor:",omitempty"`
+	// Left is the epoch of the first set without the member. It is 0 for members.
+	Left domain.Epoch `cbor:",omitempty"`
 }
 
 // Set is the replica set of storage VMs that the coordinators have committed. A
@@ -52,6 +54,11 @@
 	Tolerance int `cbor:",omitempty"`
 	// Scopes lists the regional sets that may hold records. It is part of the global set only.
 	Scopes []Scope `cbor:",omitempty"`
+	// Former lists the members that left last, oldest first. A member that was only silent still has
+	// its records, and a member that joins may copy from it when it is back. Since is the earliest
+	// epoch whose members are all listed in Members or Former, or 0 without a list.
+	Former []Member     `cbor:",omitempty"`
+	Since  domain.Epoch `cbor:",omitempty"`
 }
 
 // Majority returns the size of a majority of the members.
@@ -117,7 +124,12 @@
 // the same data centre, the same region, then the rest. Members at equal distance keep
 // the order of the set.
 func (s *Set) MembersByDistance(dataCentre domain.DataCentre, region domain.Region) []Member {
-	members := slices.Clone(s.Members)
+	return ByDistance(s.Members, dataCentre, region)
+}
+
+// ByDistance is MembersByDistance for any members.
+func ByDistance(members []Member, dataCentre domain.DataCentre, region domain.Region) []Member {
+	members = slices.Clone(members)
 	from := domain.Location{DataCentre: dataCentre, Region: region}
 	distance := func(m Member) domain.Distance {
 		return from.DistanceTo(domain.Location{DataCentre: m.DataCentre, Region: m.Region})
@@ -137,6 +149,7 @@
 	}
 	members := slices.DeleteFunc(slices.Clone(s.Members), func(m Member) bool { return m.ID == old })
 	out.Members = append(members, next)
+	out.addFormer(s, old)
 	return out
 }
 
--- a/core/quorum/scope.go
+++ b/core/quorum/scope.go
@@ -100,5 +100,10 @@
 func (s *Set) WithoutLeaving() *Set {
 	out := s.next()
 	out.Members = slices.DeleteFunc(slices.Clone(s.Members), func(m Member) bool { return m.Leaving })
+	for _, m := range s.Members {
+		if m.Leaving {
+			out.addFormer(s, m.ID)
+		}
+	}
 	return out
 }
--- a/core/turnstore/copy.go
+++ b/core/turnstore/copy.go
@@ -1,6 +1,7 @@
 package turnstore
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -23,7 +24,7 @@
 		records = append(records, r)
 	}
 	reply := &PullReply{Status: s.memberStatus(p.Set.Epoch), Last: p.After}
-	if !reply.Status.Accepted {
+	if !reply.Status.Accepted && !s.wasMember(p.Set) {
 		return reply, records
 	}
 	i := sort.Search(len(s.order), func(i int) bool { return s.order[i].sequence > p.After })
@@ -35,6 +36,11 @@
 	return reply, records
 }
 
+// wasMember reports whether the store has adopted the set and is a former member of it.
+func (s *Store) wasMember(set *quorum.Set) bool {
+	return s.set != nil && s.set.Epoch == set.Epoch && slices.ContainsFunc(set.Former, func(m quorum.Member) bool { return m.ID == s.id })
+}
+
 func (s *Store) addToPull(reply *PullReply, entry orderEntry) int {
 	if entry.isTurn {
 		reply.Turns = append(reply.Turns, entry.turn)
@@ -91,14 +97,18 @@
 }
 
 // FinishCopy marks the copy for a set as finished: this store holds every record
-// that was acknowledged before the epoch in which it joined. It returns the record
+// that was acknowledged before the epoch in which it joined, and without former members among its
+// sources also those before the epoch of the set. It returns the record
 // to sync, or nil when the set has changed since the copy started.
-func (s *Store) FinishCopy(set *quorum.Set) domain.Record {
+func (s *Store) FinishCopy(set *quorum.Set, fromFormer bool) domain.Record {
 	m, ok := s.member()
 	if !ok || s.set.Epoch != set.Epoch {
 		return nil
 	}
 	s.copiedEpoch = m.Joined
 	s.wholeEpoch = set.Epoch
+	if fromFormer {
+		s.wholeEpoch = m.Joined
+	}
 	return &Copied{Joined: m.Joined}
 }
--- a/core/turnstore/messages.go
+++ b/core/turnstore/messages.go
@@ -129,6 +129,9 @@
 	// Whole is the newest epoch for which the store holds every record that was acknowledged
 	// before it, or 0. A member that copies may copy from such a store alone.
 	Whole domain.Epoch `cbor:",omitempty"`
+	// Copied is the newest epoch of joining for which the store has copied the records of the
+	// other members.
+	Copied domain.Epoch `cbor:",omitempty"`
 	// NewerSet is the store's set when the request has an older epoch.
 	NewerSet *quorum.Set
 	// WantsSet requests the set of the request's epoch.
@@ -145,6 +148,12 @@
 	return s.Store == m.ID
 }
 
+// IsCompleteFor reports whether the store holds every record acknowledged before the member joined,
+// whether the member still has its seat or not.
+func (s MemberStatus) IsCompleteFor(m quorum.Member) bool {
+	return s.Store == m.ID && s.Copied >= m.Joined
+}
+
 // ReadChain requests a turn and all turns that it continues.
 type ReadChain struct {
 	Epoch domain.Epoch
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -145,6 +145,10 @@
 	}
 }
 
+// Copied returns the newest epoch of joining for which the store has copied the records of the other
+// members. A member of the first set has copied by definition.
+func (s *Store) Copied() domain.Epoch { return s.copiedEpoch }
+
 // NeedsCopy reports whether the store is a member that has not yet copied the records
 // of the other members.
 func (s *Store) NeedsCopy() bool {
@@ -168,7 +172,7 @@
 
 // memberStatus compares the epoch of a request with the epoch of the store.
 func (s *Store) memberStatus(epoch domain.Epoch) MemberStatus {
-	out := MemberStatus{Store: s.id, Complete: s.Complete(), Whole: s.Whole()}
+	out := MemberStatus{Store: s.id, Complete: s.Complete(), Whole: s.Whole(), Copied: s.copiedEpoch}
 	if s.set == nil {
 		out.WantsSet = true
 		return out
--- a/node/storage/copy.go
+++ b/node/storage/copy.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -22,7 +23,11 @@
 	case r.store.NeedsCopy():
 		r.n.o.Log.Info("joined the storage set; copying from the other members", "region", set.Scope, "epoch", set.Epoch)
 		r.copying = true
-		go r.copy(set)
+		askFormer := !now.Before(r.formerDue)
+		if askFormer {
+			r.formerDue = now.Add(formerRetryDelay)
+		}
+		go r.copy(set, r.ownFormerSeats(set), askFormer)
 	case r.store.Complete() && whole < set.Epoch && r.mayCompare(now, set):
 		r.copying = true
 		go r.compare(set, whole)
@@ -53,14 +58,32 @@
 	return slices.DeleteFunc(set.MembersByDistance(r.n.o.DataCentre, r.n.o.Region), func(m quorum.Member) bool { return m.ID == r.store.ID() })
 }
 
+// ownFormerSeats returns the former seats of this disk in a set.
+func (r *replica) ownFormerSeats(set *quorum.Set) []quorum.Contact {
+	var out []quorum.Contact
+	for _, m := range set.Former {
+		if m.ID == r.store.ID() {
+			out = append(out, quorum.Contact{Member: m, Complete: r.store.Copied() >= m.Joined})
+		}
+	}
+	return out
+}
+
 // copy pulls the records of the other members, nearest first, until enough of them have
-// transferred all their records.
-func (r *replica) copy(set *quorum.Set) {
+// transferred all their records. With askFormer it asks the former members if the others do not
+// suffice.
+func (r *replica) copy(set *quorum.Set, own []quorum.Contact, askFormer bool) {
 	started := r.n.o.Clock.Now()
-	contacts := r.contact(set, r.others(set), false)
+	contacts, asked := r.contact(set, r.others(set), false)
+	holdsAll, fromFormer := set.HoldsAll(contacts, false, 0), false
+	if self, ok := set.Member(r.store.ID()); ok && !holdsAll && askFormer {
+		asked = slices.Concat(asked, own, r.contactFormer(set))
+		holdsAll = set.HoldsAllBefore(self.Joined, asked)
+		fromFormer = holdsAll
+	}
 	complete := false
-	if set.HoldsAll(contacts, false, 0) {
-		complete = r.finishCopy(set)
+	if holdsAll {
+		complete = r.finishCopy(set, fromFormer)
 	} else {
 		select {
 		case <-time.After(copyRetryDelay):
@@ -72,7 +95,7 @@
 		r.n.o.Metrics.Count("copy ended")
 		turns, programs, bytes := r.store.Counts()
 		r.n.o.Log.Info("the copy from the other members ended", "region", set.Scope, "epoch", set.Epoch, "complete", complete, "sources", contacts.Complete,
-			"whole_source", contacts.Whole, "turns", turns, "programs", programs, "bytes", bytes, "took_ms", now.Sub(started).Milliseconds())
+			"from_former", fromFormer, "whole_source", contacts.Whole, "turns", turns, "programs", programs, "bytes", bytes, "took_ms", now.Sub(started).Milliseconds())
 	})
 }
 
@@ -84,7 +107,7 @@
 	var contacts quorum.Contacts
 	useful, possible := r.usefulMembers(set)
 	if set.HoldsAll(possible, true, whole) {
-		contacts = r.contact(set, useful, true)
+		contacts, _ = r.contact(set, useful, true)
 	}
 	holdsAll := set.HoldsAll(contacts, true, whole)
 	r.n.Deliver(func(now time.Time) {
@@ -125,28 +148,47 @@
 
 // contact pulls the records of members of a set, one after the other, until the contacts
 // suffice. Only a complete member learns from members that copy themselves; for one that joins
-// they are no source.
-func (r *replica) contact(set *quorum.Set, members []quorum.Member, complete bool) quorum.Contacts {
-	var contacts quorum.Contacts
+// they are no source. asked lists all that answered.
+func (r *replica) contact(set *quorum.Set, members []quorum.Member, complete bool) (contacts quorum.Contacts, asked []quorum.Contact) {
 	for _, m := range members {
 		status, err := r.pullAll(set, m, complete)
 		if err != nil {
+			if errors.Is(err, errSourceCopies) && status.Store == m.ID {
+				asked = append(asked, quorum.Contact{Member: m})
+			}
 			r.n.o.Log.Info("the copy from a storage VM failed; it is retried", "from", m.ID, "error", err.Error())
 			continue
 		}
 		count(&contacts, set, m, status)
+		asked = append(asked, quorum.Contact{Member: m, Complete: status.Complete})
 		if set.HoldsAll(contacts, complete, 0) {
 			break
 		}
 	}
-	return contacts
+	return contacts, asked
+}
+
+// contactFormer pulls the records of the former members.
+func (r *replica) contactFormer(set *quorum.Set) (asked []quorum.Contact) {
+	for _, m := range quorum.ByDistance(set.Former, r.n.o.DataCentre, r.n.o.Region) {
+		if m.ID == r.store.ID() {
+			continue
+		}
+		status, err := r.pullAll(set, m, true)
+		if err != nil {
+			r.n.o.Log.Info("the copy from a former member failed; it is retried", "from", m.ID, "error", err.Error())
+			continue
+		}
+		asked = append(asked, quorum.Contact{Member: m, Complete: status.IsCompleteFor(m)})
+	}
+	return asked
 }
 
 // finishCopy marks the copy as finished, durably.
-func (r *replica) finishCopy(set *quorum.Set) bool {
+func (r *replica) finishCopy(set *quorum.Set, fromFormer bool) bool {
 	finished := false
 	err := r.applyDurably(func(time.Time) []domain.Record {
-		record := r.store.FinishCopy(set)
+		record := r.store.FinishCopy(set, fromFormer)
 		if finished = record != nil; !finished {
 			return nil
 		}
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -31,6 +31,9 @@
 	// before a failed comparison.
 	copyRetryDelay    = 100 * time.Millisecond
 	compareRetryDelay = time.Second
+	// formerRetryDelay is the time between two attempts of a copy that ask former members. Most of
+	// them are gone for good, and each costs a pullTimeout.
+	formerRetryDelay = 3 * time.Second
 	// maxComparisons bounds the attempts to compare the records for one global set. For a regional
 	// set, the pause between further attempts is slowCompareDelay.
 	maxComparisons   = 20
--- a/node/storage/replica.go
+++ b/node/storage/replica.go
@@ -22,6 +22,8 @@
 	// identified reports whether the stream holds the ID of the disk.
 	identified bool
 	copying    bool
+	// formerDue is the time from which the next copy asks former members.
+	formerDue time.Time
 	// comparedEpoch is the epoch of the set for which the records were last compared with those
 	// of other members, and comparisons the number of attempts.
 	comparedEpoch domain.Epoch
@@ -294,7 +296,11 @@
 	if !reply.Status.IsFrom(set, from) {
 		return nil, fmt.Errorf("storage: the VM of %s answers with the disk %q; the disk of the member is lost", from.ID, reply.Status.Store)
 	}
-	if !reply.Status.Accepted {
+	accepted := reply.Status.Accepted
+	if from.Left > 0 { // no member, unless it has a seat again
+		accepted = reply.Status.Store == from.ID && reply.Status.Epoch == set.Epoch
+	}
+	if !accepted {
 		return nil, fmt.Errorf("storage: %s uses epoch %d", from.ID, reply.Status.Epoch)
 	}
 	return reply, nil
