Restore in a storage VM what it held before its restart

Callers were served no turn with a budget after the processes of all storage VMs were killed: two of three exceeded their memory at every start, although they had used little more than half of it before.

Cause: the file was read into memory as a whole, beside the records decoded from it, and every turn since the last compaction was restored, as the file does not say which of them the store had deleted. The size that triggers a compaction counted the inputs of turns only, from 0 after a restart.

Change: a file is read one frame at a time. Builds from before ignore the mark. All records count for the size of the file.

--- a/adapter/disk/disk_test.go
+++ b/adapter/disk/disk_test.go
@@ -1,12 +1,14 @@
 package disk
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -348,13 +350,13 @@
 	f.Add(frame[:len(frame)-1])
 	f.Fuzz(func(t *testing.T, data []byte) {
 		count := 0
-		intact, err := readFile(data, func([]byte) error { count++; return nil })
-		must.Between(t, 0, intact, len(data))
+		intact, err := readFile(bytes.NewReader(data), int64(len(data)), func([]byte) error { count++; return nil })
+		must.Between(t, 0, intact, int64(len(data)))
 		if err != nil {
 			return
 		}
 		again := 0
-		end, err := readFile(data[:intact], func([]byte) error { again++; return nil })
+		end, err := readFile(bytes.NewReader(data[:intact]), intact, func([]byte) error { again++; return nil })
 		must.NoError(t, err)
 		must.Eq(t, intact, end)
 		must.Eq(t, count, again)
@@ -371,3 +373,54 @@
 	}
 	must.NoError(b, d.Close())
 }
+
+// Guards against a restart that holds the whole file in memory besides its records: on a small VM the
+// process would exceed its memory at every start.
+func TestLoadHoldsOneFrame(t *testing.T) {
+	const frames, frameBytes = 64, 256 << 10
+	payload := appendRecord(nil, make([]byte, frameBytes))
+	data := fileHeader()
+	for range frames {
+		var err error
+		data, err = appendFrame(data, payload)
+		must.NoError(t, err)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	records := 0
+	intact, err := readFile(bytes.NewReader(data), int64(len(data)), func([]byte) error { records++; return nil })
+	runtime.ReadMemStats(&after)
+	must.NoError(t, err)
+	must.Eq(t, int64(len(data)), intact)
+	must.Eq(t, frames, records)
+	must.Less(t, 4*frameBytes, after.TotalAlloc-before.TotalAlloc)
+}
+
+// Guards against a record that changes when the next frame is read into the same buffer.
+func TestLoadedRecordsKeepTheirBytes(t *testing.T) {
+	c, err := codec.New(nil, []domain.Record{&bytesRecord{}})
+	must.NoError(t, err)
+	folder := t.TempDir()
+	d := New(folder, c, 0)
+	for _, text := range []string{"first", "other"} {
+		done := make(chan error, 1)
+		d.Append("s", []domain.Record{&bytesRecord{[]byte(text)}}, func(err error) { done <- err })
+		must.NoError(t, <-done)
+	}
+	must.NoError(t, d.Close())
+	var got []string
+	var records []*bytesRecord
+	must.NoError(t, New(folder, c, 0).Load("s", func(r domain.Record) error {
+		records = append(records, r.(*bytesRecord))
+		return nil
+	}))
+	for _, r := range records {
+		got = append(got, string(r.Data))
+	}
+	must.Eq(t, []string{"first", "other"}, got)
+}
+
+// bytesRecord is a record with a byte string.
+type bytesRecord struct{ Data []byte }
+
+func (*bytesRecord) RecordName() string { return "test.bytes" }
--- a/adapter/disk/file.go
+++ b/adapter/disk/file.go
@@ -1,8 +1,10 @@
 package disk
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -16,6 +18,8 @@
 	fileSuffix = ".rec"
 	newSuffix  = ".new"
 	fileMode   = 0o600
+	// readBufferBytes is the size of the buffer through which a file is read.
+	readBufferBytes = 64 << 10
 	// replaceFrameRecords is the number of records in one frame of a replacement.
 	replaceFrameRecords = 256
 )
@@ -34,7 +38,8 @@
 // files is the part of the file system that a store uses. Tests replace it to
 // inject failures.
 type files interface {
-	Read(name string) ([]byte, error)
+	// OpenRead opens a file for reading and returns its size in bytes.
+	OpenRead(name string) (io.ReadCloser, int64, error)
 	// Open opens a file for appending and creates it if it does not exist. With
 	// truncate the old content is discarded.
 	Open(name string, truncate bool) (file, error)
@@ -45,7 +50,17 @@
 // osFiles implements files with a folder of the operating system.
 type osFiles struct{ folder string }
 
-func (o osFiles) Read(name string) ([]byte, error) { return os.ReadFile(filepath.Join(o.folder, name)) }
+func (o osFiles) OpenRead(name string) (io.ReadCloser, int64, error) {
+	f, err := os.Open(filepath.Join(o.folder, name))
+	if err != nil {
+		return nil, 0, err
+	}
+	info, err := f.Stat()
+	if err != nil {
+		return nil, 0, errors.Join(err, f.Close())
+	}
+	return f, info.Size(), nil
+}
 
 func (o osFiles) Open(name string, truncate bool) (file, error) {
 	flags := os.O_CREATE | os.O_WRONLY | os.O_APPEND
@@ -107,11 +122,32 @@
 // open reads the file, passes its records to apply unless that is nil, removes a
 // torn tail, and keeps the file open for appending.
 func (s *fileStore) open(apply func(domain.Record) error) error {
-	data, err := s.files.Read(s.name)
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return fmt.Errorf("disk: read %s: %w", s.name, err)
+	size, intact, err := s.read(apply)
+	if err != nil {
+		return err
 	}
-	intact, err := readFile(data, func(b []byte) error {
+	f, err := s.files.Open(s.name, false)
+	if err != nil {
+		return fmt.Errorf("disk: open %s: %w", s.name, err)
+	}
+	if err := s.repair(f, size, intact); err != nil {
+		return errors.Join(fmt.Errorf("disk: prepare %s (check space and permissions): %w", s.name, err), f.Close())
+	}
+	s.file = f
+	return nil
+}
+
+// read passes the records of the file to apply, one frame at a time, so that memory holds what
+// apply keeps and not the file. It returns the size of the file and that of its intact part.
+func (s *fileStore) read(apply func(domain.Record) error) (size, intact int64, err error) {
+	f, size, err := s.files.OpenRead(s.name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return 0, 0, nil
+	}
+	if err != nil {
+		return 0, 0, fmt.Errorf("disk: read %s: %w", s.name, err)
+	}
+	intact, err = readFile(bufio.NewReaderSize(f, readBufferBytes), size, func(b []byte) error {
 		if apply == nil {
 			return nil
 		}
@@ -121,26 +157,22 @@
 		}
 		return apply(r)
 	})
-	if err != nil {
-		return &CorruptError{File: s.name, Offset: int64(intact), Err: err}
-	}
-	f, err := s.files.Open(s.name, false)
-	if err != nil {
-		return fmt.Errorf("disk: open %s: %w", s.name, err)
+	var failed *readError
+	switch {
+	case errors.As(err, &failed):
+		err = fmt.Errorf("disk: read %s: %w", s.name, failed.err)
+	case err != nil:
+		err = &CorruptError{File: s.name, Offset: intact, Err: err}
 	}
-	if err := s.repair(f, data, intact); err != nil {
-		return errors.Join(fmt.Errorf("disk: prepare %s (check space and permissions): %w", s.name, err), f.Close())
-	}
-	s.file = f
-	return nil
+	return size, intact, errors.Join(err, f.Close())
 }
 
 // repair truncates the file to its intact part and writes a missing header.
-func (s *fileStore) repair(f file, data []byte, intact int) error {
-	if intact > 0 && intact == len(data) {
+func (s *fileStore) repair(f file, size, intact int64) error {
+	if intact > 0 && intact == size {
 		return nil
 	}
-	if err := f.Truncate(int64(intact)); err != nil {
+	if err := f.Truncate(intact); err != nil {
 		return err
 	}
 	if intact == 0 {
--- a/adapter/disk/frame.go
+++ b/adapter/disk/frame.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
+	"slices"
 )
 
 // A file consists of a header and a sequence of frames. All numbers are unsigned
@@ -60,42 +62,59 @@
 	return append(payload, record...)
 }
 
-// readFile passes the records of a file to apply. It returns the length of the
-// intact part; the bytes after it are a torn last write. With an error it returns
-// the offset of the damaged frame.
-func readFile(data []byte, apply func(record []byte) error) (int, error) {
-	intact, err := checkHeader(data)
+// readError is a failure to read a file, as opposed to a damaged content.
+type readError struct{ err error }
+
+func (e *readError) Error() string { return e.err.Error() }
+
+// readFile passes the records of a file of a size to apply, which must not keep them. It returns the
+// length of the intact part; the bytes after it are a torn last write. With an error it returns
+// the offset of the damaged frame. It holds one frame in memory, or all bytes after a damaged one.
+func readFile(r io.Reader, size int64, apply func(record []byte) error) (int64, error) {
+	intact, err := readHeader(r, size)
 	if err != nil || intact == 0 {
 		return 0, err
 	}
-	for intact < len(data) {
-		payload, ok := readFrame(data[intact:])
+	var frame []byte
+	for intact < size {
+		var ok bool
+		if frame, ok, err = readFrame(r, size-intact, frame[:0]); err != nil {
+			return intact, err
+		}
 		if !ok {
-			if tornTail(data[intact:]) {
-				return intact, nil
-			}
-			return intact, errCorrupt
+			return intact, checkTornTail(r, size-intact, frame)
 		}
-		if err := readRecords(payload, apply); err != nil {
+		if err := readRecords(frame[frameHeaderSize:], apply); err != nil {
 			return intact, err
 		}
-		intact += frameHeaderSize + len(payload)
+		intact += int64(len(frame))
 	}
 	return intact, nil
 }
 
-// checkHeader returns the size of the header, or 0 for a file whose creation was
+// readHeader returns the size of the header, or 0 for a file whose creation was
 // interrupted. A file with more content had a synced header, so damage to the
 // header is corruption.
-func checkHeader(data []byte) (int, error) {
-	want := fileHeader()
-	if len(data) < fileHeaderSize || allZero(data) {
+func readHeader(r io.Reader, size int64) (int64, error) {
+	if size < fileHeaderSize {
 		return 0, nil
 	}
-	got := data[:fileHeaderSize]
-	if bytes.Equal(got, want) {
+	got := make([]byte, fileHeaderSize)
+	if _, err := io.ReadFull(r, got); err != nil {
+		return 0, &readError{err}
+	}
+	if bytes.Equal(got, fileHeader()) {
 		return fileHeaderSize, nil
 	}
+	if allZero(got) {
+		rest, err := io.ReadAll(r)
+		if err != nil {
+			return 0, &readError{err}
+		}
+		if allZero(rest) {
+			return 0, nil
+		}
+	}
 	sum := binary.LittleEndian.Uint32(got[12:])
 	if string(got[:8]) == magic && sum == crc32.Checksum(got[:12], castagnoli) {
 		return 0, fmt.Errorf("%w %d, this program reads version %d", errVersion, binary.LittleEndian.Uint32(got[8:]), formatVersion)
@@ -103,6 +122,53 @@
 	return 0, errCorrupt
 }
 
+// readFrame reads the next frame into buffer, whose content it replaces, and reports whether the
+// frame is intact. Otherwise it returns what it has read: no more than the frame.
+func readFrame(r io.Reader, remaining int64, buffer []byte) ([]byte, bool, error) {
+	buffer, err := readMore(r, buffer, min(frameHeaderSize, remaining))
+	if err != nil {
+		return buffer, false, err
+	}
+	n, ok := frameLength(buffer)
+	if !ok || int64(n) > remaining-frameHeaderSize {
+		return buffer, false, nil
+	}
+	if buffer, err = readMore(r, buffer, int64(n)); err != nil {
+		return buffer, false, err
+	}
+	return buffer, isIntact(buffer), nil
+}
+
+// readMore appends the next n bytes to buffer.
+func readMore(r io.Reader, buffer []byte, n int64) ([]byte, error) {
+	start := len(buffer)
+	buffer = slices.Grow(buffer, int(n))[:start+int(n)]
+	if _, err := io.ReadFull(r, buffer[start:]); err != nil {
+		return buffer[:start], &readError{err}
+	}
+	return buffer, nil
+}
+
+// checkTornTail returns an error unless a damaged frame is a torn last write. read is what was read
+// of the remaining bytes.
+func checkTornTail(r io.Reader, remaining int64, read []byte) error {
+	if n, ok := frameLength(read); ok {
+		if frameHeaderSize+int64(n) >= remaining {
+			return nil
+		}
+		return errCorrupt
+	}
+	tail, err := readMore(r, read, remaining-int64(len(read)))
+	switch {
+	case err != nil:
+		return err
+	case tornTail(tail):
+		return nil
+	default:
+		return errCorrupt
+	}
+}
+
 // frameLength returns the payload length in a frame header, and whether the
 // header is intact.
 func frameLength(data []byte) (int, bool) {
@@ -114,26 +180,21 @@
 	return int(n), n > 0 && n <= maxPayload && sum == crc32.Checksum(data[:8], castagnoli)
 }
 
-// readFrame returns the payload of the first frame of data, and whether the frame
-// is intact.
-func readFrame(data []byte) ([]byte, bool) {
+// isIntact reports whether data begins with a whole frame whose checksums match.
+func isIntact(data []byte) bool {
 	n, ok := frameLength(data)
 	if !ok || n > len(data)-frameHeaderSize {
-		return nil, false
+		return false
 	}
 	payload := data[frameHeaderSize : frameHeaderSize+n]
-	return payload, crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(data[4:])
+	return crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(data[4:])
 }
 
-// tornTail reports whether data, which starts with a damaged frame, is a torn
-// last write. With an intact frame header the payload must extend to the end of
-// the data or beyond. Otherwise no intact frame may follow.
+// tornTail reports whether data, which starts with a damaged frame header, is a torn last write: no
+// intact frame may follow.
 func tornTail(data []byte) bool {
-	if n, ok := frameLength(data); ok {
-		return frameHeaderSize+n >= len(data)
-	}
 	for i := 1; i+frameHeaderSize <= len(data); i++ {
-		if _, ok := readFrame(data[i:]); ok {
+		if isIntact(data[i:]) {
 			return false
 		}
 	}
--- a/core/turnstore/copy.go
+++ b/core/turnstore/copy.go
@@ -42,6 +42,9 @@
 }
 
 func (s *Store) addToPull(reply *PullReply, entry orderEntry) int {
+	if entry.isTurn && s.turnOf(entry) == nil {
+		return 0
+	}
 	if entry.isTurn {
 		reply.Turns = append(reply.Turns, entry.turn)
 		return len(entry.turn.Account) + len(entry.turn.ID)
--- a/core/turnstore/messages.go
+++ b/core/turnstore/messages.go
@@ -35,6 +35,9 @@
 	// Route is the route of the turn, whose region constraint also binds the turns that
 	// continue it. It is empty if no region constraint was in force.
 	Route string `cbor:",omitempty"`
+	// Deleted marks a record on the disk: the store has deleted the turn with this key. The other
+	// fields are then empty. Builds from before restore the turn and delete it again later.
+	Deleted bool `cbor:",omitempty"`
 }
 
 // RecordName implements domain.Record.
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -36,6 +36,9 @@
 	// turn that continues it: a chain is kept as a whole, also after its route was replaced by one
 	// with a longer retention.
 	expires time.Time
+	// sequence is that of the turn's entry in the order. An entry with another one is of a deleted
+	// turn.
+	sequence int
 }
 
 type storedProgram struct {
@@ -72,7 +75,11 @@
 	lastSequence int
 	// liveBytes is the size of all stored turns, with their overhead.
 	liveBytes int
-	nextSweep time.Time
+	// shareCount is the number of all stored shares.
+	shareCount int
+	// restoredBytes is the size of all records that were restored.
+	restoredBytes int
+	nextSweep     time.Time
 }
 
 // New returns an empty store.
@@ -83,6 +90,7 @@
 // Restore applies one durable record. The caller passes the records in the order in
 // which they were written. It returns an error for a record of another package.
 func (s *Store) Restore(now time.Time, record domain.Record) error {
+	s.restoredBytes += RecordBytes(record)
 	switch r := record.(type) {
 	case *Identity:
 		s.id = r.ID
@@ -91,7 +99,12 @@
 	case *Copied:
 		s.copiedEpoch = max(s.copiedEpoch, r.Joined)
 	case *Turn:
-		s.addTurn(now, r)
+		if r.Deleted {
+			s.deleteTurn(r.Key)
+			s.trimOrder()
+		} else {
+			s.addTurn(now, r)
+		}
 	case *Share:
 		s.addShare(now, tokens.ProgramShare(*r))
 	default:
@@ -118,6 +131,20 @@
 	return len(s.turns), len(s.programs), s.liveBytes
 }
 
+// RecordBytes returns the approximate size of a record on the disk.
+func RecordBytes(record domain.Record) int {
+	if t, ok := record.(*Turn); ok {
+		return t.Size()
+	}
+	return turnOverheadBytes
+}
+
+// RestoredBytes returns the size of all records that were restored.
+func (s *Store) RestoredBytes() int { return s.restoredBytes }
+
+// LiveBytes returns the size on the disk of all records that the store holds.
+func (s *Store) LiveBytes() int { return s.liveBytes + s.shareCount*turnOverheadBytes }
+
 // AdoptSet switches to a newer set and returns the record to sync. It returns nil
 // when the set is nil, not newer or of another scope.
 func (s *Store) AdoptSet(set *quorum.Set) domain.Record {
@@ -242,17 +269,47 @@
 }
 
 func (s *Store) addTurn(now time.Time, t *Turn) bool {
+	if t.Deleted {
+		return false
+	}
 	expires := now.Add(retentionFactor * t.Retention)
 	s.extend(TurnKey{Account: t.Key.Account, ID: t.Previous}, expires)
 	if _, ok := s.turns[t.Key]; ok {
 		return false
 	}
-	s.turns[t.Key] = &storedTurn{turn: t, expires: expires}
-	s.appendOrder(orderEntry{turn: t.Key, isTurn: true})
+	sequence := s.appendOrder(orderEntry{turn: t.Key, isTurn: true})
+	s.turns[t.Key] = &storedTurn{turn: t, expires: expires, sequence: sequence}
 	s.liveBytes += t.Size()
 	return true
 }
 
+// turnOf returns the turn of an entry of the order, or nil if it was deleted.
+func (s *Store) turnOf(entry orderEntry) *storedTurn {
+	stored := s.turns[entry.turn]
+	if stored == nil || stored.sequence != entry.sequence {
+		return nil
+	}
+	return stored
+}
+
+func (s *Store) deleteTurn(key TurnKey) {
+	if stored := s.turns[key]; stored != nil {
+		s.liveBytes -= stored.turn.Size()
+		delete(s.turns, key)
+	}
+}
+
+// minTrimmed is the number of entries of the order below which those of deleted turns are kept.
+const minTrimmed = 1024
+
+// trimOrder removes the entries of deleted turns once they are more than half.
+func (s *Store) trimOrder() {
+	if len(s.order) < minTrimmed || len(s.order) < 2*(len(s.turns)+len(s.programs)) {
+		return
+	}
+	s.order = slices.DeleteFunc(s.order, func(e orderEntry) bool { return e.isTurn && s.turnOf(e) == nil })
+}
+
 // firstMissing returns the ID of the newest turn before t that the store lacks, or "".
 func (s *Store) firstMissing(t *Turn) string {
 	key := TurnKey{Account: t.Key.Account, ID: t.Previous}
@@ -269,10 +326,11 @@
 	return key.ID
 }
 
-func (s *Store) appendOrder(p orderEntry) {
+func (s *Store) appendOrder(p orderEntry) (sequence int) {
 	s.lastSequence++
 	p.sequence = s.lastSequence
 	s.order = append(s.order, p)
+	return p.sequence
 }
 
 // extend keeps a turn and all turns before it until a time.
@@ -294,8 +352,9 @@
 		if !entry.isTurn {
 			continue
 		}
-		stored := s.turns[entry.turn]
-		s.extend(TurnKey{Account: entry.turn.Account, ID: stored.turn.Previous}, stored.expires)
+		if stored := s.turnOf(entry); stored != nil {
+			s.extend(TurnKey{Account: entry.turn.Account, ID: stored.turn.Previous}, stored.expires)
+		}
 	}
 }
 
@@ -307,9 +366,11 @@
 		s.appendOrder(orderEntry{program: e.Program})
 	}
 	p.lastUse = now
+	before := len(p.shares)
 	if !p.shares.Add(e.Share) {
 		return false
 	}
+	s.shareCount += len(p.shares) - before
 	p.lapses.Received(now, e.Share)
 	return true
 }
@@ -338,40 +399,38 @@
 	return reply, records
 }
 
-// Sweep deletes expired records, at most once per sweepInterval. It reports whether
-// any was deleted.
-func (s *Store) Sweep(now time.Time) bool {
+// Sweep deletes expired records, at most once per sweepInterval. It returns records that mark the
+// deleted turns. Without them a restarted store would hold all turns since the last compaction.
+func (s *Store) Sweep(now time.Time) []domain.Record {
 	if now.Before(s.nextSweep) {
-		return false
+		return nil
 	}
 	s.nextSweep = now.Add(sweepInterval)
 	s.extendChains()
-	before := len(s.order)
+	var deleted []domain.Record
 	kept := s.order[:0:0]
 	for _, p := range s.order {
-		if !s.dropIfExpired(now, p) {
+		switch {
+		case p.isTurn && s.turnOf(p) == nil: // deleted, and perhaps stored again with another entry
+		case !s.hasExpired(now, p):
 			kept = append(kept, p)
+		case p.isTurn:
+			s.deleteTurn(p.turn)
+			deleted = append(deleted, &Turn{Key: p.turn, Deleted: true})
+		default:
+			s.shareCount -= len(s.programs[p.program].shares)
+			delete(s.programs, p.program)
 		}
 	}
 	s.order = kept
-	return len(kept) < before
+	return deleted
 }
 
-func (s *Store) dropIfExpired(now time.Time, entry orderEntry) bool {
+func (s *Store) hasExpired(now time.Time, entry orderEntry) bool {
 	if entry.isTurn {
-		stored := s.turns[entry.turn]
-		if now.Before(stored.expires) {
-			return false
-		}
-		s.liveBytes -= stored.turn.Size()
-		delete(s.turns, entry.turn)
-		return true
+		return !now.Before(s.turns[entry.turn].expires)
 	}
-	if now.Sub(s.programs[entry.program].lastUse) < shareRetention {
-		return false
-	}
-	delete(s.programs, entry.program)
-	return true
+	return now.Sub(s.programs[entry.program].lastUse) >= shareRetention
 }
 
 // LiveRecords returns all records that the store holds, for a compaction of the disk.
@@ -385,7 +444,9 @@
 	}
 	for _, p := range s.order {
 		if p.isTurn {
-			records = append(records, s.turns[p.turn].turn)
+			if stored := s.turnOf(p); stored != nil {
+				records = append(records, stored.turn)
+			}
 			continue
 		}
 		for _, share := range s.programs[p.program].shares {
--- a/node/storage/node.go
+++ b/node/storage/node.go
@@ -42,7 +42,7 @@
 	concurrentFetches = 3
 	// pullTimeout bounds each call of a copy.
 	pullTimeout = time.Second
-	// compactSlackBytes is the size by which the expired records must exceed the
+	// compactSlackBytes is the size by which the records that are not needed any more must exceed the
 	// live ones before the disk is compacted. It is a fraction of the smallest
 	// disk in use.
 	compactSlackBytes = 64 << 20
@@ -86,13 +86,13 @@
 // New returns a node that is not running yet.
 func New(o Options) *Node {
 	n := &Node{o: o, origins: origin.NewRegistry(), started: o.Clock.Now()}
-	n.global = &replica{n: n, store: o.Store, stream: Stream, identified: true}
+	n.global = &replica{n: n, store: o.Store, stream: Stream, identified: true, writtenBytes: o.Store.RestoredBytes()}
 	if o.Region != "" {
 		store := o.Regional
 		if store == nil {
 			store = turnstore.NewScoped(quorum.Scope(o.Region), o.Store.ID())
 		}
-		n.regional = &replica{n: n, store: store, stream: RegionalStream, identified: store.Set() != nil}
+		n.regional = &replica{n: n, store: store, stream: RegionalStream, identified: store.Set() != nil, writtenBytes: store.RestoredBytes()}
 	}
 	n.Actor = loop.NewActor(o.Clock, n.settle)
 	return n
--- a/node/storage/node_test.go
+++ b/node/storage/node_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,3 +127,41 @@
 	must.Eq(t, quorum.StoreID("a/1"), restored.ID())
 	must.Eq(t, domain.Epoch(1), restored.Set().Epoch)
 }
+
+// manualClock is a clock that the test sets. Its timers are those of the machine.
+type manualClock struct {
+	systemclock.Boot
+	nanoseconds atomic.Int64
+}
+
+func (c *manualClock) Now() time.Time { return time.Unix(1000, c.nanoseconds.Load()) }
+
+func (c *manualClock) advance(d time.Duration) { c.nanoseconds.Add(int64(d)) }
+
+// Guards against a restarted storage VM that restores all turns that it has stored since the last
+// compaction, instead of those that it held (RECOVER in the second review).
+func TestDeletedTurnsAreNotRestored(t *testing.T) {
+	memory := disk.NewMemory(0)
+	store := turnstore.New()
+	appended := make(chan error, 1)
+	memory.Append(Stream, []domain.Record{store.AssignID("a/1")}, func(err error) { appended <- err })
+	must.NoError(t, <-appended)
+	clock := &manualClock{}
+	n := New(Options{Store: store, Disk: memory, Clock: clock, Log: logr.Discard(), Metrics: noMetrics{}})
+	go n.Run() //nolint:errcheck // ends with Stop
+	t.Cleanup(n.Stop)
+	n.Apply(&coordinator.View{Stores: &quorum.Set{Epoch: 1, Members: []quorum.Member{{ID: "a/1"}}}})
+	put := func(id string) {
+		_, err := n.Handle(t.Context(), &turnstore.Write{Epoch: 1, Turn: &turnstore.Turn{Key: turnstore.TurnKey{ID: id}, Retention: time.Minute}})
+		must.NoError(t, err)
+	}
+	for range 5 {
+		put(fmt.Sprint("old", clock.Now()))
+		clock.advance(3 * time.Minute)
+	}
+	put("last") // after the sweep
+	restored := turnstore.New()
+	must.NoError(t, memory.Load(Stream, func(r domain.Record) error { return restored.Restore(clock.Now(), r) }))
+	turns, _, _ := restored.Counts()
+	must.LessEq(t, 2, turns)
+}
--- a/node/storage/replica.go
+++ b/node/storage/replica.go
@@ -29,7 +29,8 @@
 	comparedEpoch domain.Epoch
 	comparisons   int
 	compareDue    time.Time
-	writtenBytes  int
+	// writtenBytes is the approximate size of the stream on the disk.
+	writtenBytes int
 	// pendingAppends is the number of appends that are not synced yet.
 	pendingAppends int
 	// failed is the error of the last write. The content of the disk is unknown after it, so
@@ -47,8 +48,11 @@
 		return now.Add(idleWake)
 	}
 	r.startCopy(now)
-	r.store.Sweep(now)
+	deleted := r.store.Sweep(now)
 	if r.failed == nil {
+		if len(deleted) > 0 {
+			r.persist(deleted)
+		}
 		r.compact()
 		return now.Add(idleWake)
 	}
@@ -86,10 +90,9 @@
 	}
 }
 
-// compact rewrites the disk when expired records take up much of it.
+// compact rewrites the disk when records that are not needed any more take up much of it.
 func (r *replica) compact() {
-	_, _, live := r.store.Counts()
-	if !r.replacing && r.writtenBytes >= 2*live+compactSlackBytes {
+	if !r.replacing && r.writtenBytes >= 2*r.store.LiveBytes()+compactSlackBytes {
 		r.replaceRecords()
 	}
 }
@@ -97,7 +100,7 @@
 // replaceRecords writes all records that the store holds in place of the content of the disk.
 func (r *replica) replaceRecords() {
 	r.replacing = true
-	_, _, r.writtenBytes = r.store.Counts()
+	r.writtenBytes = r.store.LiveBytes()
 	r.n.o.Disk.Replace(r.stream, r.store.LiveRecords(), func(err error) {
 		r.n.Deliver(func(now time.Time) {
 			r.replacing = false
@@ -146,9 +149,7 @@
 	}
 	done := make(chan error, 1)
 	for _, record := range records {
-		if t, ok := record.(*turnstore.Turn); ok {
-			r.writtenBytes += len(t.Input)
-		}
+		r.writtenBytes += turnstore.RecordBytes(record)
 	}
 	r.pendingAppends++
 	r.n.o.Disk.Append(r.stream, records, func(err error) {
