Tell requests that crash targets from those that were only there

Callers got 503 (suspect_request) for two minutes for turns whose input other programs of the account had sent, such as "Go on.", after racks of targets had failed.

Cause: a request was identified by its own input without the turns before it. Each target of a rack that crashed at once counted. And only the gateway that saw an answer forgot its crashes; the coordinator kept those of others.

Change: the previous turn is part of the identity. The leader names the requests that the next crash would quarantine, gateways report which of them targets have answered, and their crashes count no longer. Lists of quarantined requests are compared by content, not by length.

Evidence: TestTurnsWithSameInputAreDifferentRequests fails without the previous turn in the identity.

--- a/core/coordinator/messages.go
+++ b/core/coordinator/messages.go
@@ -189,7 +189,9 @@
 	Targets  uint64
 	Counts   allowance.Counts
 	Crashes  []quarantine.Crash
-	Limits   targetlimit.Report
+	// Served lists the suspected requests that targets have answered.
+	Served []quarantine.Fingerprint `cbor:",omitempty"`
+	Limits targetlimit.Report
 	// Leaving holds the targets that said in an answer that they leave, while the process's
 	// list does not show it.
 	Leaving []domain.Target `cbor:",omitempty"`
@@ -230,7 +232,11 @@
 	Allowances allowance.Totals
 	// Quarantined lists the requests that must not run again.
 	Quarantined []quarantine.Fingerprint
-	Limits      targetlimit.Grant
+	// Suspected lists the requests whose answers the process has to report, and Cleared those whose
+	// crashes it has to forget.
+	Suspected []quarantine.Fingerprint `cbor:",omitempty"`
+	Cleared   []quarantine.Fingerprint `cbor:",omitempty"`
+	Limits    targetlimit.Grant
 	// Peers are the gateways through which the process may reach targets.
 	Peers reach.Peers
 	// Evacuations holds the decided orders if they are newer than the revision in the report.
--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -60,7 +60,9 @@
 		c.logAllowances(now)
 		c.logMemory(now)
 		c.crashCounter.Report(now, r.Crashes)
+		c.crashCounter.Served(r.Served)
 		view.Quarantined = c.crashCounter.Quarantined(now)
+		view.Suspected, view.Cleared = c.crashCounter.Suspected(), c.crashCounter.Cleared()
 		view.Limits = c.grantPermits(now, r.Limits)
 		view.Peers = c.gateways.Report(now, r.Reach)
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,9 +1,10 @@
 // Package quarantine detects requests that crash the targets that run them. Each
 // gateway records the requests that were in flight at a target when it crashed. The
 // coordinator counts the crashes of a request across all gateways and quarantines the
-// request after the third one. core/program detects such requests at the owner of
-// their program. This package needs no owner, because any gateway may receive the same
-// request.
+// request after the third one in a row. Targets that crash together, such as those of a rack,
+// count once, and an answer of a target clears the request. core/program detects such requests
+// at the owner of their program. This package needs no owner, because any gateway may receive
+// the same request.
 package quarantine
 
 import (
@@ -13,7 +14,8 @@
 	"github.com/mangoknot/mangoknot/core/domain"
 )
 
-// Fingerprint identifies a request by its client account, method, path and body.
+// Fingerprint identifies a request by its client account, method, path and body, and by the turn
+// that it continues.
 type Fingerprint uint64
 
 const (
@@ -34,11 +36,19 @@
 type Crash struct {
 	Fingerprint Fingerprint
 	Target      domain.Target
+	// SentAgo and FailedAgo are the times in milliseconds since the request was sent to the target
+	// and since its connection failed. SentAgo is 0 on builds that do not report them. The names are
+	// short because gateways report each crash many times.
+	SentAgo   uint32 `cbor:"S,omitempty"`
+	FailedAgo uint32 `cbor:"F,omitempty"`
 }
 
 type recordedFailure struct {
-	crash Crash
-	at    time.Time
+	fingerprint      Fingerprint
+	target           domain.Target
+	sentAt, failedAt time.Time
+	// confirmedAt is the time at which the failure was confirmed as a crash.
+	confirmedAt time.Time
 }
 
 // Watch tracks the connection failures and crashes seen by one gateway. It is not safe
@@ -48,17 +58,19 @@
 	confirmed []recordedFailure
 }
 
-// ConnectionFailed records a request whose connection to the target failed.
-func (w *Watch) ConnectionFailed(now time.Time, f Fingerprint, t domain.Target) {
-	w.failures = appendBounded(w.failures, recordedFailure{Crash{f, t}, now})
+// ConnectionFailed records a request that was sent at a time, and whose connection to the target
+// failed.
+func (w *Watch) ConnectionFailed(now, sentAt time.Time, f Fingerprint, t domain.Target) {
+	w.failures = appendBounded(w.failures, recordedFailure{fingerprint: f, target: t, sentAt: sentAt, failedAt: now})
 }
 
 // TargetUnreachable confirms the recent connection failures at a target as crashes.
 func (w *Watch) TargetUnreachable(now time.Time, t domain.Target) {
 	w.failures = slices.DeleteFunc(w.failures, func(b recordedFailure) bool {
-		recent := now.Sub(b.at) <= confirmationTimeout
-		if recent && b.crash.Target == t {
-			w.confirmed = appendBounded(w.confirmed, recordedFailure{b.crash, now})
+		recent := now.Sub(b.failedAt) <= confirmationTimeout
+		if recent && b.target == t {
+			b.confirmedAt = now
+			w.confirmed = appendBounded(w.confirmed, b)
 			return true
 		}
 		return !recent
@@ -71,72 +83,26 @@
 
 // Served removes the failures and crashes of a request that a target has answered.
 func (w *Watch) Served(f Fingerprint) {
-	matches := func(b recordedFailure) bool { return b.crash.Fingerprint == f }
+	matches := func(b recordedFailure) bool { return b.fingerprint == f }
 	w.failures = slices.DeleteFunc(w.failures, matches)
 	w.confirmed = slices.DeleteFunc(w.confirmed, matches)
 }
 
 // Crashes returns the confirmed crashes that have not expired.
 func (w *Watch) Crashes(now time.Time) []Crash {
-	w.confirmed = slices.DeleteFunc(w.confirmed, func(b recordedFailure) bool { return now.Sub(b.at) > crashTTL })
+	w.confirmed = slices.DeleteFunc(w.confirmed, func(b recordedFailure) bool { return now.Sub(b.confirmedAt) > crashTTL })
 	var out []Crash
 	for _, b := range w.confirmed {
-		out = append(out, b.crash)
+		out = append(out, Crash{Fingerprint: b.fingerprint, Target: b.target, SentAgo: max(1, milliseconds(now.Sub(b.sentAt))), FailedAgo: milliseconds(now.Sub(b.failedAt))})
 	}
 	return out
 }
 
+func milliseconds(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+
 func appendBounded(list []recordedFailure, b recordedFailure) []recordedFailure {
 	if len(list) >= maxEntries {
 		list = list[1:]
 	}
 	return append(list, b)
 }
-
-// CrashCounter holds the coordinator's crash counts over all gateways. It is not safe
-// for concurrent use.
-type CrashCounter struct {
-	crashes map[Fingerprint]map[domain.Target]time.Time
-}
-
-// NewCrashCounter returns a counter without crashes.
-func NewCrashCounter() *CrashCounter {
-	return &CrashCounter{crashes: map[Fingerprint]map[domain.Target]time.Time{}}
-}
-
-// Report adds the confirmed crashes of one gateway.
-func (c *CrashCounter) Report(now time.Time, crashes []Crash) {
-	for _, crash := range crashes {
-		targets := c.crashes[crash.Fingerprint]
-		if targets == nil {
-			if len(c.crashes) >= maxEntries {
-				continue
-			}
-			targets = map[domain.Target]time.Time{}
-			c.crashes[crash.Fingerprint] = targets
-		}
-		if _, known := targets[crash.Target]; !known {
-			targets[crash.Target] = now
-		}
-	}
-}
-
-// Quarantined returns the requests that must not be dispatched, in ascending order.
-func (c *CrashCounter) Quarantined(now time.Time) []Fingerprint {
-	var out []Fingerprint
-	for f, targets := range c.crashes {
-		for t, at := range targets {
-			if now.Sub(at) > crashTTL {
-				delete(targets, t)
-			}
-		}
-		switch {
-		case len(targets) == 0:
-			delete(c.crashes, f)
-		case len(targets) >= CrashThreshold:
-			out = append(out, f)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -190,7 +190,7 @@
 
 func (e *exchange) release(target balance.Target, outcome balance.Outcome, load *balance.Load) {
 	e.inFlight = false
-	direct := e.isDirect()
+	direct, sentAt := e.isDirect(), e.started.Add(e.sentAt)
 	e.g.Deliver(func(now time.Time) {
 		if outcome == balance.Failed && direct {
 			if e.g.links.detector.CutOff() {
@@ -202,10 +202,10 @@
 		switch outcome {
 		case balance.Failed:
 			e.g.cold.Failed(target.ID)
-			e.g.watch.ConnectionFailed(now, e.fingerprint, target.ID)
+			e.g.watch.ConnectionFailed(now, sentAt, e.fingerprint, target.ID)
 		case balance.Served:
 			e.g.cold.Served(now, target.ID)
-			e.g.watch.Served(e.fingerprint)
+			e.g.requestServed(e.fingerprint)
 		}
 		e.g.finish(now, target.ID, outcome, load)
 	})
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -197,7 +197,10 @@
 	pendingSettlements map[tokens.Program]chan struct{}
 	shares             *tokens.ShareSet
 	watch              quarantine.Watch
-	limits             *targetlimit.Gateway
+	// suspected holds the requests whose answers are reported, and servedSuspects those of them
+	// that were answered.
+	suspected, servedSuspects map[quarantine.Fingerprint]bool
+	limits                    *targetlimit.Gateway
 	// services maps each listed target to its service, and addresses holds their addresses.
 	services  map[domain.Target]string
 	addresses map[string]bool
@@ -226,6 +229,7 @@
 		shares:             tokens.NewShareSet(o.Process),
 		pendingSettlements: map[tokens.Program]chan struct{}{},
 		suspectUntil:       map[quorum.StoreID]time.Time{},
+		servedSuspects:     map[quarantine.Fingerprint]bool{},
 		queue:              waiting.NewQueue[*waiter](o.Rand),
 		held:               allowance.NewHeld[*heldRequest](),
 		links:              links{detector: reach.NewDetector(o.Rand)},
@@ -394,6 +398,7 @@
 		r.Targets = g.targetSequence
 		r.Counts = g.allowances.Report(now, uint64(r.Document))
 		r.Crashes = g.watch.Crashes(now)
+		r.Served = slices.Sorted(maps.Keys(g.servedSuspects))
 		r.Limits = g.reportLimits(now)
 		r.Reach = g.reportLinks()
 		r.Leaving = g.departures.Unlisted(now)
@@ -457,7 +462,7 @@
 		return
 	}
 	g.allowances.ApplyTotals(now, v.Allowances)
-	g.applyQuarantine(v.Quarantined)
+	g.applyQuarantine(v)
 	g.applyPeers(v.Peers)
 	g.limits.Apply(now, v.Limits)
 	g.limitsKnown.Store(g.limits.Any())
@@ -497,18 +502,37 @@
 	g.setTargets(g.departures.Mark(now, g.listedTargets, false))
 }
 
-func (g *Gateway) applyQuarantine(list []quarantine.Fingerprint) {
-	if len(list) == len(g.view.Load().quarantined) {
-		// Entries are added one at a time and expire together after a long time, so
-		// lists of equal length are equal.
+// applyQuarantine applies what the leader says of requests that crash targets.
+func (g *Gateway) applyQuarantine(v *coordinator.View) {
+	for _, f := range v.Cleared {
+		g.watch.Served(f)
+	}
+	g.suspected = fingerprintSet(v.Suspected)
+	maps.DeleteFunc(g.servedSuspects, func(f quarantine.Fingerprint, _ bool) bool { return !g.suspected[f] })
+	set := fingerprintSet(v.Quarantined)
+	if maps.Equal(set, g.view.Load().quarantined) {
 		return
 	}
+	g.o.Log.Info("the list of quarantined requests changed", "requests", len(set))
+	g.publish(func(v *view) { v.quarantined = set })
+}
+
+func fingerprintSet(list []quarantine.Fingerprint) map[quarantine.Fingerprint]bool {
 	set := map[quarantine.Fingerprint]bool{}
 	for _, f := range list {
 		set[f] = true
 	}
-	g.o.Log.Info("the list of quarantined requests changed", "requests", len(list))
-	g.publish(func(v *view) { v.quarantined = set })
+	return set
+}
+
+// requestServed records that a target has answered a request, which is therefore not the cause of
+// the crashes that were counted for it.
+func (g *Gateway) requestServed(f quarantine.Fingerprint) {
+	g.watch.Served(f)
+	if g.suspected[f] && !g.servedSuspects[f] {
+		g.servedSuspects[f] = true
+		g.o.Log.Info("a request that was at crashed targets was answered; its crashes no longer count", "fingerprint", f)
+	}
 }
 
 func (g *Gateway) setTargets(list []balance.Target) {
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -301,10 +301,11 @@
 const spreadSteps = 1000
 
 // fingerprintOf returns a fingerprint that is the same for all attempts of a
-// request. It does not cover the id, which differs for each attempt.
+// request. It does not cover the id, which differs for each attempt. The previous turn stands for
+// the rest of what a target gets: agents send short inputs such as "go on" in many programs.
 func (e *exchange) fingerprintOf() quarantine.Fingerprint {
 	h := fnv.New64a()
-	for _, part := range [][]byte{[]byte(e.account), []byte(e.Method), []byte(e.Host), []byte(e.Path), e.Body} {
+	for _, part := range [][]byte{[]byte(e.account), []byte(e.Method), []byte(e.Host), []byte(e.Path), e.Body, []byte(e.Previous)} {
 		h.Write(part)
 		h.Write([]byte{0})
 	}
