Let the test of evacuations wait until the queue is served

TestEvacuationAppliesToWaitingRequests failed once under the race detector beside load (0 results in place of 1). It read the result right after its posted function had run, but the control goroutine serves the queue after the functions that were posted. It now waits for the same result.

--- a/node/gateway/evacuation_test.go
+++ b/node/gateway/evacuation_test.go
@@ -79,7 +79,8 @@
 		must.Eq(t, 0, len(w.result))
 	}))
 	r.evacuate(g, evacuated(5, "a", "b"))
-	must.Eq(t, 1, len(w.result))
+	// The control goroutine serves the queue after the functions that it was posted.
+	must.True(t, eventually(func() bool { return len(w.result) == 1 }))
 	must.Eq(t, NoTarget, Kind((<-w.result).refusal))
 }
 
