Check the budget of a taken advance reservation only if it may have lapsed

Cause: the record asked for all shares of the program, which are many where clients keep to no gateway, and the first event waits for the reply.

Change: the record is a plain write. If it is acknowledged before the reservation can lapse at any storage VM, by the gateway's own clock, no other gateway has used its tokens, and each later one sees the record. Otherwise the budget is checked as before.

--- a/core/tokens/shareset.go
+++ b/core/tokens/shareset.go
@@ -130,6 +130,17 @@
 	return taken, s.nextVersion(p, state), AdvanceTaken
 }
 
+// AdvanceLapse returns the time before which no storage VM reports the last advance reservation of a
+// program as lapsed. A record that its tokens are taken, acknowledged before then, is seen by every
+// later reservation.
+func (s *ShareSet) AdvanceLapse(p Program) time.Time {
+	state := s.states[p]
+	if state == nil {
+		return time.Time{}
+	}
+	return state.advanceExpires.Add(advanceLapseMargin)
+}
+
 // setAdvance sets the advance reservation of the share.
 func (s *shareState) setAdvance(tokens domain.Tokens) {
 	s.share.Advance, s.share.AdvanceValidity = tokens, 0
--- a/node/gateway/budget.go
+++ b/node/gateway/budget.go
@@ -24,15 +24,15 @@
 	if !e.turn.budgeted {
 		return nil
 	}
-	share, taken, err := e.takeTokens(ctx)
+	got, err := e.takeTokens(ctx)
 	switch {
 	case err != nil:
 		return notRun(Overloaded, minRetryAfter, err)
-	case taken:
-		e.recordTaken(ctx, share)
+	case e.turn.fromAdvance:
+		e.recordTaken(ctx, got)
 		return nil
 	}
-	decision, err := e.writeReservation(ctx, share)
+	decision, err := e.writeReservation(ctx, got.share)
 	if err != nil {
 		return notRun(StorageUnavailable, e.spread(storageRetryAfter), err)
 	}
@@ -72,23 +72,28 @@
 
 // recordTaken records that the turn holds the advance reservation, while its request is under way to
 // a target. Its first event waits for that: if this process ends before, the reservation lapses.
-func (e *exchange) recordTaken(ctx context.Context, share tokens.Share) {
+func (e *exchange) recordTaken(ctx context.Context, taken reservation) {
 	recorded := make(chan error, 1)
 	e.turn.advanceRecorded = recorded
 	go func() {
 		err := loop.ErrPanicked
-		loop.Contain(e.g.reportPanic, func() { err = e.writeTaken(ctx, share) })
+		loop.Contain(e.g.reportPanic, func() { err = e.writeTaken(ctx, taken) })
 		recorded <- err
 	}()
 }
 
-func (e *exchange) writeTaken(ctx context.Context, share tokens.Share) error {
+// writeTaken writes the share until that succeeds. The budget is checked only if the reservation may
+// have lapsed before the write was acknowledged: the shares of a program are many at a large site.
+func (e *exchange) writeTaken(ctx context.Context, taken reservation) error {
 	for {
-		decision, err := e.writeReservation(ctx, share)
-		switch {
-		case err == nil && decision == tokens.Spent:
-			return errAdvanceLapsed
-		case err == nil:
+		err := e.writeBeforeLapse(ctx, taken)
+		if errors.Is(err, errMayHaveLapsed) {
+			var decision tokens.BudgetDecision
+			if decision, err = e.writeReservation(ctx, taken.share); err == nil && decision == tokens.Spent {
+				return errAdvanceLapsed
+			}
+		}
+		if err == nil {
 			return nil
 		}
 		select {
@@ -99,6 +104,22 @@
 	}
 }
 
+// errMayHaveLapsed reports that other gateways may have used the tokens of an advance reservation.
+var errMayHaveLapsed = errors.New("the advance reservation may have lapsed")
+
+// writeBeforeLapse writes the share and returns errMayHaveLapsed unless that was acknowledged before
+// any storage VM could report the reservation as lapsed.
+func (e *exchange) writeBeforeLapse(ctx context.Context, taken reservation) error {
+	if !e.g.o.Clock.Now().Before(taken.lapsesAt) {
+		return errMayHaveLapsed
+	}
+	_, err := e.g.write(ctx, quorum.Global, records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: taken.share}}})
+	if err == nil && !e.g.o.Clock.Now().Before(taken.lapsesAt) {
+		return errMayHaveLapsed
+	}
+	return err
+}
+
 // awaitReservation waits until the turn's reservation is recorded.
 func (e *exchange) awaitReservation(ctx context.Context) error {
 	if e.turn == nil || e.turn.advanceRecorded == nil {
@@ -121,6 +142,8 @@
 	// share is the share to be written.
 	share tokens.Share
 	state tokens.AdvanceState
+	// lapsesAt is the time before which an advance reservation lapses at no storage VM.
+	lapsesAt time.Time
 	// pending is closed when the pending write of the advance reservation has
 	// ended. It is nil if there is nothing to wait for.
 	pending chan struct{}
@@ -130,8 +153,8 @@
 // gateway's share and returns the share to be written. It waits once for the
 // pending write of an advance reservation, because another write would take
 // longer.
-func (e *exchange) takeTokens(ctx context.Context) (share tokens.Share, taken bool, err error) {
-	got, err := e.tryReserve(true)
+func (e *exchange) takeTokens(ctx context.Context) (got reservation, err error) {
+	got, err = e.tryReserve(true)
 	if err == nil && got.pending != nil {
 		select {
 		case <-got.pending:
@@ -141,7 +164,7 @@
 		}
 	}
 	e.turn.fromAdvance = err == nil && got.state == tokens.AdvanceTaken
-	return got.share, e.turn.fromAdvance, err
+	return got, err
 }
 
 // tryReserve performs one step of takeTokens. It uses the gateway's context
@@ -150,6 +173,7 @@
 func (e *exchange) tryReserve(mayWait bool) (got reservation, err error) {
 	t := e.turn
 	err = e.g.Do(e.g.Context(), func(now time.Time) {
+		got.lapsesAt = e.g.shares.AdvanceLapse(t.program)
 		t.reserved, got.share, got.state = e.g.shares.TakeAdvance(now, t.program, e.Budget, e.MaxTokens)
 		if mayWait && got.state == tokens.AdvancePending {
 			got.pending = e.g.pendingSettlements[t.program]
