Count crashes once for each report of a gateway

Lists returns all three from one pass. The reports of a former disk are looked for at the first report of a disk only, not at each.

--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -61,8 +61,8 @@
 		c.logMemory(now)
 		c.crashCounter.Report(now, r.Crashes)
 		c.crashCounter.Served(r.Served)
-		view.Quarantined = c.crashCounter.Quarantined(now)
-		view.Suspected, view.Cleared = c.crashCounter.Suspected(), c.crashCounter.Cleared()
+		lists := c.crashCounter.Lists(now)
+		view.Quarantined, view.Suspected, view.Cleared = lists.Quarantined, lists.Suspected, lists.Cleared
 		view.Limits = c.grantPermits(now, r.Limits)
 		view.Peers = c.gateways.Report(now, r.Reach)
 	}
@@ -153,13 +153,13 @@
 	c.gatewayProcesses[address] = process
 }
 
-// recordStore records the report of a storage VM. It ends the reports of another disk of the VM,
-// which is lost.
+// recordStore records the report of a storage VM. The first one of a disk ends the reports of another
+// disk of the VM, which is lost.
 func (c *Coordinator) recordStore(now time.Time, s StoreStatus) {
 	if _, known := c.stores[s.ID]; !known {
 		c.event("storage VM reports", map[string]any{"store": s.ID, "name": s.Name, "complete": s.Complete, "new": s.New})
+		maps.DeleteFunc(c.stores, func(id quorum.StoreID, _ *storeReport) bool { return id.Address() == s.ID.Address() })
 	}
-	maps.DeleteFunc(c.stores, func(id quorum.StoreID, _ *storeReport) bool { return id != s.ID && id.Address() == s.ID.Address() })
 	c.stores[s.ID] = &storeReport{StoreStatus: s, receivedAt: now}
 }
 
--- a/core/quarantine/counter.go
+++ b/core/quarantine/counter.go
@@ -80,23 +80,49 @@
 	}
 }
 
-// Quarantined returns the requests that must not be dispatched, in ascending order.
-func (c *CrashCounter) Quarantined(now time.Time) []Fingerprint {
-	c.expire(now)
-	return c.list(func(counted, _ int) bool { return counted >= CrashThreshold })
+// Lists are what gateways have to know of requests that were at crashed targets, each in ascending
+// order.
+type Lists struct {
+	// Quarantined holds the requests that must not be dispatched.
+	Quarantined []Fingerprint
+	// Suspected holds the requests that the next crash would quarantine, and the quarantined ones.
+	// Gateways report when a target answers one of them.
+	Suspected []Fingerprint
+	// Cleared holds the requests that were answered after a crash, so that gateways do not report
+	// these crashes to a later leader.
+	Cleared []Fingerprint
 }
 
-// Suspected returns the requests that the next crash would quarantine, and the quarantined ones, in
-// ascending order. Gateways report when a target answers one of them.
-func (c *CrashCounter) Suspected() []Fingerprint {
-	list := c.list(func(counted, _ int) bool { return counted >= CrashThreshold-1 })
-	return list[:min(len(list), maxPublished)]
+// Lists returns the lists, without the crashes that have expired.
+func (c *CrashCounter) Lists(now time.Time) Lists {
+	c.expire(now)
+	var out Lists
+	for f, targets := range c.crashes {
+		counted, cleared := 0, false
+		for _, crash := range targets {
+			if crash.counts() {
+				counted++
+			}
+			cleared = cleared || crash.cleared
+		}
+		if counted >= CrashThreshold {
+			out.Quarantined = append(out.Quarantined, f)
+		}
+		if counted >= CrashThreshold-1 {
+			out.Suspected = append(out.Suspected, f)
+		}
+		if cleared {
+			out.Cleared = append(out.Cleared, f)
+		}
+	}
+	slices.Sort(out.Quarantined)
+	out.Suspected, out.Cleared = firstPublished(out.Suspected), firstPublished(out.Cleared)
+	return out
 }
 
-// Cleared returns the requests that were answered after a crash, in ascending order, so that
-// gateways do not report these crashes to a later leader.
-func (c *CrashCounter) Cleared() []Fingerprint {
-	list := c.list(func(_, cleared int) bool { return cleared > 0 })
+// firstPublished sorts a list and bounds it.
+func firstPublished(list []Fingerprint) []Fingerprint {
+	slices.Sort(list)
 	return list[:min(len(list), maxPublished)]
 }
 
@@ -113,24 +139,3 @@
 		}
 	}
 }
-
-// list returns the requests that a function of the numbers of counted and cleared crashes selects.
-func (c *CrashCounter) list(selects func(counted, cleared int) bool) []Fingerprint {
-	var out []Fingerprint
-	for f, targets := range c.crashes {
-		counted, cleared := 0, 0
-		for _, crash := range targets {
-			if crash.counts() {
-				counted++
-			}
-			if crash.cleared {
-				cleared++
-			}
-		}
-		if selects(counted, cleared) {
-			out = append(out, f)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -19,7 +19,7 @@
 	gateways := []*Watch{{}, {}}
 	for i := range CrashThreshold {
 		g, target := gateways[i%2], domain.Target(fmt.Sprint("t", i))
-		must.SliceEmpty(t, counter.Quarantined(now))
+		must.SliceEmpty(t, counter.Lists(now).Quarantined)
 		g.ConnectionFailed(now, now.Add(-time.Millisecond), 1, target)
 		g.ConnectionFailed(now, now.Add(-time.Millisecond), Fingerprint(100+i), target)
 		g.ConnectionFailed(now, now.Add(-time.Millisecond), 2, "sound")
@@ -29,8 +29,8 @@
 			counter.Report(now, w.Crashes(now))
 		}
 	}
-	must.Eq(t, []Fingerprint{1}, counter.Quarantined(now))
-	must.SliceEmpty(t, counter.Quarantined(now.Add(crashTTL+time.Second)))
+	must.Eq(t, []Fingerprint{1}, counter.Lists(now).Quarantined)
+	must.SliceEmpty(t, counter.Lists(now.Add(crashTTL+time.Second)).Quarantined)
 }
 
 // Guards against a crash that is still counted after the request was answered, and
@@ -95,14 +95,14 @@
 	m.crash(0, 1, "a", "b", "c")
 	m.crash(0, 2, "a")
 	m.crash(1, 2, "b")
-	must.SliceEmpty(t, m.counter.Quarantined(m.now))
-	must.Eq(t, []Fingerprint{2}, m.counter.Suspected())
+	must.SliceEmpty(t, m.counter.Lists(m.now).Quarantined)
+	must.Eq(t, []Fingerprint{2}, m.counter.Lists(m.now).Suspected)
 	m.crash(1, 1, "d")
-	must.SliceEmpty(t, m.counter.Quarantined(m.now))
+	must.SliceEmpty(t, m.counter.Lists(m.now).Quarantined)
 	m.crash(0, 1, "e")
 	m.crash(0, 2, "c")
-	must.Eq(t, []Fingerprint{1, 2}, m.counter.Quarantined(m.now))
-	must.SliceEmpty(t, m.counter.Quarantined(m.now.Add(crashTTL+time.Second)))
+	must.Eq(t, []Fingerprint{1, 2}, m.counter.Lists(m.now).Quarantined)
+	must.SliceEmpty(t, m.counter.Lists(m.now.Add(crashTTL+time.Second)).Quarantined)
 }
 
 // Guards against a request that is quarantined although targets answer it between the crashes, and
@@ -110,24 +110,24 @@
 func TestAnswerClearsCrashesOfAllGateways(t *testing.T) {
 	m := newCrashModel(2)
 	m.crash(0, 1, "a")
-	must.SliceEmpty(t, m.counter.Suspected())
+	must.SliceEmpty(t, m.counter.Lists(m.now).Suspected)
 	m.crash(1, 1, "b")
-	must.Eq(t, []Fingerprint{1}, m.counter.Suspected())
+	must.Eq(t, []Fingerprint{1}, m.counter.Lists(m.now).Suspected)
 	m.counter.Served([]Fingerprint{1, 7})
-	must.SliceEmpty(t, m.counter.Suspected())
-	must.Eq(t, []Fingerprint{1}, m.counter.Cleared())
+	must.SliceEmpty(t, m.counter.Lists(m.now).Suspected)
+	must.Eq(t, []Fingerprint{1}, m.counter.Lists(m.now).Cleared)
 	m.report()
 	m.crash(0, 1, "c")
 	m.crash(0, 1, "d")
-	must.SliceEmpty(t, m.counter.Quarantined(m.now))
+	must.SliceEmpty(t, m.counter.Lists(m.now).Quarantined)
 	for _, w := range m.watches {
-		for _, f := range m.counter.Cleared() {
+		for _, f := range m.counter.Lists(m.now).Cleared {
 			w.Served(f)
 		}
 	}
 	m.counter = NewCrashCounter()
 	m.report()
-	must.SliceEmpty(t, m.counter.Suspected())
+	must.SliceEmpty(t, m.counter.Lists(m.now).Suspected)
 }
 
 // Guards against crashes that do not count because their gateway, of a build from before, does not
@@ -136,5 +136,5 @@
 	c := NewCrashCounter()
 	now := time.Unix(1000, 0)
 	c.Report(now, []Crash{{Fingerprint: 1, Target: "a"}, {Fingerprint: 1, Target: "b"}, {Fingerprint: 1, Target: "c"}})
-	must.Eq(t, []Fingerprint{1}, c.Quarantined(now))
+	must.Eq(t, []Fingerprint{1}, c.Lists(now).Quarantined)
 }
