Keep the rule of replacements and the quorum of n members in one place

The model of core/turnstore had a copy of the coordinators' rule that allows a replacement, with a small difference: it did not count a leaving member that holds all records. quorum.Set.MayReplace has the rule now, and both call it, so the model tests the rule itself. quorumIn was writeQuorumOf again, and AbsenceQuorum needs no case of its own without a tolerance. Members to replace are computed once for a regional set. Completeness for a seat is decided by one method of the store.

--- a/core/coordinator/regional.go
+++ b/core/coordinator/regional.go
@@ -167,8 +167,8 @@
 // in two ways: the region may have fewer storage VMs than wanted, so a lost member is replaced
 // before another one is added, and a retired member leaves without a replacement.
 func (c *Coordinator) nextRegionalSet(now time.Time, set *quorum.Set) *quorum.Set {
-	if len(c.membersToReplace(now, set)) > 0 {
-		next, lacksVM := c.withReplacement(now, set)
+	if members := c.membersToReplace(now, set); len(members) > 0 {
+		next, lacksVM := c.withReplacement(now, set, members)
 		if lacksVM {
 			next = c.withoutRetired(now, set)
 		}
--- a/core/coordinator/repair.go
+++ b/core/coordinator/repair.go
@@ -155,14 +155,14 @@
 			return set.Replace("", added)
 		}
 	}
-	next, _ := c.withReplacement(now, set)
+	next, _ := c.withReplacement(now, set, c.membersToReplace(now, set))
 	return next
 }
 
-// withReplacement returns the next set, in which a member that is lost or retired is replaced, or
-// nil. The second result reports whether a member has to be replaced for which there is no VM.
-func (c *Coordinator) withReplacement(now time.Time, set *quorum.Set) (next *quorum.Set, lacksVM bool) {
-	for _, old := range c.membersToReplace(now, set) {
+// withReplacement returns the next set, in which one of the members that have to be replaced is, or
+// nil. The second result reports whether there is no VM for one of them.
+func (c *Coordinator) withReplacement(now time.Time, set *quorum.Set, members []quorum.Member) (next *quorum.Set, lacksVM bool) {
+	for _, old := range members {
 		replacement, found := c.replacementStore(now, set, old)
 		switch {
 		case !found:
@@ -326,38 +326,24 @@
 	return slices.ContainsFunc(c.liveStores(now), func(s *storeReport) bool { return s.ID != m.ID && isSameHost(s.ID, m.ID) })
 }
 
-// mayReplace reports whether the member old may lose its seat. A silent member may come back with
-// the only copy of a record beside that of old, so every acknowledged record must be on the other
-// live members, and no further change may take place while one of them copies:
-//   - enough of them are complete for the copy of the replacement, or
-//   - one of them holds every record from before this set, and is in each write quorum of this set.
-//
-// A member whose disk is lost has no record to keep, so its seat waits for no silent member.
+// mayReplace reports whether the member old may lose its seat, by the reports of the others.
 func (c *Coordinator) mayReplace(now time.Time, set *quorum.Set, old quorum.Member) bool {
-	var complete, incomplete, unsettled int
-	whole := false
+	var others quorum.Others
 	for _, m := range set.Members {
 		s := c.currentReport(now, set, m.ID)
 		switch {
 		case m.ID == old.ID || s == nil:
 		case s.isComplete(set):
-			complete++
-			whole = whole || s.statusIn(set.Scope).Whole == set.Epoch
+			others.Complete++
+			others.Whole = others.Whole || s.statusIn(set.Scope).Whole == set.Epoch
 		default:
-			unsettled++
+			others.Unsettled++
 			if s.statusIn(set.Scope).Epoch == set.Epoch {
-				incomplete++
+				others.Incomplete++
 			}
 		}
 	}
-	switch {
-	case whole && set.InEveryQuorum(incomplete):
-		return true
-	case unsettled > 0 && !whole:
-		return false
-	default:
-		return complete >= set.CopySources() || (unsettled == 0 && c.hasLostDisk(now, old))
-	}
+	return set.MayReplace(others, c.hasLostDisk(now, old))
 }
 
 // Retire starts the retirement of a storage VM. The ticket is 0 when the VM is already
--- a/core/quorum/former.go
+++ b/core/quorum/former.go
@@ -59,25 +59,20 @@
 	})
 }
 
-// quorumIn returns the number of members that hold a record of an epoch with n members, also while
-// some of them were leaving.
-func (s *Set) quorumIn(n int) int {
-	if s.Tolerance == 0 {
-		return n/2 + 1
-	}
-	return s.writeQuorumOf(n)
-}
-
-// covers reports whether the contacts include a holder of each record of an epoch.
+// covers reports whether the contacts include a holder of each record of an epoch. A record of a set
+// of n members is on writeQuorumOf(n) of them, also while some were leaving.
 func (s *Set) covers(epoch domain.Epoch, contacts []Contact) bool {
 	if hasJoinedAfter(epoch, contacts) {
 		return true
 	}
 	members := s.membersIn(epoch)
-	others := slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
-		return slices.ContainsFunc(contacts, func(c Contact) bool { return c.Member.ID == m.ID && c.Member.Joined == m.Joined })
-	})
-	return len(others) < s.quorumIn(len(members))
+	others := 0
+	for _, m := range members {
+		if _, asked := contactOf(m, contacts); !asked {
+			others++
+		}
+	}
+	return others < s.writeQuorumOf(len(members))
 }
 
 // coversBefore reports whether the contacts include a holder of each record from before an epoch. Of
@@ -89,12 +84,21 @@
 	}
 	members := s.membersIn(epoch)
 	sources := 0
-	for _, c := range contacts {
-		if c.Complete && slices.ContainsFunc(members, func(m Member) bool { return m.ID == c.Member.ID && m.Joined == c.Member.Joined }) {
+	for _, m := range members {
+		if c, asked := contactOf(m, contacts); asked && c.Complete {
 			sources++
 		}
 	}
-	return sources > len(members)-s.quorumIn(len(members))
+	return sources > len(members)-s.writeQuorumOf(len(members))
+}
+
+// contactOf returns the contact with a member in the seat that it joined.
+func contactOf(m Member, contacts []Contact) (Contact, bool) {
+	i := slices.IndexFunc(contacts, func(c Contact) bool { return c.Member.ID == m.ID && c.Member.Joined == m.Joined })
+	if i < 0 {
+		return Contact{}, false
+	}
+	return contacts[i], true
 }
 
 // hasJoinedAfter reports whether a contact holds every record up to an epoch, because it has
--- a/core/quorum/former_test.go
+++ b/core/quorum/former_test.go
@@ -7,8 +7,6 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
-
-	"github.com/mangoknot/mangoknot/core/domain"
 )
 
 // Guards against a joined member that is taken to hold every record and lacks one: for each earlier
@@ -45,7 +43,7 @@
 		}
 		held++
 		for _, in := range sets[:len(sets)-1] {
-			if holdsAllOf(in.Epoch, contacts) {
+			if hasJoinedAfter(in.Epoch, contacts) {
 				continue
 			}
 			missed := 0 // members that may hold a record of the epoch and were not asked
@@ -61,11 +59,6 @@
 	must.Positive(t, held)
 }
 
-// holdsAllOf reports whether a contact joined after the epoch and holds what was before.
-func holdsAllOf(epoch domain.Epoch, contacts []Contact) bool {
-	return slices.ContainsFunc(contacts, func(c Contact) bool { return c.Complete && c.Member.Joined > epoch })
-}
-
 // Guards against a list of former members that grows for ever, or that is taken to be whole after
 // some were dropped or an earlier build has changed the set.
 func TestFormerMembersAreBounded(t *testing.T) {
--- a/core/quorum/scope.go
+++ b/core/quorum/scope.go
@@ -36,7 +36,8 @@
 	return s.writeQuorumOf(s.remaining())
 }
 
-// writeQuorumOf returns the write quorum of a set with a tolerance and n members.
+// writeQuorumOf returns the write quorum of n members that do not leave. Without a tolerance it is a
+// majority.
 func (s *Set) writeQuorumOf(n int) int { return max(n/2+1, min(n, s.Tolerance+1)) }
 
 // IsStored reports whether a record is acknowledged that a number of remaining and leaving members
@@ -67,10 +68,7 @@
 // it is larger than that of the set with this member, so that it also includes a member that knows
 // of a record of the set without it.
 func (s *Set) AbsenceQuorum() int {
-	if s.Tolerance == 0 {
-		return s.Majority()
-	}
-	if len(s.Members) == 0 {
+	if s.Tolerance > 0 && len(s.Members) == 0 {
 		return 0
 	}
 	return max(s.Majority(), len(s.Members)-s.WriteQuorum()+1)
--- a/core/turnstore/sets_test.go
+++ b/core/turnstore/sets_test.go
@@ -154,39 +154,40 @@
 	}
 }
 
-// changeSet changes the set by the rules of core/coordinator.
-func (m *setsModel) changeSet() {
-	complete, incomplete, copying, whole := 0, 0, false, 0
-	count := func(without quorum.StoreID) {
-		complete, incomplete, copying, whole = 0, 0, false, 0
-		for _, x := range m.set.Members {
-			s := m.answering(x.ID)
-			switch {
-			case s == nil || x.ID == without:
-			case s.set == nil || s.set.Epoch != m.set.Epoch:
-				copying = true
-			case !s.Complete():
-				copying = true
-				incomplete++
-			default:
-				complete++
-				if s.Whole() == m.set.Epoch && !x.Leaving {
-					whole++
-				}
-			}
+// others counts the members that answer, without one of them.
+func (m *setsModel) others(without quorum.StoreID) quorum.Others {
+	var out quorum.Others
+	for _, x := range m.set.Members {
+		s := m.answering(x.ID)
+		switch {
+		case s == nil || x.ID == without:
+		case s.set == nil || s.set.Epoch != m.set.Epoch:
+			out.Unsettled++
+		case !s.Complete():
+			out.Unsettled++
+			out.Incomplete++
+		default:
+			out.Complete++
+			out.Whole = out.Whole || s.Whole() == m.set.Epoch
 		}
 	}
+	return out
+}
+
+// remainHoldingAll reports whether all members that are not leaving answer and hold every record
+// acknowledged before the set.
+func (m *setsModel) remainHoldingAll() bool {
+	return !slices.ContainsFunc(m.set.Members, func(x quorum.Member) bool {
+		s := m.answering(x.ID)
+		return !x.Leaving && (s == nil || s.set == nil || s.set.Epoch != m.set.Epoch || !s.Complete() || s.Whole() != m.set.Epoch)
+	})
+}
+
+// changeSet changes the set as core/coordinator does.
+func (m *setsModel) changeSet() {
 	for _, x := range m.set.Members {
-		if m.answering(x.ID) != nil || m.retired[x.ID] {
-			continue
-		}
-		count(x.ID)
 		diskLost := m.disks[x.ID] == nil
-		switch {
-		case whole > 0 && m.set.InEveryQuorum(incomplete):
-		case copying && whole == 0:
-			continue
-		case complete < m.set.CopySources() && (copying || !diskLost):
+		if m.answering(x.ID) != nil || m.retired[x.ID] || !m.set.MayReplace(m.others(x.ID), diskLost) {
 			continue
 		}
 		if diskLost && m.r.IntN(2) == 0 {
@@ -196,14 +197,14 @@
 		}
 		return
 	}
-	count("")
+	copying := m.others("").Unsettled > 0
 	for _, x := range m.set.Members {
 		if m.retired[x.ID] && !x.Leaving && !copying {
 			m.set = m.set.MarkLeaving(x.ID)
 			return
 		}
 	}
-	if next := m.set.WithoutLeaving(); len(next.Members) < len(m.set.Members) && whole == len(next.Members) {
+	if next := m.set.WithoutLeaving(); len(next.Members) < len(m.set.Members) && m.remainHoldingAll() {
 		m.set = next
 		return
 	}
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -172,22 +172,22 @@
 	}
 }
 
-// Copied returns the newest epoch of joining for which the store has copied the records of the other
-// members. A member of the first set has copied by definition.
-func (s *Store) Copied() domain.Epoch { return s.copiedEpoch }
+// IsCompleteFor reports whether the store holds every record acknowledged before the member joined,
+// whether the member still has its seat or not. A member of the first set does by definition.
+func (s *Store) IsCompleteFor(m quorum.Member) bool { return s.id == m.ID && s.copiedEpoch >= m.Joined }
 
 // NeedsCopy reports whether the store is a member that has not yet copied the records
 // of the other members.
 func (s *Store) NeedsCopy() bool {
 	m, ok := s.member()
-	return ok && s.copiedEpoch < m.Joined
+	return ok && !s.IsCompleteFor(m)
 }
 
 // Complete reports whether the store is a member that holds every record acknowledged
 // before it joined, so that its replies about absent records are authoritative.
 func (s *Store) Complete() bool {
 	m, ok := s.member()
-	return ok && s.copiedEpoch >= m.Joined
+	return ok && s.IsCompleteFor(m)
 }
 
 func (s *Store) member() (quorum.Member, bool) {
--- a/node/storage/copy.go
+++ b/node/storage/copy.go
@@ -63,7 +63,7 @@
 	var out []quorum.Contact
 	for _, m := range set.Former {
 		if m.ID == r.store.ID() {
-			out = append(out, quorum.Contact{Member: m, Complete: r.store.Copied() >= m.Joined})
+			out = append(out, quorum.Contact{Member: m, Complete: r.store.IsCompleteFor(m)})
 		}
 	}
 	return out
