Return a taken advance reservation as one value

TakeAdvance returned its tokens and share, and a second call the time at which it lapses. TakenAdvance has the three. The loop that records it needs no error of its own to go over to the check of the budget, and the write of the gateway's share of a program is built in one place.

--- a/core/tokens/shareset.go
+++ b/core/tokens/shareset.go
@@ -111,34 +111,32 @@
 	return state.share
 }
 
+// TakenAdvance is an advance reservation that was assigned to a turn.
+type TakenAdvance struct {
+	Tokens domain.Tokens
+	// Share is to be written before the caller receives any of the tokens: until then the reservation
+	// may lapse, and another gateway may use them.
+	Share Share
+	// LapsesAt is the time before which no storage VM reports the reservation as lapsed. A write of
+	// Share that was acknowledged before then is seen by every later reservation.
+	LapsesAt time.Time
+}
+
 // TakeAdvance assigns the advance reservation to a turn if it covers the turn's token
-// limit, was made for the same budget and has not expired. It returns the number of tokens assigned,
-// and the share to be written before the caller receives any of them: until then the
-// reservation may lapse, and another gateway may use its tokens.
-func (s *ShareSet) TakeAdvance(now time.Time, p Program, budget, maxTokens domain.Tokens) (domain.Tokens, Share, AdvanceState) {
+// limit, was made for the same budget and has not expired.
+func (s *ShareSet) TakeAdvance(now time.Time, p Program, budget, maxTokens domain.Tokens) (TakenAdvance, AdvanceState) {
 	state := s.states[p]
 	if state == nil || state.share.Advance < maxTokens || state.share.Advance == 0 || state.advanceBudget != budget || !now.Before(state.advanceExpires) {
-		return 0, Share{}, AdvanceNone
+		return TakenAdvance{}, AdvanceNone
 	}
 	if !state.advanceConfirmed {
-		return 0, Share{}, AdvancePending
+		return TakenAdvance{}, AdvancePending
 	}
 	taken := state.share.Advance
 	state.setAdvance(0)
 	state.share.Reserved += taken
 	state.lastUse = now
-	return taken, s.nextVersion(p, state), AdvanceTaken
-}
-
-// AdvanceLapse returns the time before which no storage VM reports the last advance reservation of a
-// program as lapsed. A record that its tokens are taken, acknowledged before then, is seen by every
-// later reservation.
-func (s *ShareSet) AdvanceLapse(p Program) time.Time {
-	state := s.states[p]
-	if state == nil {
-		return time.Time{}
-	}
-	return state.advanceExpires.Add(advanceLapseMargin)
+	return TakenAdvance{Tokens: taken, Share: s.nextVersion(p, state), LapsesAt: state.advanceExpires.Add(advanceLapseMargin)}, AdvanceTaken
 }
 
 // setAdvance sets the advance reservation of the share.
--- a/core/tokens/tokens_test.go
+++ b/core/tokens/tokens_test.go
@@ -74,9 +74,9 @@
 					sets[g] = set
 				}
 				r := &modelTurn{set: set, pair: pairs[rapid.IntRange(0, 2).Draw(t, "pair")]}
-				taken, share, state := set.TakeAdvance(now, program, budget, maxTokens)
+				taken, state := set.TakeAdvance(now, program, budget, maxTokens)
 				if r.advance = state == AdvanceTaken; r.advance {
-					r.own, r.reserved = share, taken
+					r.own, r.reserved = taken.Share, taken.Tokens
 					r.frozen = rapid.IntRange(0, 3).Draw(t, "frozen") == 0
 				} else {
 					r.own, r.reserved = set.Reserve(now, program, maxTokens), maxTokens
@@ -184,21 +184,21 @@
 	must.False(t, advance)
 	share, advance := b.ReserveAdvance(now, program, 100, 33)
 	must.True(t, advance)
-	_, _, state := b.TakeAdvance(now, program, 100, 33)
+	_, state := b.TakeAdvance(now, program, 100, 33)
 	must.Eq(t, AdvancePending, state)
 	// The weight of the other shares leaves too little headroom.
 	b.SetOthersWeight(program, 2)
 	b.ConfirmAdvance(program, share.Version, true)
-	_, _, state = b.TakeAdvance(now, program, 100, 33)
+	_, state = b.TakeAdvance(now, program, 100, 33)
 	must.Eq(t, AdvanceNone, state)
 	must.Eq(t, 0, b.Flush()[0].Share.Advance)
 	share, _ = b.ReserveAdvance(now, program, 100, 20)
 	b.ConfirmAdvance(program, share.Version, true)
-	_, _, state = b.TakeAdvance(now, program, 90, 20) // another budget
+	_, state = b.TakeAdvance(now, program, 90, 20) // another budget
 	must.Eq(t, AdvanceNone, state)
 	must.Eq(t, now.Add(advanceReservationTTL), b.Expire(now))
 	b.Expire(now.Add(advanceReservationTTL))
-	_, _, state = b.TakeAdvance(now, program, 100, 20)
+	_, state = b.TakeAdvance(now, program, 100, 20)
 	must.Eq(t, AdvanceNone, state)
 	must.Eq(t, 0, b.Flush()[0].Share.Weight())
 }
@@ -248,14 +248,14 @@
 	must.Eq(t, BlockedByAdvance, decide(lapses, b))
 
 	set.ConfirmAdvance(program, share.Version, true)
-	_, _, state := set.TakeAdvance(start.Add(advanceReservationTTL), program, 100, 20)
+	_, state := set.TakeAdvance(start.Add(advanceReservationTTL), program, 100, 20)
 	must.Eq(t, AdvanceNone, state)
-	_, taken, state := set.TakeAdvance(start.Add(advanceReservationTTL-1), program, 100, 20)
+	taken, state := set.TakeAdvance(start.Add(advanceReservationTTL-1), program, 100, 20)
 	must.Eq(t, AdvanceTaken, state)
 	// The other gateway has used the tokens, so the turn must not run.
 	var held Held
-	held.Merge(a.write(lapses, taken))
-	must.Eq(t, Spent, CheckBudget(100, taken, held))
+	held.Merge(a.write(lapses, taken.Share))
+	must.Eq(t, Spent, CheckBudget(100, taken.Share, held))
 	must.Eq(t, Spent, decide(lapses, a, b))
 	must.Eq(t, Spent, decide(lapses, b, a))
 }
--- a/node/gateway/budget.go
+++ b/node/gateway/budget.go
@@ -29,7 +29,7 @@
 	case err != nil:
 		return notRun(Overloaded, minRetryAfter, err)
 	case e.turn.fromAdvance:
-		e.recordTaken(ctx, got)
+		e.recordTaken(ctx, got.taken)
 		return nil
 	}
 	decision, err := e.writeReservation(ctx, got.share)
@@ -46,9 +46,16 @@
 	}
 }
 
+// shareRecords returns the write of the gateway's share of the turn's program.
+func (e *exchange) shareRecords(share tokens.Share) records {
+	return records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: share}}}
+}
+
 // writeReservation writes the share that includes the turn's reservation and checks the budget.
 func (e *exchange) writeReservation(ctx context.Context, share tokens.Share) (tokens.BudgetDecision, error) {
-	held, err := e.g.write(ctx, quorum.Global, records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: share}}, sharesOf: e.turn.program})
+	r := e.shareRecords(share)
+	r.sharesOf = e.turn.program
+	held, err := e.g.write(ctx, quorum.Global, r)
 	if err != nil {
 		return tokens.Spent, err
 	}
@@ -72,7 +79,7 @@
 
 // recordTaken records that the turn holds the advance reservation, while its request is under way to
 // a target. Its first event waits for that: if this process ends before, the reservation lapses.
-func (e *exchange) recordTaken(ctx context.Context, taken reservation) {
+func (e *exchange) recordTaken(ctx context.Context, taken tokens.TakenAdvance) {
 	recorded := make(chan error, 1)
 	e.turn.advanceRecorded = recorded
 	go func() {
@@ -82,19 +89,25 @@
 	}()
 }
 
-// writeTaken writes the share until that succeeds. The budget is checked only if the reservation may
-// have lapsed before the write was acknowledged: the shares of a program are many at a large site.
-func (e *exchange) writeTaken(ctx context.Context, taken reservation) error {
+// writeTaken writes the share until that succeeds. It checks the budget only if the reservation may have
+// lapsed before the write was acknowledged: the shares of a program are many at a large site.
+func (e *exchange) writeTaken(ctx context.Context, taken tokens.TakenAdvance) error {
+	mayHaveLapsed := func() bool { return !e.g.o.Clock.Now().Before(taken.LapsesAt) }
 	for {
-		err := e.writeBeforeLapse(ctx, taken)
-		if errors.Is(err, errMayHaveLapsed) {
-			var decision tokens.BudgetDecision
-			if decision, err = e.writeReservation(ctx, taken.share); err == nil && decision == tokens.Spent {
-				return errAdvanceLapsed
-			}
+		checks, decision := mayHaveLapsed(), tokens.WithinBudget
+		var err error
+		if checks {
+			decision, err = e.writeReservation(ctx, taken.Share)
+		} else {
+			_, err = e.g.write(ctx, quorum.Global, e.shareRecords(taken.Share))
 		}
-		if err == nil {
+		switch {
+		case err == nil && decision == tokens.Spent:
+			return errAdvanceLapsed
+		case err == nil && (checks || !mayHaveLapsed()):
 			return nil
+		case err == nil:
+			continue
 		}
 		select {
 		case <-time.After(takenRetryDelay):
@@ -104,22 +117,6 @@
 	}
 }
 
-// errMayHaveLapsed reports that other gateways may have used the tokens of an advance reservation.
-var errMayHaveLapsed = errors.New("the advance reservation may have lapsed")
-
-// writeBeforeLapse writes the share and returns errMayHaveLapsed unless that was acknowledged before
-// any storage VM could report the reservation as lapsed.
-func (e *exchange) writeBeforeLapse(ctx context.Context, taken reservation) error {
-	if !e.g.o.Clock.Now().Before(taken.lapsesAt) {
-		return errMayHaveLapsed
-	}
-	_, err := e.g.write(ctx, quorum.Global, records{shares: []tokens.ProgramShare{{Program: e.turn.program, Share: taken.share}}})
-	if err == nil && !e.g.o.Clock.Now().Before(taken.lapsesAt) {
-		return errMayHaveLapsed
-	}
-	return err
-}
-
 // awaitReservation waits until the turn's reservation is recorded.
 func (e *exchange) awaitReservation(ctx context.Context) error {
 	if e.turn == nil || e.turn.advanceRecorded == nil {
@@ -139,18 +136,18 @@
 
 // reservation is the result of tryReserve.
 type reservation struct {
-	// share is the share to be written.
+	// taken is the advance reservation if state is AdvanceTaken, and share is otherwise the share
+	// to be written.
+	taken tokens.TakenAdvance
 	share tokens.Share
 	state tokens.AdvanceState
-	// lapsesAt is the time before which an advance reservation lapses at no storage VM.
-	lapsesAt time.Time
 	// pending is closed when the pending write of the advance reservation has
 	// ended. It is nil if there is nothing to wait for.
 	pending chan struct{}
 }
 
 // takeTokens uses the program's advance reservation, or adds the turn to the
-// gateway's share and returns the share to be written. It waits once for the
+// gateway's share. It waits once for the
 // pending write of an advance reservation, because another write would take
 // longer.
 func (e *exchange) takeTokens(ctx context.Context) (got reservation, err error) {
@@ -173,8 +170,8 @@
 func (e *exchange) tryReserve(mayWait bool) (got reservation, err error) {
 	t := e.turn
 	err = e.g.Do(e.g.Context(), func(now time.Time) {
-		got.lapsesAt = e.g.shares.AdvanceLapse(t.program)
-		t.reserved, got.share, got.state = e.g.shares.TakeAdvance(now, t.program, e.Budget, e.MaxTokens)
+		got.taken, got.state = e.g.shares.TakeAdvance(now, t.program, e.Budget, e.MaxTokens)
+		t.reserved = got.taken.Tokens
 		if mayWait && got.state == tokens.AdvancePending {
 			got.pending = e.g.pendingSettlements[t.program]
 		}
@@ -242,7 +239,8 @@
 		case <-e.g.Context().Done():
 			return e.g.Context().Err()
 		}
-		r := records{turn: record, shares: []tokens.ProgramShare{{Program: t.program, Share: share}}}
+		r := e.shareRecords(share)
+		r.turn = record
 		if advance {
 			r.sharesOf = t.program
 		}
