Write fewer shares of token budgets to the storage VMs

Two kinds of writes are no longer needed as often. The release of a reservation that expires unused, which the storage VMs report as lapsed, is written with the next change, after 2 s at the latest; only gateways of builds that ignore a lapse wait for it. Shares that a storage VM lacks are sent to it at most every 5 s a program, in place of after each write that saw it: the repair guards against a loss after minutes, and most shares change again within a second.

--- a/core/tokens/shareset.go
+++ b/core/tokens/shareset.go
@@ -25,6 +25,9 @@
 	// later turn of the program creates a share under another writer name.
 	idleTTL           = 30 * time.Second
 	idleCheckInterval = 5 * time.Second
+	// repairInterval is the time between two repairs of a program's shares at the storage VMs. A
+	// repair guards against a loss after minutes, and most shares change again within a second.
+	repairInterval = 5 * time.Second
 )
 
 // ProgramShare is a share of the budget of a program.
@@ -59,6 +62,8 @@
 	advanceVersion   uint64
 	advanceExpires   time.Time
 	lastUse          time.Time
+	// repairedAt is the time of the last repair of the program's shares at the storage VMs.
+	repairedAt time.Time
 }
 
 type expiry struct {
@@ -75,8 +80,9 @@
 	states        map[Program]*shareState
 	expiries      []expiry
 	// unwritten is the set of programs whose shares have changed since they were last
-	// returned for a write.
+	// returned for a write. urgent reports whether one of the changes has to be written soon.
 	unwritten     map[Program]bool
+	urgent        bool
 	nextIdleCheck time.Time
 }
 
@@ -163,8 +169,8 @@
 	s.markUnwritten(p)
 }
 
-// markUnwritten marks a share for the next Flush.
-func (s *ShareSet) markUnwritten(p Program) { s.unwritten[p] = true }
+// markUnwritten marks a share for the next Flush, which is to follow soon.
+func (s *ShareSet) markUnwritten(p Program) { s.unwritten[p], s.urgent = true, true }
 
 // ReserveAdvance makes an advance reservation for the next turn if enough headroom
 // remains for other turns. It returns the share to be written and reports whether the
@@ -216,6 +222,17 @@
 	}
 }
 
+// RepairDue reports whether the shares of a program that a storage VM lacks are to be sent to it, and
+// counts that as done.
+func (s *ShareSet) RepairDue(now time.Time, p Program) bool {
+	state := s.states[p]
+	if state == nil || now.Sub(state.repairedAt) < repairInterval {
+		return false
+	}
+	state.repairedAt = now
+	return true
+}
+
 // WriteFailed marks a share whose write failed, so that the next Flush returns it again.
 func (s *ShareSet) WriteFailed(p Program) {
 	if s.states[p] != nil {
@@ -230,7 +247,9 @@
 		e := s.expiries[0]
 		s.expiries = s.expiries[1:]
 		if state := s.states[e.program]; state != nil && state.advanceVersion == e.version && state.share.Advance > 0 {
-			s.releaseAdvance(e.program, state)
+			// The storage VMs report it as lapsed, so the write of the release is not urgent.
+			state.setAdvance(0)
+			s.unwritten[e.program] = true
 		}
 	}
 	s.removeIdle(now)
@@ -252,11 +271,12 @@
 	}
 }
 
-// HasUnwritten reports whether Flush would return any share.
-func (s *ShareSet) HasUnwritten() bool { return len(s.unwritten) > 0 }
+// HasUnwritten reports whether Flush would return any share, and whether one is to be written soon.
+func (s *ShareSet) HasUnwritten() (unwritten, urgent bool) { return len(s.unwritten) > 0, s.urgent }
 
 // Flush returns the shares that have changed since they were last returned for a write.
 func (s *ShareSet) Flush() []ProgramShare {
+	s.urgent = false
 	var out []ProgramShare
 	for p := range s.unwritten {
 		out = append(out, ProgramShare{Program: p, Share: s.nextVersion(p, s.states[p])})
--- a/core/tokens/tokens_test.go
+++ b/core/tokens/tokens_test.go
@@ -200,7 +200,16 @@
 	b.Expire(now.Add(advanceReservationTTL))
 	_, state = b.TakeAdvance(now, program, 100, 20)
 	must.Eq(t, AdvanceNone, state)
+	// The storage VMs report it as lapsed, so it alone is no reason for a write at once.
+	unwritten, urgent := b.HasUnwritten()
+	must.True(t, unwritten)
+	must.False(t, urgent)
+	b.Finish(now, program, 0, 0)
+	_, urgent = b.HasUnwritten()
+	must.True(t, urgent)
 	must.Eq(t, 0, b.Flush()[0].Share.Weight())
+	unwritten, urgent = b.HasUnwritten()
+	must.False(t, unwritten || urgent)
 }
 
 // Guards against a new share under the writer name of a removed one: its versions would
@@ -214,7 +223,8 @@
 	must.Eq(t, first.Writer, b.Reserve(now.Add(2*idleTTL), program, 20).Writer)
 	b.Finish(now.Add(2*idleTTL), program, 40, 10)
 	b.Expire(now.Add(4 * idleTTL))
-	must.True(t, b.HasUnwritten())
+	unwritten, _ := b.HasUnwritten()
+	must.True(t, unwritten)
 	b.Flush()
 	b.Expire(now.Add(6 * idleTTL))
 	must.NotEq(t, first.Writer, b.Reserve(now.Add(6*idleTTL), program, 20).Writer)
@@ -286,3 +296,16 @@
 		must.Eq(t, 2, e.Share.Version)
 	}
 }
+
+// Guards against a repair of the shares of a program with each of its writes: where several gateways
+// serve it, the storage VMs would write each share once more.
+func TestRepairsOfSharesAreRare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	program := Program{Name: "p"}
+	set := NewShareSet("g")
+	must.False(t, set.RepairDue(now, program), must.Sprint("the gateway has no share of the program"))
+	set.Reserve(now, program, 20)
+	must.True(t, set.RepairDue(now, program))
+	must.False(t, set.RepairDue(now.Add(repairInterval-1), program))
+	must.True(t, set.RepairDue(now.Add(repairInterval), program))
+}
--- a/node/gateway/records.go
+++ b/node/gateway/records.go
@@ -282,19 +282,32 @@
 	shares []tokens.Share
 }
 
-// repairShares sends each member the shares of a program that only another member returned.
+// repairShares sends each member the shares of a program that only another member returned, unless
+// that was done lately.
 // Shares are kept where later ones of their program arrive, so the share of a gateway that no
 // longer serves the program would be left on the members that have both, and be lost with them.
 func (g *Gateway) repairShares(set *quorum.Set, program tokens.Program, union tokens.Union, counted []memberShares) {
+	var sends []func()
 	for _, c := range counted {
 		m := &turnstore.Write{Epoch: set.Epoch}
 		for _, share := range union.NewerThan(c.shares) {
 			m.Shares = append(m.Shares, tokens.ProgramShare{Program: program, Share: share})
 		}
 		if len(m.Shares) > 0 {
-			go g.sendShares(c.member, m)
+			sends = append(sends, func() { g.sendShares(c.member, m) })
 		}
 	}
+	if len(sends) == 0 {
+		return
+	}
+	g.Deliver(func(now time.Time) {
+		if !g.shares.RepairDue(now, program) {
+			return
+		}
+		for _, send := range sends {
+			go send()
+		}
+	})
 }
 
 // sendShares sends a write that nobody waits for. The next write of the program repeats it if
--- a/node/gateway/settle.go
+++ b/node/gateway/settle.go
@@ -14,6 +14,9 @@
 	// write. Unused tokens must be available again within a second of the end
 	// of a turn.
 	flushDelay = 120 * time.Millisecond
+	// releaseFlushDelay is the same for released advance reservations. The storage VMs report
+	// them as lapsed before; only gateways of builds that ignore this wait for the write.
+	releaseFlushDelay = 2 * time.Second
 	// flushRetryDelay is the pause before a failed write is retried.
 	flushRetryDelay = 500 * time.Millisecond
 )
@@ -21,7 +24,9 @@
 // shareFlush is the state of the writes of changed shares that no turn waits
 // for. It belongs to the control goroutine.
 type shareFlush struct {
-	due     time.Time
+	due time.Time
+	// urgent reports whether due takes an urgent change into account.
+	urgent  bool
 	writing bool
 }
 
@@ -29,16 +34,21 @@
 // the time of the next one or the zero time.
 func (g *Gateway) flushShares(now time.Time) time.Time {
 	s := &g.flush
-	if s.writing || !g.shares.HasUnwritten() {
+	unwritten, urgent := g.shares.HasUnwritten()
+	if s.writing || !unwritten {
 		return time.Time{}
 	}
 	if s.due.IsZero() {
-		s.due = now.Add(flushDelay)
+		s.due = now.Add(releaseFlushDelay)
 	}
+	if soon := now.Add(flushDelay); urgent && !s.urgent && soon.Before(s.due) {
+		s.due = soon
+	}
+	s.urgent = urgent
 	if now.Before(s.due) {
 		return s.due
 	}
-	s.due, s.writing = time.Time{}, true
+	*s = shareFlush{writing: true}
 	go g.writeShares(g.shares.Flush())
 	return time.Time{}
 }
@@ -68,7 +78,7 @@
 			return
 		}
 		g.o.Log.Info("changed shares were not stored; the write is retried", "count", len(batch), "error", err.Error())
-		g.flush.due = now.Add(flushRetryDelay)
+		g.flush.due, g.flush.urgent = now.Add(flushRetryDelay), true
 		for _, e := range batch {
 			g.shares.WriteFailed(e.Program)
 		}
