--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -14,7 +14,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -191,20 +190,14 @@
 	return f.processes[m.name+"."+role]
 }
 
-// signal sends a signal to a role of a machine.
-func (f *fleet) signal(m *machine, role string, s os.Signal) error {
-	return f.process(m, role).Process.Signal(s)
-}
-
 // close ends all processes and removes the temporary folder. KEEP_LOGS=1 keeps it.
 func (f *fleet) close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.processes {
 		if p.ProcessState == nil {
-			p.Process.Signal(syscall.SIGCONT) //nolint:errcheck // may have ended
-			p.Process.Kill()                  //nolint:errcheck // may have ended
-			p.Wait()                          //nolint:errcheck // killed
+			p.Process.Kill() //nolint:errcheck // may have ended
+			p.Wait()         //nolint:errcheck // killed
 		}
 	}
 	if os.Getenv("KEEP_LOGS") == "1" {
