--- a/review/rig3/denied.go
+++ b/review/rig3/denied.go
@@ -17,7 +17,7 @@
 
 const (
 	// deniedPrograms is the number of programs. Each has a budget of two turns and has had one of them.
-	deniedPrograms = 360
+	deniedPrograms = 480
 	deniedTokens   = 4 * 11
 	// usualStreams is the number of streams of other clients at a time, and burstStreams that of a burst. Each
 	// stream takes crowdTime. The workers have 108 places.
