--- a/review/rig3/denied.go
+++ b/review/rig3/denied.go
@@ -17,15 +17,16 @@
 
 const (
 	// deniedPrograms is the number of programs. Each has a budget of two turns and has had one of them.
-	deniedPrograms = 480
+	deniedPrograms = 720
 	deniedTokens   = 4 * 11
 	// usualStreams is the number of streams of other clients at a time, and burstStreams that of a burst. Each
 	// stream takes crowdTime. The workers have 108 places.
 	usualStreams, burstStreams = 80, 184
 	crowdTime                  = 2500 * time.Millisecond
 	burstTime                  = 4 * time.Second
-	// killAfter is when some gateways are killed, from the begin of the burst, and downTime how long they are away.
-	killAfter, downTime = 1500 * time.Millisecond, 500 * time.Millisecond
+	// killAfter is when some gateways are killed, from the begin of the burst, killAgain when the same are killed once
+	// more, and downTime how long they are away.
+	killAfter, killAgain, downTime = 1400 * time.Millisecond, 2900 * time.Millisecond, 500 * time.Millisecond
 	// turnTries is how often a client sends a turn at most.
 	turnTries = 6
 	// killedGateways of deniedGateways are killed.
@@ -161,7 +162,7 @@
 				time.Sleep(300 * time.Millisecond)
 			}
 		})
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
 	begun.Wait()
 	time.Sleep(2 * time.Second)
@@ -190,17 +191,19 @@
 	var kill sync.WaitGroup
 	if trouble() {
 		kill.Go(func() {
-			time.Sleep(time.Until(began.Add(killAfter)))
-			for _, m := range f.gateways[:killedGateways] {
-				if err := f.process(m, "gateway").Process.Kill(); err == nil {
-					rec.add("%s is killed", m.name)
+			for _, at := range []time.Duration{killAfter, killAgain} {
+				time.Sleep(time.Until(began.Add(at)))
+				for _, m := range f.gateways[:killedGateways] {
+					if err := f.process(m, "gateway").Process.Kill(); err == nil {
+						rec.add("%s is killed", m.name)
+					}
 				}
-			}
-			time.Sleep(downTime)
-			for _, m := range f.gateways[:killedGateways] {
-				f.process(m, "gateway").Wait() //nolint:errcheck // killed
-				if err := f.start(m, "gateway", false); err != nil {
-					rec.add("%s does not start: %v", m.name, err)
+				time.Sleep(downTime)
+				for _, m := range f.gateways[:killedGateways] {
+					f.process(m, "gateway").Wait() //nolint:errcheck // killed
+					if err := f.start(m, "gateway", false); err != nil {
+						rec.add("%s does not start: %v", m.name, err)
+					}
 				}
 			}
 		})
@@ -208,7 +211,7 @@
 	denied, served, refused := 0, 0, 0
 	for program, previous := range first {
 		programs.Go(func() {
-			time.Sleep(600*time.Millisecond + rand.N(800*time.Millisecond))
+			time.Sleep(600*time.Millisecond + rand.N(2200*time.Millisecond))
 			for try := range turnTries {
 				id, gateway := fmt.Sprintf("%s.second.%d", program, try), rand.IntN(deniedGateways)
 				status, _, retry := turn(gateway, program, id, previous)
