--- a/review/rig3/crash.go
+++ b/review/rig3/crash.go
@@ -9,7 +9,6 @@
 
 func init() {
 	cases["query"] = queryCase
-	cases["quiet"] = quietCase
 }
 
 const (
@@ -43,15 +42,6 @@
 	soundEvery time.Duration
 }
 
-// quietCase sends the request in a quiet hour.
-func quietCase(rec *recorder) (bool, error) {
-	return crashCase(rec, crashTraffic{
-		crashing:   request{path: "/orders/1", body: `{"order":"no worker survives this"}`},
-		sound:      func(i int) request { return request{path: "/orders/1", body: fmt.Sprintf(`{"order":%d}`, i)} },
-		soundEvery: 2 * time.Second,
-	})
-}
-
 // queryCase sends the request beside sound ones that differ from it in their query.
 func queryCase(rec *recorder) (bool, error) {
 	return crashCase(rec, crashTraffic{
