Tell lookups with different queries apart in the quarantine

The other way round, one bad lookup ends all lookups of its account on that path for two minutes.

Cause: the front end cuts the query off the path, and the fingerprint covered the path only. All lookups were one request, and each answer to a sound one cleared the crashes of the other.

Change: the query is part of the request and of its fingerprint. Without a query the fingerprint is that of earlier builds, so their reports still match. The daemon's fingerprint already covers the query.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -14,8 +14,8 @@
 	"github.com/mangoknot/mangoknot/core/domain"
 )
 
-// Fingerprint identifies a request by its client account, method, path and body, and by the turn
-// that it continues.
+// Fingerprint identifies a request by its client account, method, path, query and body, and by the
+// turn that it continues.
 type Fingerprint uint64
 
 const (
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -40,10 +40,11 @@
 // Request is one attempt of a caller.
 type Request struct {
 	// ID is unique for each attempt of a caller.
-	ID         string
-	Host, Path string
-	Key        string
-	Body       []byte
+	ID string
+	// Path is without the query, which does not select a route. Query is empty if there is none.
+	Host, Path, Query string
+	Key               string
+	Body              []byte
 	// TimeLeft is the time until the caller's deadline; 0 means that the caller
 	// set none.
 	TimeLeft time.Duration
@@ -302,10 +303,15 @@
 
 // fingerprintOf returns a fingerprint that is the same for all attempts of a
 // request. It does not cover the id, which differs for each attempt. The previous turn stands for
-// the rest of what a target gets: agents send short inputs such as "go on" in many programs.
+// the rest of what a target gets: agents send short inputs such as "go on" in many programs. Lookups
+// often differ in their query only; without one the fingerprint is that of earlier builds.
 func (e *exchange) fingerprintOf() quarantine.Fingerprint {
 	h := fnv.New64a()
-	for _, part := range [][]byte{[]byte(e.account), []byte(e.Method), []byte(e.Host), []byte(e.Path), e.Body, []byte(e.Previous)} {
+	parts := [][]byte{[]byte(e.account), []byte(e.Method), []byte(e.Host), []byte(e.Path), e.Body, []byte(e.Previous)}
+	if e.Query != "" {
+		parts = append(parts, []byte(e.Query))
+	}
+	for _, part := range parts {
 		h.Write(part)
 		h.Write([]byte{0})
 	}
