Confirm a crash of a target by connecting to it

Cause: a failed connection counts as a crash only if the gateway finds the target unreachable within 3 s, and only a later request of the same gateway tried to connect. The probe that follows a failure connects to targets at random and keeps numbers only. With little traffic no crash was counted.

Change: 100 ms after a failure the gateway connects to the target itself, once for each failure (Watch.Unconfirmed). A host that refuses the connection proves that the link works and that the target has crashed; this also holds where all targets are down, which were taken for lost links before. A target that does not answer counts only if another one of its data centre is reached by a probe that began later: now that silent targets are probed, a partition between data centres would otherwise count against the requests that it breaks.

Evidence: TestCrashIsConfirmedWithoutTraffic failed in both cases without the probe (no crash in 5 s), and TestCrashingRequestIsRefused/without_other_traffic with real processes (4 late retries, 8 crashes); both pass with it. Without the rule on data centres TestSilentDataCentreIsNoCrash fails.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -25,6 +25,11 @@
 	// confirmationTimeout is the time after a connection failure within which the
 	// target must be found unreachable for the failure to count as a crash.
 	confirmationTimeout = 3 * time.Second
+	// probeDelay is the time between a connection failure and the probe of its target. The listener
+	// of a target that crashes may outlast its connections by some milliseconds.
+	probeDelay = 100 * time.Millisecond
+	// maxProbed bounds the targets that are probed at once.
+	maxProbed = 8
 	// crashTTL is the time after which a crash no longer counts.
 	crashTTL = 2 * time.Minute
 	// maxEntries bounds each of the lists of connection failures and of confirmed
@@ -47,6 +52,8 @@
 	fingerprint      Fingerprint
 	target           domain.Target
 	sentAt, failedAt time.Time
+	// probed reports whether the target was to be probed for this failure.
+	probed bool
 	// confirmedAt is the time at which the failure was confirmed as a crash.
 	confirmedAt time.Time
 }
@@ -64,6 +71,32 @@
 	w.failures = appendBounded(w.failures, recordedFailure{fingerprint: f, target: t, sentAt: sentAt, failedAt: now})
 }
 
+// Unconfirmed returns the targets to which the gateway has to connect now, to learn whether those whose
+// connections failed have crashed: without other traffic nothing else would tell. Each failure leads to
+// one probe. next is the time of the next call, or zero if none is due.
+func (w *Watch) Unconfirmed(now time.Time) (targets []domain.Target, next time.Time) {
+	w.failures = slices.DeleteFunc(w.failures, func(f recordedFailure) bool { return now.Sub(f.failedAt) > confirmationTimeout })
+	for i := range w.failures {
+		f := &w.failures[i]
+		due := f.failedAt.Add(probeDelay)
+		switch {
+		case f.probed:
+		case due.After(now):
+			if next.IsZero() || due.Before(next) {
+				next = due
+			}
+		case slices.Contains(targets, f.target):
+			f.probed = true
+		case len(targets) < maxProbed:
+			f.probed = true
+			targets = append(targets, f.target)
+		default:
+			next = now.Add(probeDelay)
+		}
+	}
+	return targets, next
+}
+
 // TargetUnreachable confirms the recent connection failures at a target as crashes.
 func (w *Watch) TargetUnreachable(now time.Time, t domain.Target) {
 	w.failures = slices.DeleteFunc(w.failures, func(b recordedFailure) bool {
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -240,7 +240,7 @@
 		outcome = balance.Failed
 		e.forgetRun(target)
 		direct := e.isDirect()
-		e.g.Deliver(func(now time.Time) { e.g.targetUnreachable(now, target.ID, direct) })
+		e.g.Deliver(func(now time.Time) { e.g.targetUnreachable(now, target.ID, direct, unreachable) })
 	}
 	e.release(target, outcome, nil)
 	if e.runs > 0 && len(e.runTargets) >= e.route.MaxAttempts {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -269,11 +269,11 @@
 		}
 	}
 	g.cache.expire(now)
-	g.checkLinks(now)
+	nextProbe := g.checkLinks(now)
 	g.updateCold(now)
 	g.sendHeld(now)
 	g.serveQueue(now)
-	return earliest(now.Add(idleWake), g.held.Next(), g.shares.Expire(now), g.flushShares(now), g.probeSets(now))
+	return earliest(now.Add(idleWake), nextProbe, g.held.Next(), g.shares.Expire(now), g.flushShares(now), g.probeSets(now))
 }
 
 // earliest returns the earliest non-zero time, or the zero time if there is
--- a/node/gateway/links.go
+++ b/node/gateway/links.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,75 +38,169 @@
 // heardTarget records that bytes of a target arrived. It runs for each event of each stream.
 func (g *Gateway) heardTarget() { g.links.heard.Store(true) }
 
-// checkLinks starts a probe of the targets if there is a reason for one.
-func (g *Gateway) checkLinks(now time.Time) {
+// checkLinks starts probes of targets if there is a reason for them. It returns the time of the next
+// check, or zero if none is due.
+func (g *Gateway) checkLinks(now time.Time) (next time.Time) {
 	l := &g.links
 	if l.heard.Swap(false) {
 		l.lastByte = now
 	}
 	l.detector.InFlight(now, g.balancer.InFlight(), l.lastByte)
-	if targets := l.detector.Probe(now, g.targetList); targets != nil {
-		go g.probe(targets)
+	if sample := l.detector.Probe(now, g.targetList); sample != nil {
+		sample = append(sample, g.neighbours(sample)...)
+		go g.probe(sample, func(_ time.Time, results []error) { g.probed(now, sample, results) })
 	}
+	if l.detector.CutOff() {
+		return time.Time{}
+	}
+	failed, next := g.watch.Unconfirmed(now)
+	if targets := g.listed(failed); len(targets) > 0 {
+		go g.probe(targets, func(now time.Time, results []error) { g.probedFailed(now, targets, results) })
+	}
+	return next
 }
 
-// probe connects to targets and passes the outcome to the detector.
-func (g *Gateway) probe(targets []balance.Target) {
+// listed returns the targets with these ids that are still listed.
+func (g *Gateway) listed(ids []domain.Target) []balance.Target {
+	var out []balance.Target
+	for _, t := range g.targetList {
+		if slices.Contains(ids, t.ID) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// probe connects to targets and passes the results, which are nil for those that were reached, to the
+// control goroutine.
+func (g *Gateway) probe(targets []balance.Target, done func(now time.Time, results []error)) {
 	ctx, cancel := context.WithTimeout(g.Context(), reach.ProbeTimeout)
 	defer cancel()
-	results := make(chan error, len(targets))
-	for _, t := range targets {
-		go func() {
-			err := loop.ErrPanicked
-			loop.Contain(g.reportPanic, func() { err = g.o.Targets.Probe(ctx, t.Address) })
-			results <- err
-		}()
+	results := make([]error, len(targets))
+	var pending sync.WaitGroup
+	for i, t := range targets {
+		results[i] = loop.ErrPanicked
+		pending.Go(func() {
+			loop.Contain(g.reportPanic, func() { results[i] = g.o.Targets.Probe(ctx, t.Address) })
+		})
 	}
-	var failed []error
-	for range targets {
-		if err := <-results; err != nil {
-			failed = append(failed, err)
+	pending.Wait()
+	g.Deliver(func(now time.Time) { done(now, results) })
+}
+
+// probedFailed evaluates the probe of targets whose connections had failed.
+func (g *Gateway) probedFailed(now time.Time, targets []balance.Target, results []error) {
+	for i, t := range targets {
+		if results[i] != nil {
+			g.o.Log.Info("a target cannot be reached after its connection failed", "target", t.ID, "cause", results[i].Error())
+			g.targetUnreachable(now, t.ID, true, results[i])
 		}
 	}
-	g.Deliver(func(time.Time) { g.probed(len(targets)-len(failed), failed) })
 }
 
-// targetUnreachable records that a target could not be connected to. It confirms that the
-// target has crashed only if other targets are reached: the coordinators count crashes, and
+// refused reports whether the host of a target refused a connection.
+func refused(err error) bool {
+	var unreachable *port.UnreachableError
+	return errors.As(err, &unreachable) && unreachable.Refused
+}
+
+// targetUnreachable records that a target could not be connected to. A host that refuses
+// connections shows that the target has crashed. Otherwise the gateway's links may have failed, and the
+// crash is confirmed only if other targets of the data centre are reached: the coordinators count crashes, and
 // quarantine requests for all gateways.
-func (g *Gateway) targetUnreachable(now time.Time, id domain.Target, direct bool) {
-	if !direct {
+func (g *Gateway) targetUnreachable(now time.Time, id domain.Target, direct bool, cause error) {
+	if !direct || refused(cause) {
 		g.watch.TargetUnreachable(now, id)
 		return
 	}
 	if g.links.unreachable == nil {
 		g.links.unreachable = map[domain.Target]time.Time{}
 	}
-	g.links.unreachable[id] = now
+	if !g.unreachable(id) {
+		g.links.unreachable[id] = now
+	}
+	g.links.detector.Failed()
 }
 
-// confirmUnreachable evaluates the unreachable targets after a probe.
-func (g *Gateway) confirmUnreachable() {
+// neighbours returns a target in each data centre that has an unreachable target and none in the
+// sample that may answer.
+func (g *Gateway) neighbours(sample []balance.Target) []balance.Target {
+	covered := map[domain.DataCentre]bool{}
+	for _, t := range sample {
+		if !g.unreachable(t.ID) {
+			covered[t.DataCentre] = true
+		}
+	}
+	var out []balance.Target
+	for _, id := range slices.Sorted(maps.Keys(g.links.unreachable)) {
+		for _, t := range g.othersNear(id) {
+			if !covered[t.DataCentre] && !g.unreachable(t.ID) {
+				covered[t.DataCentre] = true
+				out = append(out, t)
+			}
+		}
+	}
+	return out
+}
+
+func (g *Gateway) unreachable(id domain.Target) bool {
+	_, ok := g.links.unreachable[id]
+	return ok
+}
+
+// othersNear returns the other targets in the data centre of a listed target.
+func (g *Gateway) othersNear(id domain.Target) []balance.Target {
+	listed := g.listed([]domain.Target{id})
+	if len(listed) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(g.targetList), func(t balance.Target) bool {
+		return t.DataCentre != listed[0].DataCentre || t.ID == id || t.Leaving
+	})
+}
+
+// confirmUnreachable evaluates the targets that were found unreachable before a probe began.
+// reached holds the data centres with targets in the probe, and whether one of them was reached.
+func (g *Gateway) confirmUnreachable(began time.Time, reached map[domain.DataCentre]bool) {
 	if g.links.detector.CutOff() {
 		g.watch.Forget()
-	} else {
-		for id, at := range g.links.unreachable {
+		g.links.unreachable = nil
+		return
+	}
+	for id, at := range g.links.unreachable {
+		if at.After(began) {
+			g.links.detector.Failed() // the next probe tells
+			continue
+		}
+		others := g.othersNear(id)
+		if len(others) == 0 || reached[others[0].DataCentre] {
 			g.watch.TargetUnreachable(at, id)
 		}
 	}
-	g.links.unreachable = nil
+	maps.DeleteFunc(g.links.unreachable, func(_ domain.Target, at time.Time) bool { return !at.After(began) })
 }
 
-func (g *Gateway) probed(reached int, failed []error) {
-	changed := g.links.detector.Probed(reached, len(failed))
-	g.confirmUnreachable()
+// probed evaluates a probe of a sample of targets. A refused connection shows that the links work.
+func (g *Gateway) probed(began time.Time, targets []balance.Target, results []error) {
+	var failed []error
+	reached := map[domain.DataCentre]bool{}
+	for i, t := range targets {
+		if err := results[i]; err != nil && !refused(err) {
+			failed = append(failed, err)
+			continue
+		}
+		reached[t.DataCentre] = true
+	}
+	reachedCount := len(targets) - len(failed)
+	changed := g.links.detector.Probed(reachedCount, len(failed))
+	g.confirmUnreachable(began, reached)
 	if !changed {
 		return
 	}
 	cutOff := g.links.detector.CutOff()
 	g.o.Metrics.CutOff(cutOff)
 	if !cutOff {
-		g.o.Log.Info("targets are reached directly again", "reached", reached, "failed", len(failed))
+		g.o.Log.Info("targets are reached directly again", "reached", reachedCount, "failed", len(failed))
 		g.o.Targets.CloseTunnels()
 		return
 	}
--- a/node/gateway/rig_test.go
+++ b/node/gateway/rig_test.go
@@ -90,8 +90,9 @@
 	answer   func(n int, r port.TargetRequest) (port.Answer, error)
 	// exchange replaces answer if a test needs the context.
 	exchange func(ctx context.Context, r port.TargetRequest) (port.Answer, error)
-	// unreachable holds the addresses at which probes fail; "" means all.
-	unreachable map[string]bool
+	// unreachable holds the addresses at which probes fail; "" means all. refusing holds those whose
+	// hosts refuse connections.
+	unreachable, refusing map[string]bool
 	// probeDelay is the time until a probe fails.
 	probeDelay time.Duration
 }
@@ -115,7 +116,11 @@
 func (t *targets) Probe(_ context.Context, address string) error {
 	t.mu.Lock()
 	unreachable, delay := t.unreachable[""] || t.unreachable[address], t.probeDelay
+	refusing := t.refusing[address]
 	t.mu.Unlock()
+	if refusing {
+		return &port.UnreachableError{Address: address, Refused: true, Err: errCut}
+	}
 	if unreachable {
 		time.Sleep(delay)
 		return errCut
--- a/port/exchange.go
+++ b/port/exchange.go
@@ -28,6 +28,9 @@
 // request was not sent.
 type UnreachableError struct {
 	Address string
+	// Refused reports whether the target's host refused the connection: the link to it works, and no
+	// process listens.
+	Refused bool
 	Err     error
 }
 
@@ -186,7 +189,8 @@
 	Exchange(ctx context.Context, r TargetRequest) (Answer, error)
 	// Retain closes the idle connections to addresses that are not in the map.
 	Retain(addresses map[string]bool)
-	// Probe connects to a target directly and closes the connection.
+	// Probe connects to a target directly and closes the connection. It fails with an
+	// *UnreachableError.
 	Probe(ctx context.Context, address string) error
 	// CloseTunnels closes the idle tunnels.
 	CloseTunnels()
