Count a crash of a target that has started again under its id

Seen by callers (BUDGET): where a service has one or two targets that start again under their ids, a request that crashes them is never refused: each target counted once.

Cause: the coordinator kept one crash for each request and target, because gateways repeat their reports and nothing told two crashes apart.

Change: gateways number their crashes (Crash.Number, a new field that earlier builds leave out and ignore). Reports of several gateways about one target are one crash unless the request was sent more than 1 s after the other crash. Crashes without a number count once for each target, as before.

--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -59,7 +59,7 @@
 		view.Allowances = c.fleet.Report(now, r.Process, r.Counts)
 		c.logAllowances(now)
 		c.logMemory(now)
-		c.crashCounter.Report(now, r.Crashes)
+		c.crashCounter.Report(now, r.Process, r.Crashes)
 		c.crashCounter.Served(r.Served)
 		lists := c.crashCounter.Lists(now)
 		view.Quarantined, view.Suspected, view.Cleared = lists.Quarantined, lists.Suspected, lists.Cleared
--- a/core/quarantine/counter.go
+++ b/core/quarantine/counter.go
@@ -11,11 +11,21 @@
 // concurrent. Reports of crashes that follow each other are delayed by different times.
 const concurrencyMargin = 50 * time.Millisecond
 
+// restartMargin is the least time between a crash of a target and the next request at its successor
+// with the same id. Reports of several gateways on one crash differ by less.
+const restartMargin = time.Second
+
+// maxCrashes bounds the crashes that are kept for one request.
+const maxCrashes = 64
+
 // maxPublished bounds the requests in each list for the gateways that change with each crash.
 const maxPublished = 256
 
 // reportedCrash is a crash of a target while it ran a request.
 type reportedCrash struct {
+	target domain.Target
+	// sources are the reports of the crash. Each gateway repeats its own many times.
+	sources          map[crashSource]bool
 	reportedAt       time.Time
 	sentAt, failedAt time.Time
 	// concurrent reports that the request was at several targets that crashed, so that at most one
@@ -27,37 +37,45 @@
 
 func (c *reportedCrash) counts() bool { return !c.concurrent && !c.cleared }
 
+// crashSource identifies a crash in the reports of one process.
+type crashSource struct {
+	process string
+	number  uint32
+}
+
 // CrashCounter holds the coordinator's crash counts over all gateways. It is not safe
 // for concurrent use.
 type CrashCounter struct {
-	crashes map[Fingerprint]map[domain.Target]*reportedCrash
+	crashes map[Fingerprint][]*reportedCrash
 }
 
 // NewCrashCounter returns a counter without crashes.
 func NewCrashCounter() *CrashCounter {
-	return &CrashCounter{crashes: map[Fingerprint]map[domain.Target]*reportedCrash{}}
+	return &CrashCounter{crashes: map[Fingerprint][]*reportedCrash{}}
 }
 
-// Report adds the confirmed crashes of one gateway, which reports each of them many times.
-func (c *CrashCounter) Report(now time.Time, crashes []Crash) {
+// Report adds the confirmed crashes that a process reports.
+func (c *CrashCounter) Report(now time.Time, process string, crashes []Crash) {
 	for _, crash := range crashes {
-		targets := c.crashes[crash.Fingerprint]
-		if targets == nil {
-			if len(c.crashes) >= maxEntries {
-				continue
-			}
-			targets = map[domain.Target]*reportedCrash{}
-			c.crashes[crash.Fingerprint] = targets
+		known := c.crashes[crash.Fingerprint]
+		if known == nil && len(c.crashes) >= maxEntries {
+			continue
 		}
-		if _, known := targets[crash.Target]; !known {
-			targets[crash.Target] = newCrash(now, crash, targets)
+		source := crashSource{process, crash.Number}
+		reported := newCrash(now, crash, known)
+		if i := slices.IndexFunc(known, func(k *reportedCrash) bool { return k.isSame(source, reported) }); i >= 0 {
+			known[i].sources[source] = true
+			continue
 		}
+		reported.sources = map[crashSource]bool{source: true}
+		known = append(known, reported)
+		c.crashes[crash.Fingerprint] = known[max(0, len(known)-maxCrashes):]
 	}
 }
 
-func newCrash(now time.Time, crash Crash, others map[domain.Target]*reportedCrash) *reportedCrash {
+func newCrash(now time.Time, crash Crash, others []*reportedCrash) *reportedCrash {
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
-	out := &reportedCrash{reportedAt: now, sentAt: ago(crash.SentAgo), failedAt: ago(crash.FailedAgo)}
+	out := &reportedCrash{target: crash.Target, reportedAt: now, sentAt: ago(crash.SentAgo), failedAt: ago(crash.FailedAgo)}
 	for _, other := range others {
 		if other.counts() && out.overlaps(other) && other.overlaps(out) {
 			out.concurrent = true
@@ -66,6 +84,25 @@
 	return out
 }
 
+// isSame reports whether a report is about this crash. The successor of a target may have its id: a
+// request that was sent well after this crash, or that failed well before it, was at another process.
+// Builds that do not number crashes report each target once.
+func (c *reportedCrash) isSame(source crashSource, reported *reportedCrash) bool {
+	switch {
+	case source.number != 0 && c.sources[source]:
+		return true
+	case c.target != reported.target:
+		return false
+	default:
+		return source.number == 0 || !(reported.isAfter(c) || c.isAfter(reported))
+	}
+}
+
+// isAfter reports whether the request was sent to a successor of the process that had crashed before.
+func (c *reportedCrash) isAfter(before *reportedCrash) bool {
+	return c.sentAt.After(before.failedAt.Add(restartMargin))
+}
+
 // overlaps reports whether the request was sent clearly before the other crash.
 func (c *reportedCrash) overlaps(other *reportedCrash) bool {
 	return c.sentAt.Add(concurrencyMargin).Before(other.failedAt)
@@ -97,9 +134,9 @@
 func (c *CrashCounter) Lists(now time.Time) Lists {
 	c.expire(now)
 	var out Lists
-	for f, targets := range c.crashes {
+	for f, crashes := range c.crashes {
 		counted, cleared := 0, false
-		for _, crash := range targets {
+		for _, crash := range crashes {
 			if crash.counts() {
 				counted++
 			}
@@ -128,14 +165,12 @@
 
 // expire removes the crashes that no longer count. Gateways have forgotten them before.
 func (c *CrashCounter) expire(now time.Time) {
-	for f, targets := range c.crashes {
-		for t, crash := range targets {
-			if now.Sub(crash.reportedAt) > crashTTL {
-				delete(targets, t)
-			}
-		}
-		if len(targets) == 0 {
+	for f, crashes := range c.crashes {
+		crashes = slices.DeleteFunc(crashes, func(crash *reportedCrash) bool { return now.Sub(crash.reportedAt) > crashTTL })
+		if len(crashes) == 0 {
 			delete(c.crashes, f)
+			continue
 		}
+		c.crashes[f] = crashes
 	}
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -46,6 +46,8 @@
 	// short because gateways report each crash many times.
 	SentAgo   uint32 `cbor:"S,omitempty"`
 	FailedAgo uint32 `cbor:"F,omitempty"`
+	// Number tells the crashes of one gateway apart. It is 0 on builds that do not number them.
+	Number uint32 `cbor:"N,omitempty"`
 }
 
 type recordedFailure struct {
@@ -54,8 +56,10 @@
 	sentAt, failedAt time.Time
 	// probed reports whether the target was to be probed for this failure.
 	probed bool
-	// confirmedAt is the time at which the failure was confirmed as a crash.
+	// confirmedAt is the time at which the failure was confirmed as a crash, and number the number
+	// of the crash.
 	confirmedAt time.Time
+	number      uint32
 }
 
 // Watch tracks the connection failures and crashes seen by one gateway. It is not safe
@@ -63,6 +67,8 @@
 type Watch struct {
 	failures  []recordedFailure
 	confirmed []recordedFailure
+	// crashes is the number of the last confirmed crash.
+	crashes uint32
 }
 
 // ConnectionFailed records a request that was sent at a time, and whose connection to the target
@@ -102,7 +108,8 @@
 	w.failures = slices.DeleteFunc(w.failures, func(b recordedFailure) bool {
 		recent := now.Sub(b.failedAt) <= confirmationTimeout
 		if recent && b.target == t {
-			b.confirmedAt = now
+			w.crashes++
+			b.confirmedAt, b.number = now, w.crashes
 			w.confirmed = appendBounded(w.confirmed, b)
 			return true
 		}
@@ -126,7 +133,10 @@
 	w.confirmed = slices.DeleteFunc(w.confirmed, func(b recordedFailure) bool { return now.Sub(b.confirmedAt) > crashTTL })
 	var out []Crash
 	for _, b := range w.confirmed {
-		out = append(out, Crash{Fingerprint: b.fingerprint, Target: b.target, SentAgo: max(1, milliseconds(now.Sub(b.sentAt))), FailedAgo: milliseconds(now.Sub(b.failedAt))})
+		out = append(out, Crash{
+			Fingerprint: b.fingerprint, Target: b.target, Number: b.number,
+			SentAgo: max(1, milliseconds(now.Sub(b.sentAt))), FailedAgo: milliseconds(now.Sub(b.failedAt)),
+		})
 	}
 	return out
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -25,8 +25,8 @@
 		g.ConnectionFailed(now, now.Add(-time.Millisecond), 2, "sound")
 		now = now.Add(time.Second)
 		g.TargetUnreachable(now, target)
-		for _, w := range gateways {
-			counter.Report(now, w.Crashes(now))
+		for i, w := range gateways {
+			counter.Report(now, fmt.Sprint(i), w.Crashes(now))
 		}
 	}
 	must.Eq(t, []Fingerprint{1}, counter.Lists(now).Quarantined)
@@ -81,8 +81,8 @@
 func (m *crashModel) report() {
 	for range 2 {
 		m.now = m.now.Add(200 * time.Millisecond)
-		for _, w := range m.watches {
-			m.counter.Report(m.now, w.Crashes(m.now))
+		for i, w := range m.watches {
+			m.counter.Report(m.now, fmt.Sprint(i), w.Crashes(m.now))
 		}
 	}
 }
@@ -135,6 +135,37 @@
 func TestCrashesOfEarlierBuildsCount(t *testing.T) {
 	c := NewCrashCounter()
 	now := time.Unix(1000, 0)
-	c.Report(now, []Crash{{Fingerprint: 1, Target: "a"}, {Fingerprint: 1, Target: "b"}, {Fingerprint: 1, Target: "c"}})
+	c.Report(now, "old", []Crash{{Fingerprint: 1, Target: "a"}, {Fingerprint: 1, Target: "b"}, {Fingerprint: 1, Target: "c"}})
 	must.Eq(t, []Fingerprint{1}, c.Lists(now).Quarantined)
 }
+
+// Guards against a request that is never quarantined because the few targets that it crashes start
+// again under their ids (BUDGET), and against one crash that counts several times: in repeated
+// reports, in reports of a build that does not number crashes, and at several gateways.
+func TestTargetThatStartsAgainCountsAgain(t *testing.T) {
+	for name, targets := range map[string][]domain.Target{"one target": {"a", "a", "a"}, "two targets": {"a", "b", "a"}} {
+		t.Run(name, func(t *testing.T) {
+			m := newCrashModel(2)
+			for i, target := range targets {
+				must.SliceEmpty(t, m.counter.Lists(m.now).Quarantined)
+				m.now = m.now.Add(2 * restartMargin)
+				m.crash(i%2, 1, target)
+			}
+			must.Eq(t, []Fingerprint{1}, m.counter.Lists(m.now).Quarantined)
+			m.counter = NewCrashCounter() // of the next leader
+			m.report()
+			must.Eq(t, []Fingerprint{1}, m.counter.Lists(m.now).Quarantined)
+		})
+	}
+	m := newCrashModel(3)
+	for i := range m.watches {
+		m.watches[i].ConnectionFailed(m.now, m.now.Add(-10*time.Millisecond), 1, "a")
+		m.watches[i].TargetUnreachable(m.now, "a")
+	}
+	for range 5 {
+		m.now = m.now.Add(restartMargin)
+		m.report()
+		m.counter.Report(m.now, "old", []Crash{{Fingerprint: 1, Target: "a"}})
+	}
+	must.SliceEmpty(t, m.counter.Lists(m.now).Suspected)
+}
