Keep crashes of suspected requests, and let quarantines grow

Seen by callers (BUDGET): after each two minutes a request that crashes targets runs at three more of them, and one that comes once a minute is never refused, so that each of its runs costs a target.

Cause: every crash counted for two minutes, also while the request was quarantined.

Change: crashes of a request that one more would quarantine are kept for an hour, at the coordinator and at the gateways, which report them to a new leader. After a quarantine one further crash leads to the next, which takes four times as long, up to an hour. A sound request is free again after two minutes, and an answer then clears it. The coordinator logs each quarantine.

--- a/core/coordinator/report.go
+++ b/core/coordinator/report.go
@@ -63,6 +63,9 @@
 		c.crashCounter.Served(r.Served)
 		lists := c.crashCounter.Lists(now)
 		view.Quarantined, view.Suspected, view.Cleared = lists.Quarantined, lists.Suspected, lists.Cleared
+		for _, q := range lists.Begun {
+			c.event("a request that crashes targets is quarantined", map[string]any{"fingerprint": q.Fingerprint, "crashes": q.Crashes, "for": q.Duration})
+		}
 		view.Limits = c.grantPermits(now, r.Limits)
 		view.Peers = c.gateways.Report(now, r.Reach)
 	}
--- a/core/quarantine/counter.go
+++ b/core/quarantine/counter.go
@@ -43,34 +43,86 @@
 	number  uint32
 }
 
+// suspect is a request that was at crashed targets.
+type suspect struct {
+	crashes []*reportedCrash
+	// until is the end of the last quarantine, and judged the number of crashes that led to it.
+	until  time.Time
+	judged int
+}
+
+func (s *suspect) counted() int {
+	n := 0
+	for _, crash := range s.crashes {
+		if crash.counts() {
+			n++
+		}
+	}
+	return n
+}
+
+// judge begins a quarantine if there is a further crash, and reports whether it did.
+func (s *suspect) judge(now time.Time) bool {
+	counted := s.counted()
+	if counted < CrashThreshold || counted <= s.judged {
+		s.judged = min(s.judged, counted)
+		return false
+	}
+	s.judged = counted
+	s.until = now.Add(quarantineTime(counted))
+	return true
+}
+
+// quarantineTime returns how long a request is quarantined after so many crashes.
+func quarantineTime(crashes int) time.Duration {
+	d := minQuarantine
+	for range crashes - CrashThreshold {
+		d = min(d*quarantineGrowth, maxQuarantine)
+	}
+	return d
+}
+
+// expire removes the crashes that no longer count.
+func (s *suspect) expire(now time.Time) {
+	suspected := s.counted() >= CrashThreshold-1
+	s.crashes = slices.DeleteFunc(s.crashes, func(c *reportedCrash) bool { return isExpired(now.Sub(c.reportedAt), suspected) })
+}
+
 // CrashCounter holds the coordinator's crash counts over all gateways. It is not safe
 // for concurrent use.
 type CrashCounter struct {
-	crashes map[Fingerprint][]*reportedCrash
+	suspects map[Fingerprint]*suspect
 }
 
 // NewCrashCounter returns a counter without crashes.
 func NewCrashCounter() *CrashCounter {
-	return &CrashCounter{crashes: map[Fingerprint][]*reportedCrash{}}
+	return &CrashCounter{suspects: map[Fingerprint]*suspect{}}
 }
 
 // Report adds the confirmed crashes that a process reports.
 func (c *CrashCounter) Report(now time.Time, process string, crashes []Crash) {
 	for _, crash := range crashes {
-		known := c.crashes[crash.Fingerprint]
-		if known == nil && len(c.crashes) >= maxEntries {
-			continue
-		}
-		source := crashSource{process, crash.Number}
-		reported := newCrash(now, crash, known)
-		if i := slices.IndexFunc(known, func(k *reportedCrash) bool { return k.isSame(source, reported) }); i >= 0 {
-			known[i].sources[source] = true
-			continue
+		s := c.suspects[crash.Fingerprint]
+		if s == nil {
+			if len(c.suspects) >= maxEntries {
+				continue
+			}
+			s = &suspect{}
+			c.suspects[crash.Fingerprint] = s
 		}
-		reported.sources = map[crashSource]bool{source: true}
-		known = append(known, reported)
-		c.crashes[crash.Fingerprint] = known[max(0, len(known)-maxCrashes):]
+		s.add(newCrash(now, crash, s.crashes), crashSource{process, crash.Number})
+	}
+}
+
+// add records a report of a crash, which may be known.
+func (s *suspect) add(reported *reportedCrash, source crashSource) {
+	if i := slices.IndexFunc(s.crashes, func(k *reportedCrash) bool { return k.isSame(source, reported) }); i >= 0 {
+		s.crashes[i].sources[source] = true
+		return
 	}
+	reported.sources = map[crashSource]bool{source: true}
+	s.crashes = append(s.crashes, reported)
+	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
 }
 
 func newCrash(now time.Time, crash Crash, others []*reportedCrash) *reportedCrash {
@@ -111,7 +163,12 @@
 // Served records the requests that targets have answered since they were suspected.
 func (c *CrashCounter) Served(served []Fingerprint) {
 	for _, f := range served {
-		for _, crash := range c.crashes[f] {
+		s := c.suspects[f]
+		if s == nil {
+			continue
+		}
+		s.judged, s.until = 0, time.Time{}
+		for _, crash := range s.crashes {
 			crash.cleared = true
 		}
 	}
@@ -128,27 +185,36 @@
 	// Cleared holds the requests that were answered after a crash, so that gateways do not report
 	// these crashes to a later leader.
 	Cleared []Fingerprint
+	// Begun holds the quarantines that have begun since the last call.
+	Begun []Quarantine
+}
+
+// Quarantine is a quarantine that begins.
+type Quarantine struct {
+	Fingerprint Fingerprint
+	Crashes     int
+	Duration    time.Duration
 }
 
 // Lists returns the lists, without the crashes that have expired.
 func (c *CrashCounter) Lists(now time.Time) Lists {
-	c.expire(now)
 	var out Lists
-	for f, crashes := range c.crashes {
-		counted, cleared := 0, false
-		for _, crash := range crashes {
-			if crash.counts() {
-				counted++
-			}
-			cleared = cleared || crash.cleared
+	for f, s := range c.suspects {
+		s.expire(now)
+		if len(s.crashes) == 0 {
+			delete(c.suspects, f)
+			continue
 		}
-		if counted >= CrashThreshold {
+		if s.judge(now) {
+			out.Begun = append(out.Begun, Quarantine{f, s.judged, s.until.Sub(now)})
+		}
+		if now.Before(s.until) {
 			out.Quarantined = append(out.Quarantined, f)
 		}
-		if counted >= CrashThreshold-1 {
+		if s.counted() >= CrashThreshold-1 {
 			out.Suspected = append(out.Suspected, f)
 		}
-		if cleared {
+		if slices.ContainsFunc(s.crashes, func(crash *reportedCrash) bool { return crash.cleared }) {
 			out.Cleared = append(out.Cleared, f)
 		}
 	}
@@ -162,15 +228,3 @@
 	slices.Sort(list)
 	return list[:min(len(list), maxPublished)]
 }
-
-// expire removes the crashes that no longer count. Gateways have forgotten them before.
-func (c *CrashCounter) expire(now time.Time) {
-	for f, crashes := range c.crashes {
-		crashes = slices.DeleteFunc(crashes, func(crash *reportedCrash) bool { return now.Sub(crash.reportedAt) > crashTTL })
-		if len(crashes) == 0 {
-			delete(c.crashes, f)
-			continue
-		}
-		c.crashes[f] = crashes
-	}
-}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -2,7 +2,8 @@
 // gateway records the requests that were in flight at a target when it crashed. The
 // coordinator counts the crashes of a request across all gateways and quarantines the
 // request after the third one in a row. Targets that crash together, such as those of a rack,
-// count once, and an answer of a target clears the request. core/program detects such requests
+// count once, and an answer of a target clears the request. After the quarantine one crash suffices for the
+// next, longer one. core/program detects such requests
 // at the owner of their program. This package needs no owner, because any gateway may receive
 // the same request.
 package quarantine
@@ -30,8 +31,15 @@
 	probeDelay = 100 * time.Millisecond
 	// maxProbed bounds the targets that are probed at once.
 	maxProbed = 8
-	// crashTTL is the time after which a crash no longer counts.
-	crashTTL = 2 * time.Minute
+	// crashTTL is the time after which a crash no longer counts, and suspicionTTL that for requests
+	// that one more crash would quarantine.
+	crashTTL     = 2 * time.Minute
+	suspicionTTL = time.Hour
+	// minQuarantine is the time of the first quarantine of a request. Each further crash makes the next
+	// one quarantineGrowth times as long, up to maxQuarantine.
+	minQuarantine    = 2 * time.Minute
+	quarantineGrowth = 4
+	maxQuarantine    = time.Hour
 	// maxEntries bounds each of the lists of connection failures and of confirmed
 	// crashes at a gateway, and the requests with crashes at the coordinator.
 	maxEntries = 4096
@@ -57,9 +65,9 @@
 	// probed reports whether the target was to be probed for this failure.
 	probed bool
 	// confirmedAt is the time at which the failure was confirmed as a crash, and number the number
-	// of the crash.
-	confirmedAt time.Time
-	number      uint32
+	// of the crash. suspectedAt is when the request was last known to be suspected, or zero.
+	confirmedAt, suspectedAt time.Time
+	number                   uint32
 }
 
 // Watch tracks the connection failures and crashes seen by one gateway. It is not safe
@@ -128,9 +136,18 @@
 	w.confirmed = slices.DeleteFunc(w.confirmed, matches)
 }
 
-// Crashes returns the confirmed crashes that have not expired.
-func (w *Watch) Crashes(now time.Time) []Crash {
-	w.confirmed = slices.DeleteFunc(w.confirmed, func(b recordedFailure) bool { return now.Sub(b.confirmedAt) > crashTTL })
+// Crashes returns the confirmed crashes that have not expired. Those of suspected requests are kept
+// longer, for a later leader.
+func (w *Watch) Crashes(now time.Time, suspected map[Fingerprint]bool) []Crash {
+	for i := range w.confirmed {
+		if suspected[w.confirmed[i].fingerprint] {
+			w.confirmed[i].suspectedAt = now
+		}
+	}
+	w.confirmed = slices.DeleteFunc(w.confirmed, func(b recordedFailure) bool {
+		// A new leader does not know yet which requests are suspected.
+		return isExpired(now.Sub(b.confirmedAt), now.Sub(b.suspectedAt) <= crashTTL)
+	})
 	var out []Crash
 	for _, b := range w.confirmed {
 		out = append(out, Crash{
@@ -141,6 +158,11 @@
 	return out
 }
 
+// isExpired reports whether a crash of a certain age no longer counts.
+func isExpired(age time.Duration, suspected bool) bool {
+	return age > suspicionTTL || (age > crashTTL && !suspected)
+}
+
 func milliseconds(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
 
 func appendBounded(list []recordedFailure, b recordedFailure) []recordedFailure {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -26,7 +26,7 @@
 		now = now.Add(time.Second)
 		g.TargetUnreachable(now, target)
 		for i, w := range gateways {
-			counter.Report(now, fmt.Sprint(i), w.Crashes(now))
+			counter.Report(now, fmt.Sprint(i), w.Crashes(now, nil))
 		}
 	}
 	must.Eq(t, []Fingerprint{1}, counter.Lists(now).Quarantined)
@@ -40,12 +40,12 @@
 	w := &Watch{}
 	w.ConnectionFailed(now, now.Add(-time.Millisecond), 1, "t")
 	w.TargetUnreachable(now, "t")
-	must.Len(t, 1, w.Crashes(now))
+	must.Len(t, 1, w.Crashes(now, nil))
 	w.Served(1)
-	must.SliceEmpty(t, w.Crashes(now))
+	must.SliceEmpty(t, w.Crashes(now, nil))
 	w.ConnectionFailed(now, now.Add(-time.Millisecond), 1, "t")
 	w.TargetUnreachable(now.Add(confirmationTimeout+time.Second), "t")
-	must.SliceEmpty(t, w.Crashes(now))
+	must.SliceEmpty(t, w.Crashes(now, nil))
 }
 
 // crashModel lets requests crash targets, as a gateway sees it.
@@ -63,6 +63,15 @@
 	return m
 }
 
+// suspected returns what gateways are told to be suspected.
+func (m *crashModel) suspected() map[Fingerprint]bool {
+	out := map[Fingerprint]bool{}
+	for _, f := range m.counter.Lists(m.now).Suspected {
+		out[f] = true
+	}
+	return out
+}
+
 // crash lets targets crash at once while requests run at them that a gateway sent before.
 func (m *crashModel) crash(gateway int, f Fingerprint, targets ...domain.Target) {
 	sentAt := m.now
@@ -82,7 +91,7 @@
 	for range 2 {
 		m.now = m.now.Add(200 * time.Millisecond)
 		for i, w := range m.watches {
-			m.counter.Report(m.now, fmt.Sprint(i), w.Crashes(m.now))
+			m.counter.Report(m.now, fmt.Sprint(i), w.Crashes(m.now, m.suspected()))
 		}
 	}
 }
@@ -169,3 +178,35 @@
 	}
 	must.SliceEmpty(t, m.counter.Lists(m.now).Suspected)
 }
+
+// Guards against a request that runs at three more targets after each end of its quarantine (BUDGET),
+// against one that crashes a target a minute and is never quarantined, and against one that was answered
+// after its quarantine and still counts as a crasher. A new leader goes on with what gateways report.
+func TestQuarantineGrows(t *testing.T) {
+	m := newCrashModel(3)
+	dispatched := 0
+	for minute := range 60 {
+		if minute == 30 {
+			m.counter = NewCrashCounter()
+			m.report()
+		}
+		if len(m.counter.Lists(m.now).Quarantined) == 0 {
+			dispatched++
+			m.crash(minute%3, 1, domain.Target(fmt.Sprint("t", minute)))
+		}
+		m.now = m.now.Add(time.Minute)
+		m.report()
+	}
+	must.LessEq(t, CrashThreshold+maxLateRuns, dispatched)
+	must.Greater(t, CrashThreshold, dispatched)
+
+	m.now = m.now.Add(maxQuarantine)
+	must.SliceEmpty(t, m.counter.Lists(m.now).Quarantined)
+	m.counter.Served([]Fingerprint{1})
+	m.crash(0, 1, "a")
+	m.crash(0, 1, "b")
+	must.SliceEmpty(t, m.counter.Lists(m.now).Quarantined)
+}
+
+// maxLateRuns is how often operators permit that a request runs after it has crashed the third target.
+const maxLateRuns = 3
--- a/node/gateway/continuation_test.go
+++ b/node/gateway/continuation_test.go
@@ -238,7 +238,7 @@
 	crashes := 0
 	must.NoError(t, g.Do(context.Background(), func(now time.Time) {
 		g.watch.TargetUnreachable(now, crashed)
-		crashes = len(g.watch.Crashes(now))
+		crashes = len(g.watch.Crashes(now, nil))
 	}))
 	must.Eq(t, 1, crashes)
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -397,7 +397,7 @@
 		r.Regional = v.setVersions()
 		r.Targets = g.targetSequence
 		r.Counts = g.allowances.Report(now, uint64(r.Document))
-		r.Crashes = g.watch.Crashes(now)
+		r.Crashes = g.watch.Crashes(now, g.suspected)
 		r.Served = slices.Sorted(maps.Keys(g.servedSuspects))
 		r.Limits = g.reportLimits(now)
 		r.Reach = g.reportLinks()
