Keep a deployment closed when its last client account is removed

Cause: a document that says nothing of tenants needs no keys. The decoder did not keep whether it does, and the gateway took a manifest without accounts for such a document.

An empty key, which let requests without a key in, matches no account. Documents are stored as sent, so the rule also holds for stored ones.

--- a/core/manifest/index.go
+++ b/core/manifest/index.go
@@ -42,7 +42,9 @@
 		a := &m.Accounts[i]
 		x.accountsByName[a.Name] = a
 		for _, key := range a.Keys {
-			x.accountsByKey[key] = a
+			if key != "" { // a request without a key has none
+				x.accountsByKey[key] = a
+			}
 		}
 	}
 	return x
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -127,6 +127,9 @@
 	Services []Service
 	Accounts []Account
 	Limits   Limits
+	// Open reports whether the deployment has no client accounts and requests need no key. Without
+	// Open and accounts, only requests of open routes are served.
+	Open bool
 }
 
 // Constrained reports whether a route or an account has a region constraint.
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"github.com/mangoknot/mangoknot/adapter/systemclock"
 	"github.com/mangoknot/mangoknot/core/coordinator"
 	"github.com/mangoknot/mangoknot/core/domain"
+	"github.com/mangoknot/mangoknot/core/manifest"
 	"github.com/mangoknot/mangoknot/core/quarantine"
 	"github.com/mangoknot/mangoknot/core/quorum"
 	"github.com/mangoknot/mangoknot/core/targetlimit"
@@ -363,6 +364,38 @@
 	must.True(t, refusal.NotRun)
 }
 
+// Guards against a deployment that becomes open to everyone when its last client account is removed
+// (ROUTE, review/12), and against an empty key that lets requests without one in.
+func TestRemovedAccountsLeaveNoAccess(t *testing.T) {
+	for name, accounts := range map[string][]manifest.Account{
+		"none": nil, "without keys": {{Name: "acme"}}, "empty key": {{Name: "acme", Keys: []string{""}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			before, after := *testManifest, *testManifest
+			after.Version, after.Accounts = 2, accounts
+			after.Routes = append([]manifest.Route{{
+				Name: "open", Host: "h", Prefix: "/open/", Kind: manifest.Idempotent, Timeout: time.Second, Objective: 150 * time.Millisecond,
+				Splits: []manifest.Split{{Service: "model", Weight: 1}}, MaxAttempts: 1, Open: true,
+			}}, before.Routes...)
+			g := r.startGatewayWith(0, r.list, &before, &after)
+			refusal, _ := r.serve(g, &Request{ID: "before", Host: "h", Path: "/look/1", Key: "key"})
+			must.Nil(t, refusal)
+			g.Apply(&coordinator.View{Document: &manifest.Document{Version: 2, Raw: []byte("1")}})
+			must.NoError(t, g.Do(t.Context(), func(time.Time) {}))
+			for _, key := range []string{"key", "never", ""} {
+				for _, path := range []string{"/look/1", "/order/1", "/chat/1"} {
+					refusal, _ := r.serve(g, &Request{ID: "after" + path + key, Host: "h", Path: path, Key: key})
+					must.NotNil(t, refusal, must.Sprint(path, key))
+					must.Eq(t, KeyUnknown, refusal.Kind)
+				}
+				refusal, _ := r.serve(g, &Request{ID: "open" + key, Host: "h", Path: "/open/1", Key: key})
+				must.Nil(t, refusal)
+			}
+		})
+	}
+}
+
 // Guards against a request that continues to crash targets after the
 // coordinators have quarantined it.
 func TestQuarantinedRequestIsRefused(t *testing.T) {
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -320,7 +320,7 @@
 
 func (e *exchange) identify(index *manifest.Index) *Refusal {
 	e.constraint = manifest.Constraint(e.route, nil)
-	if len(index.Manifest.Accounts) == 0 {
+	if index.Manifest.Open {
 		return nil
 	}
 	holder, ok := index.AccountByKey(e.Key)
