Reject answers whose status HTTP does not define

The daemon stored such an answer of a plain service as served, and delivered 101 and statuses above 599.

Cause: net/http parses any three digits.

The daemon's adapter of targets rejects all but 200 to 599 before the answer is read, so that another target of an open route is asked.

--- a/adapter/httpapi/services.go
+++ b/adapter/httpapi/services.go
@@ -154,8 +154,12 @@
 	return sum
 }
 
+// maxServiceStatus is the highest status code that HTTP defines a class for.
+const maxServiceStatus = 599
+
 func writeServiceAnswer(w http.ResponseWriter, answer *port.ServiceAnswer) {
-	if answer.Status < 100 || answer.Status > 999 {
+	if answer.Status < http.StatusOK || answer.Status > maxServiceStatus {
+		// Earlier builds have stored such answers.
 		writeRefusal(w, domain.Unknown(domain.ReasonTargetFailed, "the service returned the invalid HTTP status %d", answer.Status))
 		return
 	}
--- a/adapter/target/cut_test.go
+++ b/adapter/target/cut_test.go
@@ -84,6 +84,23 @@
 	}
 }
 
+// Guards against an answer of a plain service whose status HTTP does not define, such as 000, or that
+// leaves HTTP, and that counts as served: it would be stored and charged, and no other target of an
+// open route would be asked (MIXED).
+func TestAnswerWithoutValidStatusIsInvalid(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			client := cutServer(t, func() string {
+				return "HTTP/1.1 " + status + " x\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok"
+			}, false)
+			_, err := plainAnswer(client)
+			failure := failureOf(t, err)
+			must.Eq(t, port.FailureBadAnswer, failure.Kind)
+			must.True(t, failure.MayHaveRun())
+		})
+	}
+}
+
 func plainAnswer(client *Client) (string, error) {
 	answer, err := client.Plain(context.Background(), port.PlainCall{Target: "tool", Call: "1", Method: http.MethodPost, Path: "/x",
 		MaxBody: 10, MaxAnswer: 1000, Timeout: time.Minute})
--- a/adapter/target/target.go
+++ b/adapter/target/target.go
@@ -158,9 +158,22 @@
 	if err != nil {
 		return nil, a.failure(r.Context(), err, false)
 	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		_ = response.Body.Close()
+		return nil, badAnswer(a.target, 0, nil, "%w: %03d", errNoStatus, response.StatusCode)
+	}
 	return response, nil
 }
 
+// minStatus and maxStatus bound the statuses of final answers. net/http skips informational answers,
+// except for 101, and parses any three digits.
+const (
+	minStatus = http.StatusOK
+	maxStatus = 599
+)
+
+var errNoStatus = errors.New("the status is not one of a final HTTP answer; check the target")
+
 // failure converts the error of a request to a *port.Failure. started reports
 // whether part of the answer was received.
 func (a *attempt) failure(ctx context.Context, err error, started bool) *port.Failure {
