--- a/internal/roles/coordinator.go
+++ b/internal/roles/coordinator.go
@@ -61,7 +61,7 @@
 			ElectionTimeout: electionTimeout, Heartbeat: heartbeatInterval, Applied: applied, Rand: p.rand,
 			ColdBounds: targetlimit.ColdBounds{Excess: p.settings.ColdExcess, Slack: p.settings.ColdSlack},
 		},
-		Restored: restored, Disk: d, Calls: p.rpcClient, Targets: platform.NewLister(p.settings),
+		Restored: restored, Disk: d, Calls: p.rpcClient, Targets: platform.NewLister(p.settings, p.log),
 		Clock: p.clock, Seeds: p.seeds, Log: p.log, Metrics: metrics,
 	})
 	p.group.Add(n.Run, func(error) { n.Stop() })
